Step answers carry the outcome header; no pool is denied before the first view

Cause: an instance that has started but holds no configuration yet answered 404 for a weights publication, and answers about steps lacked Hickory-Outcome where other failures have it. Ruled out: the balancer keeping work away (it sends work to an instance that is not ready). Change: one place builds a failure's headers; 503 'not run' with Retry-After before the first view. Before: the new test fails with 404.

--- a/packages/hickoryd/api_reply.h
+++ b/packages/hickoryd/api_reply.h
@@ -15,9 +15,12 @@
 
 namespace hickorywood::hickoryd {
 
+struct step_reply;
+
 using exchange_ptr = std::shared_ptr<transport::http_exchange>;
 
 constexpr char kJsonType[] = "application/json";
+constexpr char kOutcomeHeader[] = "Hickory-Outcome";
 
 void ReplyJson(const exchange_ptr& exchange, int status,
                const std::string& body);
@@ -28,6 +31,9 @@
                   request_outcome outcome, const std::string& reason,
                   core::milliseconds retry_after);
 
+// An answer about a step, with the same headers as any failure.
+void ReplyStep(const exchange_ptr& exchange, const step_reply& reply);
+
 // A refusal of malformed input: status 400, "not_run".
 void ReplyInvalid(const exchange_ptr& exchange, const std::string& reason);
 
--- a/packages/hickoryd/call_service.cc
+++ b/packages/hickoryd/call_service.cc
@@ -7,6 +7,7 @@
 
 #include "core/events.h"
 #include "core/ids.h"
+#include "hickoryd/api_reply.h"
 
 namespace hickorywood::hickoryd {
 namespace {
@@ -27,7 +28,6 @@
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
-constexpr char kOutcomeHeader[] = "Hickory-Outcome";
 constexpr char kNotRunWord[] = "not_run";
 constexpr char kRequestIdHeader[] = "X-Request-Id";
 
--- a/packages/hickoryd/caller_api.cc
+++ b/packages/hickoryd/caller_api.cc
@@ -67,16 +67,6 @@
          std::find(kKept.begin(), kKept.end(), lower) != kKept.end();
 }
 
-void ReplyStep(const exchange_ptr& exchange, metrics& counters,
-               const std::string& kind, const step_reply& reply) {
-  counters.CountRequest(kind, std::to_string(reply.status));
-  std::vector<transport::http_header> headers;
-  if (reply.retry_after.count() > 0) {
-    headers.push_back({"Retry-After", RetryAfterSeconds(reply.retry_after)});
-  }
-  exchange->Reply(reply.status, headers, kJsonType, reply.body);
-}
-
 // One streamed piece of a generation, as a server-sent event.
 std::string StreamEvent(const std::string& id,
                         const rollout::generated_text& so_far,
@@ -362,7 +352,9 @@
   spec->pool = pool;
   RunOn(parts_.context.traffic, exchange, [this, spec, exchange] {
     parts_.steps.Open(*spec, [this, exchange](const step_reply& reply) {
-      ReplyStep(exchange, parts_.context.counters, "open_step", reply);
+      parts_.context.counters.CountRequest("open_step",
+                                           std::to_string(reply.status));
+      ReplyStep(exchange, reply);
     });
   });
 }
@@ -377,7 +369,9 @@
   request->is_forwarded = false;
   RunOn(parts_.context.traffic, exchange, [this, request, exchange] {
     parts_.steps.Pull(*request, [this, exchange](const step_reply& reply) {
-      ReplyStep(exchange, parts_.context.counters, "pull", reply);
+      parts_.context.counters.CountRequest("pull",
+                                           std::to_string(reply.status));
+      ReplyStep(exchange, reply);
     });
   });
 }
@@ -387,6 +381,12 @@
   const auto body = DecodeBody<weights_body>(exchange);
   if (!body) return;
   const auto view = parts_.context.board.Get();
+  // Before the first view nobody can tell which pools there are.
+  if (!view->config) {
+    ReplyFailure(exchange, 503, request_outcome::kNotRun,
+                 "this instance has no configuration yet", kRetryAfter);
+    return;
+  }
   if (FindPool(*view, pool) == nullptr) {
     ReplyFailure(exchange, 404, request_outcome::kNotRun,
                  "no pool '" + pool + "' at this site", milliseconds(0));
--- a/packages/hickoryd/peer_api.cc
+++ b/packages/hickoryd/peer_api.cc
@@ -185,12 +185,7 @@
     if (!request) return;
     RunOn(traffic, exchange, [this, request, exchange] {
       parts_.steps.Pull(*request, [exchange](const step_reply& reply) {
-        std::vector<transport::http_header> headers;
-        if (reply.retry_after.count() > 0) {
-          headers.push_back(
-              {"Retry-After", RetryAfterSeconds(reply.retry_after)});
-        }
-        exchange->Reply(reply.status, headers, kJsonType, reply.body);
+        ReplyStep(exchange, reply);
       });
     });
   };
--- a/packages/hickoryd/step_service.h
+++ b/packages/hickoryd/step_service.h
@@ -41,6 +41,7 @@
   int status = 200;
   std::string body;  // JSON
   core::milliseconds retry_after{0};
+  std::string outcome;  // of a failure: "not_run", "unknown" or "ran"
 };
 
 class step_service {
--- a/packages/hickoryd/step_takeover.cc
+++ b/packages/hickoryd/step_takeover.cc
@@ -6,6 +6,7 @@
 
 #include "core/events.h"
 #include "core/ids.h"
+#include "hickoryd/api_reply.h"
 #include "hickoryd/step_service.h"
 #include "hickoryd/step_service_state.h"
 
@@ -41,7 +42,7 @@
   const nlohmann::json tree = {{"outcome", outcome},
                                {"reason", reason},
                                {"retry_after_ms", retry_after.count()}};
-  return {status, tree.dump(), retry_after};
+  return {status, tree.dump(), retry_after, outcome};
 }
 
 step_reply EndReply(uint64_t cursor, int end_status) {
@@ -259,7 +260,8 @@
           if (is_answer && response.status != 404 && response.status != 503) {
             const std::string retry = response.Header("Retry-After");
             done({response.status, response.body,
-                  milliseconds(retry.empty() ? 0 : 1000)});
+                  milliseconds(retry.empty() ? 0 : 1000),
+                  response.Header(kOutcomeHeader)});
             return;
           }
           const bool is_gone = response.how == transport::delivery::kNotSent ||
--- a/tests/integration/access_test.cc
+++ b/tests/integration/access_test.cc
@@ -116,5 +116,23 @@
   EXPECT_TRUE(fleet.IsReady("n1"));
 }
 
+// An instance has started and has no configuration yet, and the balancer sends
+// work all the same. Nobody is told that a pool or service does not exist: each
+// caller hears "not run" and when to come back.
+TEST(AccessTest, InstanceWithoutConfigurationSendsCallersAway) {
+  cluster fleet({{"n1"}});
+  fleet.StartNode("n1");
+  for (const char* path :
+       {"/v1/pools/pool-a/weights", "/v1/pools/pool-a/generate",
+        "/v1/pools/pool-a/steps", "/v1/services/bookings/x"}) {
+    const json body = {{"version", 2}, {"prompt", "p"},  {"max_tokens", 4},
+                       {"step", "s"},  {"trainer", "t"}, {"prompts", {"p"}}};
+    const auto answer = fleet.Web().Post(fleet.Callers("n1"), path, body);
+    EXPECT_EQ(answer.status, 503) << path << answer.body;
+    EXPECT_EQ(answer.Header("Hickory-Outcome"), "not_run") << path;
+    EXPECT_FALSE(answer.Header("Retry-After").empty()) << path;
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::testing
--- a/tests/integration/recovery_test.cc
+++ b/tests/integration/recovery_test.cc
@@ -87,7 +87,10 @@
     fleet.KillNode(victim);
     fleet.LoseDisk(victim);
     fleet.StartNode(victim);
-    ASSERT_TRUE(WaitUntil([&] { return IsAdmitted(fleet, victim); })) << victim;
+    // Voting again and serving again come apart: its view may arrive later.
+    ASSERT_TRUE(WaitUntil([&] {
+      return IsAdmitted(fleet, victim) && fleet.IsReady(victim);
+    })) << victim;
   }
   ASSERT_TRUE(WaitUntil([&] {
     return fleet.IsReady("n1") && fleet.IsReady("n2") && fleet.IsReady("n3");
