One replica under any state machine: consensus::group_replica

Cause: control::replica held the order of sync, send, apply and answer together with configuration leases, so a second replicated state machine would have needed a copy of it. Ruled out: a template over the machine's result type (two call sites don't pay for it). Behaviour unchanged.

--- /dev/null
+++ b/packages/consensus/group_replica.cc
@@ -0,0 +1,281 @@
+#include "consensus/group_replica.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "consensus/members.h"
+#include "core/events.h"
+#include "core/json.h"
+
+namespace hickorywood::consensus {
+namespace {
+
+using core::event_id;
+using core::LogEvent;
+
+bool IsReply(message_kind kind) {
+  return kind == message_kind::kPreVoteReply ||
+         kind == message_kind::kVoteReply ||
+         kind == message_kind::kAppendReply ||
+         kind == message_kind::kSnapshotReply;
+}
+
+}  // namespace
+
+const char* RoleWord(raft_role role) {
+  switch (role) {
+    case raft_role::kFollower:
+      return "follower";
+    case raft_role::kPreCandidate:
+    case raft_role::kCandidate:
+      return "candidate";
+    case raft_role::kLeader:
+      return "leader";
+  }
+  return "follower";
+}
+
+std::vector<std::string> MemberTexts(const std::vector<member>& members) {
+  constexpr size_t kShortId = 8;
+  std::vector<std::string> texts;
+  texts.reserve(members.size());
+  for (const member& who : members) {
+    texts.push_back(who.node + "/" + who.storage.substr(0, kShortId));
+  }
+  return texts;
+}
+
+group_replica::group_replica(const core::runtime_clock& clock,
+                             group_replica_settings settings,
+                             log_storage& storage, message_sender& sender,
+                             replicated_machine& machine)
+    : clock_(clock),
+      settings_(std::move(settings)),
+      storage_(storage),
+      sender_(sender),
+      machine_(machine) {}
+
+bool group_replica::Load() {
+  std::optional<stored_state> stored = storage_.Load();
+  if (!stored) {
+    if (core::LastReason().code == core::reason_code::kCorrupt) {
+      LogEvent(event_id::kLogCorrupt,
+               {{"node", settings_.node}, {"reason", core::LastReason().text}});
+    }
+    return false;
+  }
+  if (stored->is_new) {
+    LogEvent(event_id::kStorageCreated, {{"node", settings_.node}});
+  }
+  if (stored->was_tail_cut) {
+    LogEvent(event_id::kLogTailCut, {{"node", settings_.node}});
+  }
+  raft_.options = settings_.raft;
+  raft_.self = {settings_.node, stored->storage_id};
+  raft_.hard = stored->hard;
+  raft_.log = std::move(stored->log);
+  raft_.random.seed(settings_.random_seed);
+  StartReplica(raft_, clock_.Now());
+  applied_ = raft_.log.snap.index;
+  machine_.Restore(applied_, raft_.log.snap.data);
+  return true;
+}
+
+bool group_replica::Bootstrap(const std::string& group) {
+  if (!BootstrapGroup(raft_, group, clock_.Now(), out_)) {
+    core::SetLastReason(
+        core::reason_code::kConflict,
+        "this instance is in group " + raft_.group + " already");
+    return false;
+  }
+  LogEvent(event_id::kGroupBootstrapped,
+           {{"group", group}, {"node", settings_.node}});
+  Flush();
+  return true;
+}
+
+void group_replica::Tick() { consensus::Tick(raft_, clock_.Now(), out_); }
+
+void group_replica::Flush() {
+  if (has_failed_) return;
+  // A commit can free more messages, so go on until nothing is left to do.
+  for (;;) {
+    SendPending(raft_, clock_.Now(), out_);
+    raft_output out = std::move(out_);
+    out_ = raft_output{};
+    SendBeforeSync(out);
+    if (!Persist(out)) return;
+    NoteRole();
+    if (out.snapshot_installed) {
+      LogEvent(event_id::kSnapshotInstalled,
+               {{"index", std::to_string(raft_.log.snap.index)}});
+      applied_ = raft_.log.snap.index;
+      applied_bytes_ = 0;
+      machine_.Restore(applied_, raft_.log.snap.data);
+      FailWaiting();
+    }
+    const bool has_applied = !out.committed.empty();
+    for (const log_entry& entry : out.committed) ApplyEntry(entry);
+    RouteMessages(out.messages);
+    if (has_applied) {
+      SaveSnapshotIfDue();
+      machine_.OnApplied();
+    }
+    const bool is_quiet = out_.messages.empty() && out_.appended.empty() &&
+                          !out_.hard_state_changed;
+    if (is_quiet && !has_applied) break;
+  }
+  // A message whose answer is empty is answered too, so that its connection is
+  // free again.
+  std::vector<inbound_message> rest = std::move(inbound_);
+  inbound_.clear();
+  for (inbound_message& item : rest) item.reply({});
+}
+
+// A leader's entries may travel while its own sync runs: the leader counts its
+// own copy only in later calls, after the sync. Everything else that a replica
+// says rests on what it has on disk and waits.
+void group_replica::SendBeforeSync(raft_output& out) {
+  const bool may_go_first = raft_.role == raft_role::kLeader &&
+                            !out.hard_state_changed && !out.snapshot_installed;
+  if (!may_go_first) return;
+  const auto first_append = std::stable_partition(
+      out.messages.begin(), out.messages.end(), [](const message& output) {
+        return output.kind != message_kind::kAppend;
+      });
+  for (auto append = first_append; append != out.messages.end(); ++append) {
+    sender_.Send(*append);
+  }
+  out.messages.erase(first_append, out.messages.end());
+}
+
+bool group_replica::Persist(const raft_output& out) {
+  bool is_durable = true;
+  if (out.snapshot_installed) {
+    is_durable = storage_.WriteSnapshot(raft_.log, raft_.hard);
+  } else if (out.hard_state_changed || out.truncate_from != 0 ||
+             !out.appended.empty()) {
+    is_durable = storage_.Write({out.truncate_from, out.appended, raft_.hard});
+  }
+  if (!is_durable) FailStorage();
+  return is_durable;
+}
+
+// After a failed sync nobody can tell what is on disk. Going on would
+// acknowledge what may be lost.
+void group_replica::FailStorage() {
+  has_failed_ = true;
+  LogEvent(event_id::kStorageFailed, {{"reason", core::LastReason().text}});
+  machine_.OnStorageFailure();
+}
+
+void group_replica::ApplyEntry(const log_entry& entry) {
+  applied_ = entry.index;
+  applied_bytes_ += static_cast<int64_t>(entry.data.size());
+  if (entry.kind == entry_kind::kMembers) NoteMembers(entry);
+  if (entry.kind == entry_kind::kCommand) machine_.Apply(entry);
+  const auto waiting = proposals_.find(entry.index);
+  if (waiting == proposals_.end()) return;
+  const waiting_proposal proposal = std::move(waiting->second);
+  proposals_.erase(waiting);
+  proposal.done(proposal.term == entry.term ? proposal_end::kCommitted
+                                            : proposal_end::kLost);
+}
+
+void group_replica::NoteMembers(const log_entry& entry) {
+  const std::optional<group_members> members =
+      core::Decode<group_members>(entry.data);
+  if (!members) return;
+  std::string voters;
+  for (const std::string& text : MemberTexts(members->voters)) {
+    voters += (voters.empty() ? "" : ",") + text;
+  }
+  const bool is_removal = members->voters.size() < voter_count_;
+  voter_count_ = members->voters.size();
+  LogEvent(is_removal ? event_id::kVoterRemoved : event_id::kVoterReadmitted,
+           {{"voters", voters},
+            {"learners", std::to_string(members->learners.size())}});
+}
+
+void group_replica::SaveSnapshotIfDue() {
+  const uint64_t since = applied_ - raft_.log.snap.index;
+  const bool is_due = since >= static_cast<uint64_t>(settings_.snapshot_every) ||
+                      applied_bytes_ >= settings_.snapshot_bytes;
+  if (!is_due) return;
+  applied_bytes_ = 0;
+  Compact(raft_, applied_, machine_.Save());
+  if (!storage_.WriteSnapshot(raft_.log, raft_.hard)) {
+    FailStorage();
+    return;
+  }
+  LogEvent(event_id::kSnapshotSaved, {{"index", std::to_string(applied_)}});
+}
+
+void group_replica::RouteMessages(const std::vector<message>& messages) {
+  for (const message& output : messages) {
+    if (!IsReply(output.kind)) {
+      sender_.Send(output);
+      continue;
+    }
+    const auto found = std::find_if(inbound_.begin(), inbound_.end(),
+                                    [&output](const inbound_message& item) {
+                                      return item.from == output.to;
+                                    });
+    if (found == inbound_.end()) continue;
+    inbound_message item = std::move(*found);
+    inbound_.erase(found);
+    item.reply({output});
+  }
+}
+
+void group_replica::NoteRole() {
+  const bool is_leader = raft_.role == raft_role::kLeader;
+  if (is_leader == was_leader_) return;
+  was_leader_ = is_leader;
+  LogEvent(is_leader ? event_id::kLeaderElected : event_id::kLeadershipLost,
+           {{"node", settings_.node},
+            {"term", std::to_string(raft_.hard.term)}});
+  machine_.OnLeadership(is_leader);
+  if (!is_leader) FailWaiting();
+}
+
+void group_replica::FailWaiting() {
+  std::map<uint64_t, waiting_proposal> proposals = std::move(proposals_);
+  proposals_.clear();
+  for (auto& item : proposals) item.second.done(proposal_end::kLost);
+}
+
+void group_replica::Receive(const message& input, reply_messages reply) {
+  inbound_.push_back({input.from, std::move(reply)});
+  consensus::Receive(raft_, clock_.Now(), input, out_);
+}
+
+void group_replica::ReportUnreachable(const member& to) {
+  consensus::ReportUnreachable(raft_, to);
+}
+
+bool group_replica::Propose(std::string data, proposal_callback done) {
+  if (!IsServing()) return false;
+  const std::optional<uint64_t> index = consensus::Propose(
+      raft_, clock_.Now(), entry_kind::kCommand, std::move(data), out_);
+  if (!index) return false;
+  proposals_[*index] = {raft_.hard.term, std::move(done)};
+  return true;
+}
+
+bool group_replica::HandOver() {
+  const bool is_asked = consensus::HandOver(raft_, clock_.Now(), out_);
+  Flush();
+  return is_asked;
+}
+
+bool group_replica::IsServing() const {
+  return !has_failed_ && IsServingLeader(raft_, clock_.Now());
+}
+
+bool group_replica::IsVoter() const {
+  return consensus::IsVoter(ActiveMembers(raft_.log), raft_.self);
+}
+
+}  // namespace hickorywood::consensus
--- a/packages/control/replica.h
+++ b/packages/control/replica.h
@@ -1,10 +1,10 @@
 #ifndef HICKORYWOOD_CONTROL_REPLICA_H_
 #define HICKORYWOOD_CONTROL_REPLICA_H_
 
-// One voter of the control group: the consensus state, its storage and the
-// state machine over it. All calls are on the control thread. Work is gathered
-// while a burst of tasks runs; Flush() then makes it durable with one sync,
-// sends the messages and answers the callers.
+// One voter of the control group: the state machine of configuration, claims
+// and steps over a replicated group. All calls are on the control thread. Work
+// is gathered while a burst of tasks runs; Flush() then makes it durable with
+// one sync, sends the messages and answers the callers.
 
 #include <deque>
 #include <functional>
@@ -15,9 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "consensus/lease.h"
-#include "consensus/raft.h"
-#include "consensus/storage.h"
+#include "consensus/group_replica.h"
 #include "control/configuration_lease.h"
 #include "control/state_machine.h"
 #include "control/view.h"
@@ -49,12 +47,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(proposal_answer, status, leader,
                                                 findings, result)
 
-// Carries messages to other replicas. Answers come back through Receive().
-class message_sender {
- public:
-  virtual ~message_sender() = default;
-  virtual void Send(const consensus::message& output) = 0;
-};
+using consensus::message_sender;
 
 struct replica_settings {
   std::string node;
@@ -91,9 +84,9 @@
     last_index, lease_left_ms, revision, voters, learners, excluded_sites,
     dark_sites, revisions, claims, steps)
 
-class replica {
+class replica : private consensus::replicated_machine {
  public:
-  using reply_messages = std::function<void(std::vector<consensus::message>)>;
+  using reply_messages = consensus::group_replica::reply_messages;
   using proposal_callback = std::function<void(proposal_answer)>;
   using view_callback = std::function<void(view_reply)>;
 
@@ -104,19 +97,23 @@
           std::function<void()> on_storage_failure);
 
   // Loads the data folder. False with the reason when it can't be used.
-  bool Load();
+  bool Load() { return group_.Load(); }
 
   // Makes this replica the first voter of a new group. False with the reason
   // when it is in one.
-  bool Bootstrap(const std::string& group);
+  bool Bootstrap(const std::string& group) { return group_.Bootstrap(group); }
 
   void Tick();
-  void Flush();
+  void Flush() { group_.Flush(); }
 
   // Takes a message; `reply` gets the answers to its sender once they may be
   // sent.
-  void Receive(const consensus::message& input, reply_messages reply);
-  void ReportUnreachable(const consensus::member& to);
+  void Receive(const consensus::message& input, reply_messages reply) {
+    group_.Receive(input, std::move(reply));
+  }
+  void ReportUnreachable(const consensus::member& to) {
+    group_.ReportUnreachable(to);
+  }
 
   // Commits a command and answers with its result.
   void Propose(command input, proposal_callback done);
@@ -134,26 +131,22 @@
 
   // Gives leadership away before a planned stop. False when there is nobody to
   // take it.
-  bool HandOver();
+  bool HandOver() { return group_.HandOver(); }
 
-  bool IsServing() const;
+  bool IsServing() const { return group_.IsServing(); }
   // Whether this replica, with the data folder that it has now, is among the
   // voters.
-  bool IsVoter() const;
-  uint64_t Term() const { return raft_.hard.term; }
-  core::time_point ElectedAt() const { return raft_.elected_at; }
-  const std::string& LeaderNode() const { return raft_.leader.node; }
-  const std::string& Group() const { return raft_.group; }
-  const consensus::member& Self() const { return raft_.self; }
+  bool IsVoter() const { return group_.IsVoter(); }
+  uint64_t Term() const { return group_.Raft().hard.term; }
+  core::time_point ElectedAt() const { return group_.Raft().elected_at; }
+  const std::string& LeaderNode() const { return group_.Raft().leader.node; }
+  const std::string& Group() const { return group_.Raft().group; }
+  const consensus::member& Self() const { return group_.Raft().self; }
   const control_state& State() const { return state_; }
   replica_status Status() const;
   std::string EncodeState() const;
 
  private:
-  struct waiting_proposal {
-    uint64_t term = 0;
-    proposal_callback done;
-  };
   struct waiting_submission {
     uint64_t index = 0;
     core::time_point committed_at{};
@@ -169,20 +162,13 @@
     view_callback done;
     core::time_point answer_at{};
   };
-  struct inbound_message {
-    consensus::member from;
-    reply_messages reply;
-  };
 
-  void SendBeforeSync(consensus::raft_output& out);
-  bool Persist(const consensus::raft_output& out);
-  void ApplyEntries(const std::vector<consensus::log_entry>& entries);
-  void ApplyEntry(const consensus::log_entry& entry);
-  void NoteMembers(const consensus::log_entry& entry);
-  void RestoreState();
-  void SaveSnapshotIfDue();
-  void RouteMessages(const std::vector<consensus::message>& messages);
-  void NoteRole();
+  void Apply(const consensus::log_entry& entry) override;
+  void Restore(uint64_t index, const std::string& data) override;
+  std::string Save() const override { return EncodeState(); }
+  void OnLeadership(bool is_leader) override;
+  void OnApplied() override;
+  void OnStorageFailure() override { on_storage_failure_(); }
   void FailWaiting();
   void RetryHeldSubmissions();
   void AnswerSubmissions();
@@ -196,26 +182,17 @@
 
   const core::runtime_clock& clock_;
   const replica_settings settings_;
-  consensus::log_storage& storage_;
-  message_sender& sender_;
   std::function<void()> on_storage_failure_;
-  bool has_failed_ = false;
-
-  consensus::raft_state raft_;
-  consensus::raft_output out_;
+  consensus::group_replica group_;
   control_state state_;
-  uint64_t applied_ = 0;
+  command_result last_result_;  // of the command applied last
   uint64_t view_version_ = 0;
-  bool was_leader_ = false;
-  size_t voter_count_ = 0;  // as of the latest committed change
   lease_book leases_;
 
-  std::map<uint64_t, waiting_proposal> proposals_;  // by log index
   std::vector<waiting_submission> submissions_;
   std::vector<held_submission>
       early_submissions_;  // until the lease book is complete
   std::vector<parked_view> parked_views_;
-  std::vector<inbound_message> inbound_;
 };
 
 }  // namespace hickorywood::control
