--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -1,16 +1,18 @@
 #ifndef HICKORYWOOD_CONSENSUS_GROUP_REPLICA_H_
 #define HICKORYWOOD_CONSENSUS_GROUP_REPLICA_H_
 
-// One member of a replicated group, whatever the group replicates: the consensus
-// state, its storage, and the order in which a burst of work becomes durable,
-// is sent and is answered. All calls are on one thread. Work is gathered while a
-// burst of tasks runs; Flush() then makes it durable with one sync, sends the
-// messages and answers the proposers.
+// One member of a replicated group, whatever the group replicates: the
+// consensus state, its storage, and the order in which a burst of work becomes
+// durable, is sent and is answered. All calls are on one thread. Work is
+// gathered while a burst of tasks runs; Flush() then makes it durable with one
+// sync, sends the messages and answers the proposers.
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "consensus/lease.h"
@@ -92,6 +94,11 @@
   // was proposed, and `done` is not called.
   bool Propose(std::string data, proposal_callback done);
 
+  // Nodes that shall not be members of the group.
+  void SetLeaving(std::set<std::string> nodes) {
+    raft_.leaving = std::move(nodes);
+  }
+
   // Gives leadership away before a planned stop. False when there is nobody to
   // take it.
   bool HandOver();
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -40,6 +40,13 @@
   size_t snapshot_piece_bytes = 256 * 1024;
   uint64_t keep_entries =
       2000;  // held behind a snapshot for followers a little behind
+  // Voters that the group wants; 0: every instance that asks becomes one. Past
+  // it an instance that asks is taken in only for a voter that is leaving or
+  // silent.
+  size_t wanted_voters = 0;
+  // Silence after which a voter may be replaced by an instance that asks. A
+  // replaced instance must be a voter before the next loss may come.
+  milliseconds replace_after{2000};
 };
 
 // What the leader knows of one other member.
@@ -74,6 +81,7 @@
   bool is_lease_given_up =
       false;  // after a hand-over, for the rest of the term
   time_point elected_at{};
+  std::set<std::string> leaving;  // nodes that shall not be members
   // Follower only: the pieces of a snapshot that is coming in.
   snapshot incoming;
   std::mt19937_64 random;
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -1,6 +1,7 @@
 // The leader's side of the protocol: replication, commit, members, hand-over.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "consensus/lease.h"
@@ -122,6 +123,55 @@
          LastMembersIndex(state.log) <= state.commit;
 }
 
+// Whether the group has all the voters that it wants.
+bool IsFull(const raft_state& state, const group_members& members) {
+  return state.options.wanted_voters != 0 &&
+         members.voters.size() >= state.options.wanted_voters;
+}
+
+// The voter that another instance may take the place of: one that is leaving,
+// otherwise one that has been silent for long. Empty: none.
+std::optional<member> ReplaceableVoter(const raft_state& state,
+                                       const group_members& members,
+                                       time_point now) {
+  std::optional<member> silent;
+  for (const member& voter : members.voters) {
+    if (voter == state.self) continue;
+    if (state.leaving.count(voter.node) != 0) return voter;
+    const auto found = state.followers.find(voter);
+    if (found == state.followers.end()) continue;
+    const time_point heard =
+        std::max(found->second.confirmed_at, state.elected_at);
+    if (now - heard >= state.options.replace_after) silent = voter;
+  }
+  return silent;
+}
+
+bool HasOtherIdentity(const group_members& members, const member& who) {
+  return std::any_of(members.voters.begin(), members.voters.end(),
+                     [&who](const member& voter) {
+                       return voter.node == who.node && voter != who;
+                     });
+}
+
+// The next change that brings a caught-up learner into the vote. In a full
+// group the voter that it replaces goes first: the group is smaller for one
+// commit, but a learner that is lost meanwhile costs nothing.
+std::optional<group_members> NextMembers(const raft_state& state,
+                                         const group_members& members,
+                                         const member& learner,
+                                         time_point now) {
+  const bool is_replacement = HasOtherIdentity(members, learner);
+  if (is_replacement || !IsFull(state, members)) {
+    return NextTowardsVoter(members, learner);
+  }
+  const std::optional<member> victim = ReplaceableVoter(state, members, now);
+  if (!victim) return std::nullopt;
+  group_members next = members;
+  std::erase(next.voters, *victim);
+  return next;
+}
+
 // Brings a learner into the vote once its copy is durable up to the commit:
 // counted earlier, a second loss right after a repair could take the only
 // complete copies.
@@ -134,12 +184,31 @@
     const bool is_live =
         now - found->second.confirmed_at < state.options.election_timeout;
     if (!is_live || found->second.match < state.commit) continue;
-    AppendAsLeader(state, entry_kind::kMembers,
-                   core::Encode(NextTowardsVoter(members, learner)), out);
+    const auto next = NextMembers(state, members, learner, now);
+    if (!next) continue;
+    AppendAsLeader(state, entry_kind::kMembers, core::Encode(*next), out);
     return;
   }
 }
 
+// Drops a leaving voter that nobody has to replace: the group is large enough
+// without it.
+void DropLeaving(raft_state& state, raft_output& out) {
+  if (state.leaving.empty() || !MayChangeMembers(state)) return;
+  group_members members = ActiveMembers(state.log);
+  const auto is_leaving = [&state](const member& who) {
+    return who != state.self && state.leaving.count(who.node) != 0;
+  };
+  const size_t learners = std::erase_if(members.learners, is_leaving);
+  const auto voter =
+      std::find_if(members.voters.begin(), members.voters.end(), is_leaving);
+  const bool is_spare = voter != members.voters.end() &&
+                        members.voters.size() > state.options.wanted_voters;
+  if (is_spare) members.voters.erase(voter);
+  if (learners == 0 && !is_spare) return;
+  AppendAsLeader(state, entry_kind::kMembers, core::Encode(members), out);
+}
+
 // Takes the echo of a sending time as the moment from which the follower's
 // promise runs. False when the reply shows that this leader is out of date or
 // unknown to the follower.
@@ -186,6 +255,7 @@
     return;
   }
   AdmitLearners(state, now, out);
+  DropLeaving(state, out);
   for (auto& [to, progress] : state.followers) {
     if (progress.is_in_flight &&
         now - progress.sent_at > state.options.reply_timeout) {
@@ -231,11 +301,16 @@
   SendTo(state, now, input.from, progress, out);
 }
 
-void ReceiveJoin(raft_state& state, time_point /*now*/, const message& input,
+void ReceiveJoin(raft_state& state, time_point now, const message& input,
                  raft_output& out) {
   if (state.role != raft_role::kLeader || !MayChangeMembers(state)) return;
   const group_members members = ActiveMembers(state.log);
   if (IsVoter(members, input.from) || IsLearner(members, input.from)) return;
+  if (state.leaving.count(input.from.node) != 0) return;
+  const bool is_wanted = HasOtherIdentity(members, input.from) ||
+                         !IsFull(state, members) ||
+                         ReplaceableVoter(state, members, now).has_value();
+  if (!is_wanted) return;
   AppendAsLeader(state, entry_kind::kMembers,
                  core::Encode(WithLearner(members, input.from)), out);
 }
--- /dev/null
+++ b/packages/controller/control_api.cc
@@ -0,0 +1,103 @@
+#include "controller/control_api.h"
+
+#include <utility>
+
+#include "core/binary.h"
+#include "core/events.h"
+#include "peering/failure_answer.h"
+
+namespace hickorywood::controller {
+namespace {
+
+using boost::asio::awaitable;
+using core::milliseconds;
+using peering::call_outcome;
+using peering::envelope;
+
+// Callers go on to another instance after a second without an answer; what they
+// get before that tells them more.
+constexpr milliseconds kPatience{850};
+// One try at a leader: a second one must fit, at the next leader.
+constexpr milliseconds kOneTry{600};
+constexpr milliseconds kRetryAfter{200};
+
+}  // namespace
+
+control_api::control_api(const fleet::protocol& wire,
+                         peering::leader_caller& caller)
+    : wire_(wire), caller_(caller) {}
+
+awaitable<void> control_api::Serve(net::exchange& call) {
+  net::response answer = co_await Answer(call.Request());
+  co_await call.Reply(std::move(answer));
+}
+
+net::response control_api::FailureOf(const envelope& answer) const {
+  return peering::EncodeFailure(wire_, answer, kRetryAfter);
+}
+
+awaitable<net::response> control_api::Forward(std::string method,
+                                              std::string payload) {
+  const core::time_point deadline =
+      std::chrono::steady_clock::now() + kPatience;
+  const envelope answer = co_await caller_.Ask(
+      std::move(method), std::move(payload), deadline, kOneTry);
+  if (answer.outcome != call_outcome::kDone) co_return FailureOf(answer);
+  co_return wire_.EncodeAcknowledgement("");
+}
+
+awaitable<net::response> control_api::Answer(const net::request& input) {
+  fleet::control_call call = wire_.DecodeControlCall(input);
+  if (auto* bad = std::get_if<fleet::malformed_call>(&call)) {
+    core::LogEvent(core::event_id::kRequestRefused,
+                   {{"target", input.target}, {"reason", bad->reason}});
+    co_return wire_.EncodeFailure(bad->status, bad->reason, std::nullopt);
+  }
+  if (auto* beat = std::get_if<fleet::announce_call>(&call)) {
+    co_return co_await Forward(peering::kHeartbeatMethod,
+                               core::EncodeBinary(beat->input));
+  }
+  if (auto* leave = std::get_if<fleet::leave_call>(&call)) {
+    co_return co_await Forward(peering::kLeaveMethod,
+                               peering::EncodeName(leave->incarnation));
+  }
+  if (auto* put = std::get_if<fleet::put_configuration_call>(&call)) {
+    peering::configuration_text payload;
+    payload.config = std::move(put->config);
+    payload.text = std::move(put->text);
+    co_return co_await Forward(peering::kPutConfigurationMethod,
+                               core::EncodeBinary(payload));
+  }
+  if (auto* publish = std::get_if<fleet::publish_version_call>(&call)) {
+    co_return co_await Forward(peering::kPublishVersionMethod,
+                               core::EncodeBinary(publish->published));
+  }
+  if (std::holds_alternative<fleet::get_configuration_call>(call)) {
+    const core::time_point deadline =
+        std::chrono::steady_clock::now() + kPatience;
+    const envelope answer = co_await caller_.Ask(
+        peering::kGetConfigurationMethod, "", deadline, kOneTry);
+    const auto held =
+        answer.outcome == call_outcome::kDone
+            ? core::DecodeBinary<peering::configuration_text>(answer.payload)
+            : std::optional<peering::configuration_text>();
+    if (!held) co_return FailureOf(answer);
+    co_return wire_.EncodeConfiguration(held->text);
+  }
+  if (auto* retire = std::get_if<fleet::retire_call>(&call)) {
+    co_return co_await Forward(peering::kRetireMethod,
+                               peering::EncodeName(retire->instance));
+  }
+  const auto& status = std::get<fleet::retirement_status_call>(call);
+  const envelope answer = co_await caller_.Ask(
+      peering::kRetirementMethod, peering::EncodeName(status.instance),
+      std::chrono::steady_clock::now() + kPatience, kOneTry);
+  const auto done =
+      answer.outcome == call_outcome::kDone
+          ? core::DecodeBinary<peering::flag_answer>(answer.payload)
+          : std::optional<peering::flag_answer>();
+  if (!done) co_return FailureOf(answer);
+  co_return wire_.EncodeRetirement(done->is_set);
+}
+
+}  // namespace hickorywood::controller
--- /dev/null
+++ b/packages/controller/control_state.cc
@@ -0,0 +1,53 @@
+#include "controller/control_state.h"
+
+#include <utility>
+
+#include "core/binary.h"
+
+namespace hickorywood::controller {
+namespace {
+
+void PutConfiguration(control_state::content& held,
+                      const std::string& payload) {
+  auto input = core::DecodeBinary<put_configuration_command>(payload);
+  if (!input || input->config.version <= held.config.version) return;
+  held.config = std::move(input->config);
+  held.config_text = std::move(input->text);
+}
+
+void PublishVersion(control_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<fleet::model_version>(payload);
+  if (!input) return;
+  uint64_t& newest = held.versions[input->model];
+  if (input->version > newest) newest = input->version;
+}
+
+void FoundDataGroup(control_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<found_data_group_command>(payload);
+  if (input && held.data_founder.empty()) held.data_founder = input->founder;
+}
+
+}  // namespace
+
+void control_state::Apply(const group::hosted_command& input) {
+  if (input.name == kPutConfigurationCommand) {
+    PutConfiguration(held_, input.payload);
+  } else if (input.name == kPublishVersionCommand) {
+    PublishVersion(held_, input.payload);
+  } else if (input.name == kFoundDataGroupCommand) {
+    FoundDataGroup(held_, input.payload);
+  }
+}
+
+bool control_state::Restore(const std::string& data) {
+  held_ = content{};
+  if (data.empty()) return true;
+  auto saved = core::DecodeBinary<content>(data);
+  if (!saved) return false;
+  held_ = std::move(*saved);
+  return true;
+}
+
+std::string control_state::Save() const { return core::EncodeBinary(held_); }
+
+}  // namespace hickorywood::controller
--- /dev/null
+++ b/packages/controller/control_state.h
@@ -0,0 +1,67 @@
+#ifndef HICKORYWOOD_CONTROLLER_CONTROL_STATE_H_
+#define HICKORYWOOD_CONTROLLER_CONTROL_STATE_H_
+
+// What the control group replicates for a deployment.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/json.h"
+#include "fleet/configuration.h"
+#include "fleet/endpoint_registry.h"
+#include "group/hosted_state.h"
+
+namespace hickorywood::controller {
+
+constexpr char kPutConfigurationCommand[] = "put_configuration";
+constexpr char kPublishVersionCommand[] = "publish_version";
+constexpr char kFoundDataGroupCommand[] = "found_data_group";
+
+struct put_configuration_command {
+  fleet::configuration config;
+  std::string text;  // as the operator sent it
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(put_configuration_command,
+                                                config, text)
+
+struct found_data_group_command {
+  std::string founder;  // peer address
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(found_data_group_command,
+                                                founder)
+
+class control_state : public group::hosted_state {
+ public:
+  // A configuration that is not newer, a version that is not higher, a second
+  // founder: nothing changes.
+  void Apply(const group::hosted_command& input) override;
+  bool Restore(const std::string& data) override;
+  std::string Save() const override;
+
+  const fleet::configuration& Config() const { return held_.config; }
+  const std::string& ConfigText() const { return held_.config_text; }
+  // Newest published weights by model.
+  const std::map<std::string, uint64_t>& Versions() const {
+    return held_.versions;
+  }
+  // The store that founds the data group; empty: none was named yet.
+  const std::string& DataFounder() const { return held_.data_founder; }
+
+  struct content {
+    fleet::configuration config;
+    std::string config_text;
+    std::map<std::string, uint64_t> versions;
+    std::string data_founder;
+  };
+
+ private:
+  content held_;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(control_state::content, config,
+                                                config_text, versions,
+                                                data_founder)
+
+}  // namespace hickorywood::controller
+
+#endif  // HICKORYWOOD_CONTROLLER_CONTROL_STATE_H_
--- /dev/null
+++ b/packages/controller/controller.cc
@@ -0,0 +1,198 @@
+#include "controller/controller.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "controller/control_api.h"
+#include "controller/leader_service.h"
+#include "controller/weight_keeper.h"
+#include "core/events.h"
+#include "group/group_host.h"
+#include "net/connection_pool.h"
+#include "net/listener.h"
+#include "peering/leader_caller.h"
+#include "peering/peer_interface.h"
+#include "peering/view_follower.h"
+
+namespace hickorywood::controller {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+
+// Heartbeats that may be missed before an endpoint counts as silent, and a
+// second of delay.
+constexpr int kMissedHeartbeats = 3;
+constexpr std::chrono::seconds kHeartbeatDelay{1};
+// Time for a hand-over to reach the successor before the listeners close.
+constexpr milliseconds kHandOverTime{300};
+
+constexpr char kGroupName[] = "control";
+// Voters of the control group: it bears the loss of two.
+constexpr size_t kWantedVoters = 5;
+
+weight_keeper_options KeeperOptions(const settings::node_settings& settings) {
+  weight_keeper_options options;
+  options.holder = settings.id;
+  options.holder_lease = settings.holder_lease;
+  return options;
+}
+
+peering::follower_options FollowerOptions(
+    const settings::node_settings& settings) {
+  peering::follower_options options;
+  options.instance = settings.id;
+  return options;
+}
+
+}  // namespace
+
+struct controller::impl {
+  impl(asio::io_context& io, const core::runtime_clock& runtime,
+       const settings::node_settings& node, const fleet::protocol& wire)
+      : loop(io),
+        clock(runtime),
+        settings(node),
+        pool(io),
+        group(io, runtime,
+              group::MakeGroupSettings(node, kGroupName, kWantedVoters), pool,
+              state),
+        stores_caller(pool, {}),
+        service(io, runtime, group, state, registry, weights, stores_caller),
+        keeper(io, runtime, group, state, pool, wire, registry, weights,
+               KeeperOptions(node)),
+        caller(pool, node.seeds),
+        follower(caller, FollowerOptions(node)),
+        api(wire, caller),
+        peers(io, peering::PeerListenerOptions(node.peers_address),
+              [this](net::exchange& call) { return ServePeer(call); }),
+        control(io, ControlListenerOptions(node.control_address),
+                [this](net::exchange& call) { return api.Serve(call); }) {
+    registry.options.silent_after =
+        node.endpoint_heartbeat * kMissedHeartbeats + kHeartbeatDelay;
+    caller.ServeLocally(
+        node.peers_address, [this](std::string method, std::string payload) {
+          return service.Handle(std::move(method), std::move(payload));
+        });
+    Connect();
+  }
+
+  static net::listener_options ControlListenerOptions(
+      const std::string& address) {
+    net::listener_options options;
+    options.address = address;
+    options.limits = [] { return net::caller_limits{}; };
+    return options;
+  }
+
+  void Connect() {
+    group.on_leadership = [this](bool is_leader) {
+      service.OnLeadership(is_leader, follower.View());
+      keeper.Wake();
+    };
+    group.on_applied = [this] {
+      service.OnApplied();
+      keeper.Wake();
+    };
+    group.on_failure = [this] { loop.stop(); };
+    service.on_endpoints = [this] { keeper.Wake(); };
+    keeper.on_change = [this] { service.NoteWeightsChanged(); };
+    follower.OnChange([this] {
+      stores_caller.SetControllers(peering::StoreAddresses(follower.View()));
+      group.SetContacts(Contacts());
+    });
+    group.SetContacts(settings.seeds);
+  }
+
+  // Control instances to ask for admission: the seeds and those of the view.
+  std::vector<std::string> Contacts() const {
+    std::vector<std::string> contacts = settings.seeds;
+    const std::vector<std::string>& known = follower.View().controllers;
+    contacts.insert(contacts.end(), known.begin(), known.end());
+    return contacts;
+  }
+
+  awaitable<void> ServePeer(net::exchange& call) {
+    return peering::ServePeer(
+        call,
+        [this](std::string payload) {
+          return group.Receive(std::move(payload));
+        },
+        [this](std::string method, std::string payload) {
+          return service.Handle(std::move(method), std::move(payload));
+        });
+  }
+
+  awaitable<void> Stop() {
+    LogEvent(event_id::kProcessStopping, {{"instance", settings.id}});
+    group.HandOver();
+    co_await net::Sleep(kHandOverTime);
+    control.BeginDrain();
+    control.StopAccepting();
+    peers.StopAccepting();
+    const core::time_point limit = clock.Now() + settings.drain_grace / 2;
+    while (control.InFlight() > 0 && clock.Now() < limit) {
+      co_await net::Sleep(milliseconds(20));
+    }
+    LogEvent(event_id::kProcessStopped, {{"instance", settings.id}});
+    loop.stop();
+  }
+
+  asio::io_context& loop;
+  const core::runtime_clock& clock;
+  settings::node_settings settings;
+  net::connection_pool pool;
+  fleet::endpoint_registry registry;
+  weight_book weights;
+  control_state state;
+  group::group_host group;
+  peering::leader_caller stores_caller;
+  leader_service service;
+  weight_keeper keeper;
+  peering::leader_caller caller;
+  peering::view_follower follower;
+  control_api api;
+  net::listener peers;
+  net::listener control;
+};
+
+controller::controller(asio::io_context& loop, const core::runtime_clock& clock,
+                       const settings::node_settings& settings,
+                       const fleet::protocol& wire)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire)) {}
+
+controller::~controller() = default;
+
+bool controller::Start() {
+  if (!impl_->peers.Start() || !impl_->control.Start()) return false;
+  if (!impl_->group.Start()) return false;
+  // All instances got the same seeds at the first start, so they agree on the
+  // founder without talking.
+  const settings::node_settings& settings = impl_->settings;
+  const bool is_founder = settings.is_first_start && !settings.seeds.empty() &&
+                          settings.seeds.front() == settings.peers_address;
+  if (is_founder) impl_->group.Found();
+  impl_->service.Start();
+  impl_->keeper.Start();
+  asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
+  return true;
+}
+
+void controller::Reload(const settings::node_settings& settings) {
+  impl_->settings.seeds = settings.seeds;
+  impl_->caller.SetSeeds(settings.seeds);
+  impl_->group.SetContacts(impl_->Contacts());
+}
+
+void controller::BeginStop() {
+  asio::co_spawn(impl_->loop, impl_->Stop(), asio::detached);
+}
+
+bool controller::HasFailed() const { return impl_->group.HasFailed(); }
+
+}  // namespace hickorywood::controller
--- /dev/null
+++ b/packages/controller/controller.h
@@ -0,0 +1,43 @@
+#ifndef HICKORYWOOD_CONTROLLER_CONTROLLER_H_
+#define HICKORYWOOD_CONTROLLER_CONTROLLER_H_
+
+// A control instance: its replica of the control group and, while it leads,
+// views, endpoints, weights and the tasks of all steps.
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "core/clock.h"
+#include "fleet/protocol.h"
+#include "settings/node_settings.h"
+
+namespace hickorywood::controller {
+
+class controller {
+ public:
+  controller(boost::asio::io_context& loop, const core::runtime_clock& clock,
+             const settings::node_settings& settings,
+             const fleet::protocol& wire);
+  ~controller();
+  controller(const controller&) = delete;
+  controller& operator=(const controller&) = delete;
+
+  // False with the reason when a listener or the data folder can't be used.
+  bool Start();
+  // New settings: only the seeds can change in a running process.
+  void Reload(const settings::node_settings& settings);
+  // Gives leadership away, finishes what is in flight, and stops the loop.
+  void BeginStop();
+
+  // Whether the disk failed, so that the exit code must say so.
+  bool HasFailed() const;
+
+  struct impl;
+
+ private:
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace hickorywood::controller
+
+#endif  // HICKORYWOOD_CONTROLLER_CONTROLLER_H_
--- /dev/null
+++ b/packages/controller/weight_keeper.cc
@@ -0,0 +1,204 @@
+#include "controller/weight_keeper.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "core/events.h"
+
+namespace hickorywood::controller {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+using core::time_point;
+
+constexpr milliseconds kPlanPeriod{200};
+constexpr milliseconds kCallTimeout{700};
+// First look at whether a load is done. Loads of the engines that we know take
+// 0.9 s and more; a report is some hundred milliseconds old.
+constexpr milliseconds kFirstLook{900};
+constexpr milliseconds kNextLook{200};
+// After this an order counts as lost and is given again.
+constexpr milliseconds kLoadLimit{6000};
+// Pause before an engine that did not take an order is asked again.
+constexpr milliseconds kRetryPause{700};
+
+}  // namespace
+
+weight_keeper::weight_keeper(asio::io_context& loop,
+                             const core::runtime_clock& clock,
+                             group::group_host& group,
+                             const control_state& state,
+                             net::connection_pool& pool,
+                             const fleet::protocol& wire,
+                             const fleet::endpoint_registry& registry,
+                             weight_book& book, weight_keeper_options options)
+    : loop_(loop),
+      clock_(clock),
+      group_(group),
+      state_(state),
+      pool_(pool),
+      wire_(wire),
+      registry_(registry),
+      book_(book),
+      options_(std::move(options)) {}
+
+void weight_keeper::Start() {
+  asio::co_spawn(loop_, KeepPlanning(), asio::detached);
+}
+
+bool weight_keeper::MayOrder() const {
+  return group_.IsServing() &&
+         clock_.Now() - group_.ElectedAt() >= options_.holder_lease;
+}
+
+awaitable<void> weight_keeper::KeepPlanning() {
+  for (;;) {
+    const bool is_idle = state_.Versions().empty() || !MayOrder();
+    co_await wake_.WaitUntil(clock_.Now() +
+                             (is_idle ? milliseconds(1000) : kPlanPeriod));
+    if (!MayOrder()) continue;
+    for (const fleet::service& service : state_.Config().services) {
+      if (service.has_engines) PlanService(service);
+    }
+  }
+}
+
+void weight_keeper::PlanService(const fleet::service& service) {
+  load_plan_input input;
+  for (const std::string& model : service.engine.models) {
+    const auto found = state_.Versions().find(model);
+    if (found != state_.Versions().end()) {
+      input.newest[model] = found->second;
+    }
+  }
+  if (input.newest.empty()) return;
+  const time_point now = clock_.Now();
+  for (const auto& [incarnation, entry] : registry_.endpoints) {
+    if (entry.item.service != service.name ||
+        entry.item.state == fleet::endpoint_state::kDraining) {
+      continue;
+    }
+    const bool is_loading = under_way_.count(incarnation) != 0;
+    const auto avoid = avoid_until_.find(incarnation);
+    plannable_engine engine;
+    engine.incarnation = incarnation;
+    engine.is_usable = !is_loading &&
+                       entry.item.state == fleet::endpoint_state::kReady &&
+                       (avoid == avoid_until_.end() || avoid->second <= now);
+    if (is_loading) ++input.loads_under_way;
+    input.engines.push_back(engine);
+  }
+  for (const planned_load& load : PlanLoads(book_, input)) StartLoad(load);
+}
+
+void weight_keeper::StartLoad(const planned_load& load) {
+  const std::string address =
+      registry_.endpoints.at(load.incarnation).item.address;
+  under_way_.insert(load.incarnation);
+  book_.engines[load.incarnation].loading = load.target.model;
+  if (on_change) on_change();
+  asio::co_spawn(loop_, Load(load, address),
+                 [this, load](const std::exception_ptr& failure, load_end end) {
+                   under_way_.erase(load.incarnation);
+                   book_.engines[load.incarnation].loading.clear();
+                   if (failure || end != load_end::kDone) {
+                     avoid_until_[load.incarnation] =
+                         clock_.Now() + kRetryPause;
+                   }
+                   if (on_change) on_change();
+                   wake_.Notify();
+                 });
+}
+
+awaitable<weight_keeper::load_end> weight_keeper::Load(planned_load load,
+                                                       std::string address) {
+  const auto before = co_await Report(load, address);
+  if (!before) co_return load_end::kRetryLater;
+  NoteReport(load, *before);
+  const bool is_done =
+      VersionAt(book_, load.incarnation, load.target.model).value_or(0) >=
+      load.target.version;
+  if (is_done) co_return load_end::kDone;
+  if (before->is_busy || !MayOrder()) co_return load_end::kRetryLater;
+  const auto outcome = co_await Order(load, address, before->order_sequence);
+  if (outcome == fleet::order_outcome::kFenced) co_return load_end::kFenced;
+  const bool is_taken = !outcome ||
+                        *outcome == fleet::order_outcome::kStarted ||
+                        *outcome == fleet::order_outcome::kAlreadyDone;
+  if (!is_taken) co_return load_end::kRetryLater;
+  const time_point started = clock_.Now();
+  co_await net::Sleep(kFirstLook);
+  while (clock_.Now() - started < kLoadLimit && group_.IsServing()) {
+    const auto after = co_await Report(load, address);
+    if (after) {
+      NoteReport(load, *after);
+      if (VersionAt(book_, load.incarnation, load.target.model).value_or(0) >=
+          load.target.version) {
+        co_return load_end::kDone;
+      }
+      // Not answered and not under way: it may still come, but its precondition
+      // stops it once another order was taken.
+      if (!outcome && !after->is_busy) co_return load_end::kRetryLater;
+    }
+    co_await net::Sleep(kNextLook);
+  }
+  co_return load_end::kRetryLater;
+}
+
+awaitable<std::optional<fleet::endpoint_report>> weight_keeper::Report(
+    const planned_load& load, const std::string& address) {
+  net::call_options options;
+  options.connect_deadline = clock_.Now() + kCallTimeout;
+  options.deadline = options.connect_deadline;
+  const net::request input = wire_.EncodeReportCall(load.incarnation);
+  const net::call_result result =
+      co_await net::Call(pool_, address, input, options);
+  if (result.how != net::progress::kAnswered) co_return std::nullopt;
+  co_return wire_.DecodeReport(result.answer);
+}
+
+awaitable<std::optional<fleet::order_outcome>> weight_keeper::Order(
+    const planned_load& load, const std::string& address,
+    uint64_t expected_sequence) {
+  fleet::load_order order;
+  order.incarnation = load.incarnation;
+  order.target = load.target;
+  order.mode = fleet::swap_mode::kRetain;
+  order.holder = options_.holder;
+  order.fencing_token = group_.Term();
+  order.expected_sequence = expected_sequence;
+  net::call_options options;
+  options.connect_deadline = clock_.Now() + kCallTimeout;
+  options.deadline = options.connect_deadline;
+  const net::request input = wire_.EncodeOrder(order);
+  const net::call_result result =
+      co_await net::Call(pool_, address, input, options);
+  std::optional<fleet::order_outcome> outcome;
+  if (result.how == net::progress::kAnswered) {
+    outcome = wire_.DecodeOrderAnswer(result.answer.status);
+  }
+  LogEvent(event_id::kOrderSent,
+           {{"endpoint", load.incarnation},
+            {"model", load.target.model},
+            {"version", std::to_string(load.target.version)},
+            {"token", std::to_string(order.fencing_token)},
+            {"sequence", std::to_string(expected_sequence)},
+            {"status", outcome ? std::to_string(result.answer.status)
+                               : "none: " + result.error}});
+  co_return outcome;
+}
+
+void weight_keeper::NoteReport(const planned_load& load,
+                               const fleet::endpoint_report& report) {
+  for (const fleet::model_version& item : report.models) {
+    NoteVersion(book_, load.incarnation, item.model, item.version);
+  }
+}
+
+}  // namespace hickorywood::controller
--- /dev/null
+++ b/packages/controller/weight_keeper.h
@@ -0,0 +1,85 @@
+#ifndef HICKORYWOOD_CONTROLLER_WEIGHT_KEEPER_H_
+#define HICKORYWOOD_CONTROLLER_WEIGHT_KEEPER_H_
+
+// Brings the engines to the published versions, while this instance leads.
+// Orders carry the leader's term as fencing token and the number of orders that
+// the engine has taken as precondition: an order that was not answered may be
+// carried out seconds later, and then must not undo a newer one. Whether a load
+// is done is read from the engine's own report, never assumed.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "controller/control_state.h"
+#include "controller/weight_book.h"
+#include "core/clock.h"
+#include "fleet/endpoint_registry.h"
+#include "fleet/protocol.h"
+#include "group/group_host.h"
+#include "net/connection_pool.h"
+#include "net/event.h"
+
+namespace hickorywood::controller {
+
+struct weight_keeper_options {
+  std::string holder;  // name of this instance in orders
+  // Time after an election before the first order: orders of two leaders in
+  // touch must not alternate within it.
+  std::chrono::milliseconds holder_lease{3000};
+};
+
+class weight_keeper {
+ public:
+  weight_keeper(boost::asio::io_context& loop, const core::runtime_clock& clock,
+                group::group_host& group, const control_state& state,
+                net::connection_pool& pool, const fleet::protocol& wire,
+                const fleet::endpoint_registry& registry, weight_book& book,
+                weight_keeper_options options);
+
+  void Start();
+  // A version was published, an endpoint came or went, or this instance began
+  // to lead.
+  void Wake() { wake_.Notify(); }
+
+  // Called when an engine's version changed, and when it begins or ends to
+  // load.
+  std::function<void()> on_change;
+
+ private:
+  enum class load_end { kDone, kRetryLater, kFenced };
+
+  boost::asio::awaitable<void> KeepPlanning();
+  void PlanService(const fleet::service& service);
+  void StartLoad(const planned_load& load);
+  boost::asio::awaitable<load_end> Load(planned_load load, std::string address);
+  boost::asio::awaitable<std::optional<fleet::endpoint_report>> Report(
+      const planned_load& load, const std::string& address);
+  boost::asio::awaitable<std::optional<fleet::order_outcome>> Order(
+      const planned_load& load, const std::string& address,
+      uint64_t expected_sequence);
+  bool MayOrder() const;
+  void NoteReport(const planned_load& load,
+                  const fleet::endpoint_report& report);
+
+  boost::asio::io_context& loop_;
+  const core::runtime_clock& clock_;
+  group::group_host& group_;
+  const control_state& state_;
+  net::connection_pool& pool_;
+  const fleet::protocol& wire_;
+  const fleet::endpoint_registry& registry_;
+  weight_book& book_;
+  const weight_keeper_options options_;
+  net::event wake_;
+  std::set<std::string> under_way_;                      // incarnations
+  std::map<std::string, core::time_point> avoid_until_;  // by incarnation
+};
+
+}  // namespace hickorywood::controller
+
+#endif  // HICKORYWOOD_CONTROLLER_WEIGHT_KEEPER_H_
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -3,6 +3,10 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "core/log_sink.h"
 
 namespace hickorywood::core {
 namespace {
@@ -31,6 +35,42 @@
   return nullptr;
 }
 
+log_format& CurrentFormat() {
+  static log_format format = log_format::kText;
+  return format;
+}
+
+const char* LevelWord(event_level level) {
+  switch (level) {
+    case event_level::kInfo:
+      return "info";
+    case event_level::kWarning:
+      return "warning";
+    case event_level::kError:
+      return "error";
+  }
+  return "info";
+}
+
+void WriteJsonLine(const event_info& info,
+                   std::initializer_list<event_field> fields) {
+  const int64_t now_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  nlohmann::ordered_json line;
+  line["time_ms"] = now_ms;
+  line["event"] = "HK" + std::to_string(static_cast<int>(info.id));
+  line["level"] = LevelWord(info.level);
+  line["subsystem"] = info.subsystem;
+  line["text"] = info.text;
+  for (const auto& [key, value] : fields) line[key] = value;
+  const bool is_kept = info.level != event_level::kInfo;
+  log_sink::Standard().Add(
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      is_kept);
+}
+
 }  // namespace
 
 const std::vector<event_info>& EventCatalogue() {
@@ -48,6 +88,8 @@
        "child passed its restart limit"},
       {event_id::kSettingsRefused, kError, "process", "settings refused"},
       {event_id::kDrainLimitPassed, kWarning, "process", "drain limit passed"},
+      {event_id::kSettingsReloaded, kInfo, "process", "settings reloaded"},
+      {event_id::kLogLinesDropped, kWarning, "process", "log lines dropped"},
       {event_id::kLogTailCut, kWarning, "storage", "torn tail of the log cut"},
       {event_id::kLogCorrupt, kError, "storage", "log is corrupt"},
       {event_id::kStorageFailed, kError, "storage", "write failed"},
@@ -72,6 +114,14 @@
        "site exclusion changed"},
       {event_id::kWeightsPublished, kInfo, "configuration",
        "weights published"},
+      {event_id::kLeaderFound, kInfo, "configuration",
+       "control leader answers"},
+      {event_id::kLeaderMissed, kWarning, "configuration",
+       "control leader does not answer"},
+      {event_id::kPeerMessageMalformed, kWarning, "configuration",
+       "message of another instance can't be read"},
+      {event_id::kConfigurationNotNewer, kInfo, "configuration",
+       "not newer than what is held"},
       {event_id::kEndpointJoined, kInfo, "membership", "endpoint joined"},
       {event_id::kEndpointLeft, kInfo, "membership", "endpoint leaving"},
       {event_id::kEndpointLeaseExpired, kWarning, "membership",
@@ -80,21 +130,40 @@
        "announcement refused"},
       {event_id::kOrderSent, kInfo, "orders", "order sent"},
       {event_id::kOrderFailed, kWarning, "orders", "order failed"},
+      {event_id::kEndpointChanged, kInfo, "membership", "endpoint changed"},
+      {event_id::kStoreJoined, kInfo, "membership", "store joined"},
+      {event_id::kRetirementAsked, kInfo, "membership",
+       "a store is to be emptied"},
       {event_id::kRequestRefused, kInfo, "routing", "request refused"},
       {event_id::kRequestFailed, kWarning, "routing", "request failed"},
       {event_id::kEndpointEjected, kWarning, "routing", "endpoint ejected"},
       {event_id::kAccessDenied, kWarning, "access", "access denied"},
+      {event_id::kRequestAnswered, kInfo, "routing", "request answered"},
+      {event_id::kAttemptFailed, kInfo, "routing", "attempt failed"},
       {event_id::kStepOpened, kInfo, "rollout", "step opened"},
       {event_id::kStepTakenOver, kWarning, "rollout", "step taken over"},
       {event_id::kStepClosed, kInfo, "rollout", "step closed"},
       {event_id::kSampleDiscarded, kInfo, "rollout", "sample discarded"},
+      {event_id::kStepStarted, kInfo, "rollout", "step started"},
+      {event_id::kStepEnded, kInfo, "rollout", "step ended by its trainer"},
+      {event_id::kTaskDispatched, kInfo, "rollout", "task dispatched"},
+      {event_id::kTaskRunEnded, kInfo, "rollout", "run of a task ended"},
+      {event_id::kTaskGivenUp, kWarning, "rollout", "task given up"},
+      {event_id::kResultsNotCommitted, kWarning, "rollout",
+       "results not committed"},
   };
   return *kCatalogue;
 }
 
+void SetLogFormat(log_format format) { CurrentFormat() = format; }
+
 void LogEvent(event_id id, std::initializer_list<event_field> fields) {
   const event_info* info = FindEvent(id);
   if (info == nullptr) return;
+  if (CurrentFormat() == log_format::kJson) {
+    WriteJsonLine(*info, fields);
+    return;
+  }
   std::string line = "HK" + std::to_string(static_cast<int>(id)) + " " +
                      info->subsystem + ": " + info->text;
   for (const auto& [key, value] : fields) {
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -22,6 +22,8 @@
   kChildGaveUp = 1006,
   kSettingsRefused = 1007,
   kDrainLimitPassed = 1008,
+  kSettingsReloaded = 1009,
+  kLogLinesDropped = 1010,
   kLogTailCut = 2001,
   kLogCorrupt = 2002,
   kStorageFailed = 2003,
@@ -40,20 +42,35 @@
   kConfigurationLeaseExpired = 3005,
   kSiteExcluded = 3006,
   kWeightsPublished = 3007,
+  kLeaderFound = 3008,
+  kLeaderMissed = 3009,
+  kPeerMessageMalformed = 3010,
+  kConfigurationNotNewer = 3011,
   kEndpointJoined = 4001,
   kEndpointLeft = 4002,
   kEndpointLeaseExpired = 4003,
   kAnnouncementRefused = 4004,
   kOrderSent = 4005,
   kOrderFailed = 4006,
+  kEndpointChanged = 4007,
+  kStoreJoined = 4008,
+  kRetirementAsked = 4009,
   kRequestRefused = 5001,
   kRequestFailed = 5002,
   kEndpointEjected = 5003,
   kAccessDenied = 5004,
+  kRequestAnswered = 5005,
+  kAttemptFailed = 5006,
   kStepOpened = 6001,
   kStepTakenOver = 6002,
   kStepClosed = 6003,
   kSampleDiscarded = 6004,
+  kStepStarted = 6005,
+  kStepEnded = 6006,
+  kTaskDispatched = 6007,
+  kTaskRunEnded = 6008,
+  kTaskGivenUp = 6009,
+  kResultsNotCommitted = 6010,
 };
 
 struct event_info {
@@ -68,7 +85,16 @@
 
 using event_field = std::pair<const char*, std::string>;
 
-// Writes "HK1001 subsystem: text key=value ..." at the event's level.
+// Where events go.
+enum class log_format {
+  kText,  // "HK1001 subsystem: text key=value ..." by glog, at the event's
+          // level
+  kJson,  // one JSON object a line on standard output, see log_sink.h
+};
+
+// Set once, before the first event.
+void SetLogFormat(log_format format);
+
 void LogEvent(event_id id, std::initializer_list<event_field> fields);
 
 }  // namespace hickorywood::core
--- /dev/null
+++ b/packages/entry/endpoint_choice.cc
@@ -0,0 +1,153 @@
+#include "entry/endpoint_choice.h"
+
+#include <algorithm>
+
+namespace hickorywood::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// What another availability zone costs, in places of a queue: two more
+// crossings and bytes that are paid for, against about 25 ms a place.
+constexpr double kOtherZone = 0.3;
+// An endpoint without heartbeats is taken when the others are filled by this
+// many more requests.
+constexpr double kSilent = 4;
+// Age at which a load hint counts for nothing.
+constexpr milliseconds kHintLifetime{1000};
+// Age at which a latency counts for nothing, so that an endpoint that was slow
+// is tried again.
+constexpr milliseconds kLatencyLifetime{4000};
+constexpr double kLatencyWeight = 0.25;
+// Latency relative to the median up to which an endpoint counts as usual:
+// requests differ by that much themselves.
+constexpr double kUsualSpread = 1.8;
+constexpr milliseconds kAvoidAfterFailure{300};
+constexpr int kMostDoublings = 4;
+// A full endpoint has a place again after about one request.
+constexpr milliseconds kAvoidAfterFull{25};
+
+const endpoint_record& RecordOf(const endpoint_book& book,
+                                const std::string& incarnation) {
+  static const endpoint_record kNone;
+  const auto found = book.records.find(incarnation);
+  return found == book.records.end() ? kNone : found->second;
+}
+
+bool IsLatencyKnown(const endpoint_record& record, core::time_point now) {
+  return record.latency_ms > 0 && now - record.latency_at < kLatencyLifetime;
+}
+
+double MedianLatency(const endpoint_book& book,
+                     const std::vector<const fleet::endpoint*>& candidates,
+                     core::time_point now) {
+  std::vector<double> known;
+  for (const fleet::endpoint* item : candidates) {
+    const endpoint_record& record = RecordOf(book, item->incarnation);
+    if (IsLatencyKnown(record, now)) known.push_back(record.latency_ms);
+  }
+  if (known.empty()) return 0;
+  const auto middle =
+      known.begin() + static_cast<ptrdiff_t>((known.size() - 1) / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
+double ExpectedCost(const endpoint_record& record, const fleet::endpoint& item,
+                    double median_ms, const choice_input& input) {
+  double queue = static_cast<double>(record.outstanding + 1);
+  const auto age = std::chrono::duration<double>(input.now - record.hint_at);
+  const double freshness =
+      1 - age / std::chrono::duration<double>(kHintLifetime);
+  if (freshness > 0) queue += freshness * static_cast<double>(record.foreign);
+  double cost = queue;
+  const bool is_slow = median_ms > 0 && IsLatencyKnown(record, input.now) &&
+                       record.latency_ms > kUsualSpread * median_ms;
+  if (is_slow) cost *= record.latency_ms / median_ms;
+  if (item.zone != input.own_zone) cost += kOtherZone;
+  if (item.state == fleet::endpoint_state::kSilent) cost += kSilent;
+  return cost;
+}
+
+}  // namespace
+
+const fleet::endpoint* ChooseEndpoint(const endpoint_book& book,
+                                      const choice_input& input) {
+  std::vector<const fleet::endpoint*> candidates;
+  for (const fleet::endpoint& item : *input.endpoints) {
+    const bool is_open = item.service == input.service &&
+                         item.state != fleet::endpoint_state::kDraining &&
+                         input.excluded->count(item.incarnation) == 0;
+    if (is_open) candidates.push_back(&item);
+  }
+  const double median_ms = MedianLatency(book, candidates, input.now);
+  const fleet::endpoint* best = nullptr;
+  double best_cost = 0;
+  bool is_best_avoided = true;
+  for (const fleet::endpoint* item : candidates) {
+    const endpoint_record& record = RecordOf(book, item->incarnation);
+    const bool is_avoided = record.avoid_until > input.now;
+    const double cost = ExpectedCost(record, *item, median_ms, input);
+    const bool is_better = best == nullptr ||
+                           (is_best_avoided && !is_avoided) ||
+                           (is_best_avoided == is_avoided && cost < best_cost);
+    if (!is_better) continue;
+    best = item;
+    best_cost = cost;
+    is_best_avoided = is_avoided;
+  }
+  return best;
+}
+
+void NoteSent(endpoint_book& book, const std::string& incarnation) {
+  ++book.records[incarnation].outstanding;
+}
+
+void NoteOver(endpoint_book& book, const std::string& incarnation) {
+  const auto found = book.records.find(incarnation);
+  if (found != book.records.end()) --found->second.outstanding;
+}
+
+void NoteAnswer(endpoint_book& book, const std::string& incarnation,
+                milliseconds latency,
+                const std::optional<fleet::load_hint>& hint,
+                core::time_point now) {
+  endpoint_record& record = book.records[incarnation];
+  const auto sample =
+      static_cast<double>(std::max<int64_t>(1, latency.count()));
+  record.latency_ms =
+      IsLatencyKnown(record, now)
+          ? record.latency_ms + kLatencyWeight * (sample - record.latency_ms)
+          : sample;
+  record.latency_at = now;
+  record.failures = 0;
+  if (!hint) return;
+  record.foreign =
+      std::max<int64_t>(0, hint->running + hint->waiting - record.outstanding);
+  record.hint_at = now;
+}
+
+void NoteFailure(endpoint_book& book, const std::string& incarnation,
+                 core::time_point now) {
+  endpoint_record& record = book.records[incarnation];
+  const int doublings = std::min(record.failures, kMostDoublings);
+  ++record.failures;
+  record.avoid_until = now + kAvoidAfterFailure * (1 << doublings);
+}
+
+void NoteFull(endpoint_book& book, const std::string& incarnation,
+              core::time_point now) {
+  endpoint_record& record = book.records[incarnation];
+  record.avoid_until = std::max(record.avoid_until, now + kAvoidAfterFull);
+}
+
+void KeepOnly(endpoint_book& book,
+              const std::vector<fleet::endpoint>& endpoints) {
+  std::set<std::string> known;
+  for (const fleet::endpoint& item : endpoints) known.insert(item.incarnation);
+  std::erase_if(book.records, [&known](const auto& item) {
+    return known.count(item.first) == 0 && item.second.outstanding == 0;
+  });
+}
+
+}  // namespace hickorywood::entry
--- /dev/null
+++ b/packages/entry/entry_instance.cc
@@ -0,0 +1,195 @@
+#include "entry/entry_instance.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "core/events.h"
+#include "entry/relay.h"
+#include "entry/step_gateway.h"
+#include "net/connection_pool.h"
+#include "net/event.h"
+#include "net/listener.h"
+#include "peering/leader_caller.h"
+#include "peering/view_follower.h"
+
+namespace hickorywood::entry {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+
+// An entry without a configuration knows no routes; the control group answers
+// it within one election.
+constexpr milliseconds kRetryAfter{300};
+constexpr milliseconds kDrainPoll{20};
+
+peering::follower_options FollowerOptions(
+    const settings::node_settings& settings) {
+  peering::follower_options options;
+  options.instance = settings.id;
+  return options;
+}
+
+}  // namespace
+
+struct entry_instance::impl {
+  impl(asio::io_context& io, const core::runtime_clock& runtime,
+       const settings::node_settings& node, const fleet::protocol& protocol)
+      : loop(io),
+        clock(runtime),
+        settings(node),
+        wire(protocol),
+        pool(io),
+        caller(pool, node.seeds),
+        follower(caller, FollowerOptions(node)),
+        plain(io, runtime, pool, protocol, follower.View(), node.zone),
+        stores_caller(pool, {}),
+        gateway(runtime, protocol, stores_caller),
+        callers(io, CallerOptions(),
+                [this](net::exchange& call) { return Serve(call); }),
+        readiness(io, ReadinessOptions(),
+                  [this](net::exchange& call) { return Check(call); }) {
+    follower.OnChange([this] {
+      plain.OnEndpoints();
+      stores_caller.SetControllers(peering::StoreAddresses(follower.View()));
+    });
+  }
+
+  net::listener_options CallerOptions() {
+    net::listener_options options;
+    options.address = settings.callers_address;
+    options.limits = [this] { return Limits(); };
+    return options;
+  }
+
+  net::listener_options ReadinessOptions() {
+    net::listener_options options;
+    options.address = settings.readiness_address;
+    options.limits = [] { return net::caller_limits{}; };
+    return options;
+  }
+
+  // The configured limits, and the listener's own where none are configured.
+  net::caller_limits Limits() const {
+    const fleet::request_limits& configured = follower.View().config.limits;
+    net::caller_limits limits;
+    if (configured.header_bytes > 0) {
+      limits.header_bytes = static_cast<uint32_t>(configured.header_bytes);
+    }
+    if (configured.body_bytes > 0) {
+      limits.body_bytes = static_cast<uint64_t>(configured.body_bytes);
+    }
+    if (configured.header_timeout_ms > 0) {
+      limits.header_timeout = milliseconds(configured.header_timeout_ms);
+    }
+    if (configured.idle_timeout_ms > 0) {
+      limits.idle_timeout = milliseconds(configured.idle_timeout_ms);
+    }
+    return limits;
+  }
+
+  awaitable<void> Check(net::exchange& call) {
+    net::response answer;
+    const bool is_ready = !is_stopping && follower.View().config.version > 0;
+    answer.status = is_ready ? 200 : 503;
+    co_await call.Reply(std::move(answer));
+  }
+
+  awaitable<void> Serve(net::exchange& call) {
+    const net::request& input = call.Request();
+    if (follower.View().config.version == 0) {
+      co_await call.Reply(wire.EncodeFailure(
+          503, "this instance has no configuration yet", kRetryAfter));
+      co_return;
+    }
+    fleet::step_call step = wire.DecodeStepCall(input);
+    if (!std::holds_alternative<fleet::other_call>(step)) {
+      co_await gateway.Serve(call, std::move(step));
+      co_return;
+    }
+    const fleet::route* where = fleet::FindRoute(
+        follower.View().config, net::Find(input.headers, "Host"),
+        net::PathOf(input.target));
+    if (where == nullptr) {
+      LogEvent(
+          event_id::kRequestRefused,
+          {{"request", wire.RequestId(input)},
+           {"reason", "no route"},
+           {"configuration", std::to_string(follower.View().config.version)}});
+      co_await call.Reply(
+          wire.EncodeFailure(404, "no route has this path", std::nullopt));
+      co_return;
+    }
+    if (where->kind == fleet::route_kind::kRollout) {
+      co_await gateway.Open(call);
+      co_return;
+    }
+    co_await plain.Serve(call, *where);
+  }
+
+  awaitable<void> Stop() {
+    is_stopping = true;
+    LogEvent(event_id::kProcessStopping,
+             {{"instance", settings.id},
+              {"connections", std::to_string(callers.Connections())},
+              {"in_flight", std::to_string(callers.InFlight())}});
+    const core::time_point limit = clock.Now() + settings.drain_grace * 7 / 8;
+    // Callers learn by the answers that they should go elsewhere, new ones by
+    // the readiness check.
+    callers.BeginDrain();
+    co_await net::Sleep(settings.drain_notice);
+    callers.StopAccepting();
+    while (callers.InFlight() > 0 && clock.Now() < limit) {
+      co_await net::Sleep(kDrainPoll);
+    }
+    const bool is_late = callers.InFlight() > 0;
+    LogEvent(is_late ? event_id::kDrainLimitPassed : event_id::kProcessStopped,
+             {{"instance", settings.id},
+              {"in_flight", std::to_string(callers.InFlight())}});
+    loop.stop();
+  }
+
+  asio::io_context& loop;
+  const core::runtime_clock& clock;
+  const settings::node_settings settings;
+  const fleet::protocol& wire;
+  net::connection_pool pool;
+  peering::leader_caller caller;
+  peering::view_follower follower;
+  relay plain;
+  peering::leader_caller stores_caller;
+  step_gateway gateway;
+  net::listener callers;
+  net::listener readiness;
+  bool is_stopping = false;
+};
+
+entry_instance::entry_instance(asio::io_context& loop,
+                               const core::runtime_clock& clock,
+                               const settings::node_settings& settings,
+                               const fleet::protocol& wire)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire)) {}
+
+entry_instance::~entry_instance() = default;
+
+bool entry_instance::Start() {
+  if (!impl_->callers.Start() || !impl_->readiness.Start()) return false;
+  asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
+  return true;
+}
+
+void entry_instance::Reload(const settings::node_settings& settings) {
+  impl_->caller.SetSeeds(settings.seeds);
+}
+
+void entry_instance::BeginStop() {
+  if (impl_->is_stopping) return;
+  asio::co_spawn(impl_->loop, impl_->Stop(), asio::detached);
+}
+
+}  // namespace hickorywood::entry
--- /dev/null
+++ b/packages/entry/step_gateway.cc
@@ -0,0 +1,130 @@
+#include "entry/step_gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/binary.h"
+#include "core/events.h"
+#include "peering/failure_answer.h"
+
+namespace hickorywood::entry {
+namespace {
+
+using boost::asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+using peering::call_outcome;
+using peering::envelope;
+
+// How long a submission may wait for a leader: an election and one repeat.
+constexpr milliseconds kOpenPatience{3000};
+constexpr milliseconds kOpenTry{1200};
+constexpr milliseconds kEndPatience{1800};
+constexpr milliseconds kEndTry{800};
+// A read is held back for as long as its caller allows; after that there is
+// time for one more leader, and then the caller asks again.
+constexpr milliseconds kReadSlack{900};
+constexpr milliseconds kReadTrySlack{500};
+constexpr milliseconds kLongestWait{5000};
+constexpr milliseconds kRetryAfter{300};
+constexpr uint64_t kPageBytes = 900 * 1000;
+
+}  // namespace
+
+step_gateway::step_gateway(const core::runtime_clock& clock,
+                           const fleet::protocol& wire,
+                           peering::leader_caller& caller)
+    : clock_(clock), wire_(wire), caller_(caller) {}
+
+net::response step_gateway::FailureOf(const envelope& answer) const {
+  return peering::EncodeFailure(wire_, answer, kRetryAfter);
+}
+
+awaitable<void> step_gateway::Open(net::exchange& call) {
+  const auto submission = wire_.DecodeSubmission(call.Request());
+  if (!submission) {
+    const std::string reason = core::LastReason().text;
+    co_await call.Reply(wire_.EncodeFailure(400, reason, std::nullopt));
+    co_return;
+  }
+  const core::time_point started = clock_.Now();
+  const envelope answer = co_await caller_.Ask(
+      peering::kOpenStepMethod, core::EncodeBinary(*submission),
+      started + kOpenPatience, kOpenTry);
+  const bool is_taken = answer.outcome == call_outcome::kDone;
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
+  LogEvent(is_taken ? event_id::kStepOpened : event_id::kRequestRefused,
+           {{"step", submission->id},
+            {"tasks", std::to_string(submission->tasks.size())},
+            {"number", std::to_string(submission->number)},
+            {"reason", answer.reason},
+            {"ms", std::to_string(took.count())}});
+  net::response reply = FailureOf(answer);
+  if (is_taken) {
+    reply = wire_.EncodeAcknowledgement("");
+    reply.status = 202;
+  }
+  co_await call.Reply(std::move(reply));
+}
+
+awaitable<void> step_gateway::Serve(net::exchange& call,
+                                    fleet::step_call input) {
+  net::response answer;
+  if (auto* read = std::get_if<fleet::read_results_call>(&input)) {
+    answer = co_await Read(std::move(*read));
+  } else if (auto* task = std::get_if<fleet::read_task_call>(&input)) {
+    answer = co_await ReadTask(std::move(*task));
+  } else if (auto* end = std::get_if<fleet::end_step_call>(&input)) {
+    answer = co_await End(std::move(*end));
+  } else if (auto* bad = std::get_if<fleet::malformed_call>(&input)) {
+    answer = wire_.EncodeFailure(bad->status, bad->reason, std::nullopt);
+  }
+  co_await call.Reply(std::move(answer));
+}
+
+awaitable<net::response> step_gateway::Read(fleet::read_results_call input) {
+  const milliseconds wait = std::min(input.wait, kLongestWait);
+  peering::read_results_request request;
+  request.step = std::move(input.step);
+  request.after = input.after;
+  request.wait_ms = wait.count();
+  request.page_bytes = kPageBytes;
+  envelope answer = co_await caller_.Ask(
+      peering::kReadResultsMethod, core::EncodeBinary(request),
+      clock_.Now() + wait + kReadSlack, wait + kReadTrySlack);
+  // A read that was not answered has changed nothing.
+  if (answer.outcome == call_outcome::kUnknown) {
+    answer.outcome = call_outcome::kUnavailable;
+  }
+  if (answer.outcome != call_outcome::kDone) co_return FailureOf(answer);
+  const auto page = core::DecodeBinary<steps::result_page>(answer.payload);
+  if (!page) {
+    co_return wire_.EncodeFailure(503, core::LastReason().text, kRetryAfter);
+  }
+  co_return wire_.EncodeResults(*page);
+}
+
+awaitable<net::response> step_gateway::ReadTask(fleet::read_task_call input) {
+  const peering::read_task_request request{input.step, input.task};
+  envelope answer = co_await caller_.Ask(
+      peering::kReadTaskMethod, core::EncodeBinary(request),
+      clock_.Now() + kReadSlack, kReadTrySlack);
+  if (answer.outcome == call_outcome::kUnknown) {
+    answer.outcome = call_outcome::kUnavailable;
+  }
+  if (answer.outcome != call_outcome::kDone) co_return FailureOf(answer);
+  co_return wire_.EncodeTaskBody(answer.payload);
+}
+
+awaitable<net::response> step_gateway::End(fleet::end_step_call input) {
+  const peering::named_item request{input.step};
+  const envelope answer =
+      co_await caller_.Ask(peering::kEndStepMethod, core::EncodeBinary(request),
+                           clock_.Now() + kEndPatience, kEndTry);
+  if (answer.outcome != call_outcome::kDone) co_return FailureOf(answer);
+  co_return wire_.EncodeAcknowledgement("");
+}
+
+}  // namespace hickorywood::entry
--- /dev/null
+++ b/packages/entry/step_gateway.h
@@ -0,0 +1,39 @@
+#ifndef HICKORYWOOD_ENTRY_STEP_GATEWAY_H_
+#define HICKORYWOOD_ENTRY_STEP_GATEWAY_H_
+
+// Hands trainers' calls about steps to the control leader, which keeps them.
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+
+#include "core/clock.h"
+#include "fleet/protocol.h"
+#include "net/listener.h"
+#include "peering/leader_caller.h"
+
+namespace hickorywood::entry {
+
+class step_gateway {
+ public:
+  step_gateway(const core::runtime_clock& clock, const fleet::protocol& wire,
+               peering::leader_caller& caller);
+
+  boost::asio::awaitable<void> Open(net::exchange& call);
+  // `input` is no other_call.
+  boost::asio::awaitable<void> Serve(net::exchange& call,
+                                     fleet::step_call input);
+
+ private:
+  boost::asio::awaitable<net::response> Read(fleet::read_results_call input);
+  boost::asio::awaitable<net::response> ReadTask(fleet::read_task_call input);
+  boost::asio::awaitable<net::response> End(fleet::end_step_call input);
+  net::response FailureOf(const peering::envelope& answer) const;
+
+  const core::runtime_clock& clock_;
+  const fleet::protocol& wire_;
+  peering::leader_caller& caller_;
+};
+
+}  // namespace hickorywood::entry
+
+#endif  // HICKORYWOOD_ENTRY_STEP_GATEWAY_H_
--- /dev/null
+++ b/packages/fleet/configuration.cc
@@ -0,0 +1,91 @@
+#include "fleet/configuration.h"
+
+#include <set>
+#include <utility>
+
+namespace hickorywood::fleet {
+namespace {
+
+double TotalWeight(const route& where) {
+  double total = 0;
+  for (const weighted_service& item : where.services) total += item.weight;
+  return total;
+}
+
+void CheckRoute(const configuration& config, const route& where,
+                std::vector<std::string>& findings) {
+  const std::string place = "route '" + where.name + "': ";
+  if (where.timeout_ms <= 0) {
+    findings.push_back(place + "the timeout is not above 0");
+  }
+  if (where.services.empty() || TotalWeight(where) <= 0) {
+    findings.push_back(place + "the weights add up to 0");
+  }
+  for (const weighted_service& item : where.services) {
+    if (item.weight < 0) findings.push_back(place + "a weight is below 0");
+    if (FindService(config, item.service) == nullptr) {
+      findings.push_back(place + "unknown service '" + item.service + "'");
+    }
+  }
+  const bool is_closed = !where.path_prefix.empty() &&
+                         where.path_prefix.front() == '/' &&
+                         where.path_prefix.back() == '/';
+  if (!is_closed) {
+    findings.push_back(place + "the prefix does not begin and end with '/'");
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> CheckConfiguration(const configuration& config) {
+  std::vector<std::string> findings;
+  if (config.version == 0) findings.push_back("the version is not above 0");
+  std::set<std::pair<std::string, std::string>> places;
+  for (const route& where : config.routes) {
+    CheckRoute(config, where, findings);
+    if (!places.emplace(where.host, where.path_prefix).second) {
+      findings.push_back("route '" + where.name +
+                         "': another route has its host and prefix");
+    }
+  }
+  std::set<std::string> names;
+  for (const service& item : config.services) {
+    if (!names.insert(item.name).second) {
+      findings.push_back("service '" + item.name + "' stands twice");
+    }
+  }
+  return findings;
+}
+
+const route* FindRoute(const configuration& config, std::string_view host,
+                       std::string_view path) {
+  const route* best = nullptr;
+  for (const route& where : config.routes) {
+    if (where.host != host || !path.starts_with(where.path_prefix)) continue;
+    const bool is_longer =
+        best == nullptr || where.path_prefix.size() > best->path_prefix.size();
+    if (is_longer) best = &where;
+  }
+  return best;
+}
+
+const service* FindService(const configuration& config, std::string_view name) {
+  for (const service& item : config.services) {
+    if (item.name == name) return &item;
+  }
+  return nullptr;
+}
+
+std::string_view DrawService(const route& where, double draw) {
+  double left = draw * TotalWeight(where);
+  std::string_view last;
+  for (const weighted_service& item : where.services) {
+    if (item.weight <= 0) continue;
+    last = item.service;
+    left -= item.weight;
+    if (left < 0) return item.service;
+  }
+  return last;
+}
+
+}  // namespace hickorywood::fleet
--- /dev/null
+++ b/packages/fleet/configuration.h
@@ -0,0 +1,118 @@
+#ifndef HICKORYWOOD_FLEET_CONFIGURATION_H_
+#define HICKORYWOOD_FLEET_CONFIGURATION_H_
+
+// The configuration of a deployment: which requests go to which service, and
+// under which terms.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/json.h"
+
+namespace hickorywood::fleet {
+
+// What may be repeated of a route's requests.
+enum class route_kind {
+  kIdempotent,     // may run more than once
+  kNonIdempotent,  // runs at most once for each request
+  kStream,         // answered by a series of events
+  kRollout,  // a step: many tasks that are submitted at once and run later
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(route_kind,
+                             {{route_kind::kNonIdempotent, "non_idempotent"},
+                              {route_kind::kIdempotent, "idempotent"},
+                              {route_kind::kStream, "stream"},
+                              {route_kind::kRollout, "rollout"}})
+
+// One of the services that share a route's requests.
+struct weighted_service {
+  std::string service;
+  double weight = 1;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(weighted_service, service,
+                                                weight)
+
+struct route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  route_kind kind = route_kind::kNonIdempotent;
+  std::vector<weighted_service> services;
+  int64_t timeout_ms = 0;    // longest time that a request may be kept waiting
+  int64_t objective_ms = 0;  // latency that the callers expect
+  int64_t priority = 0;      // 0 is the most urgent
+  int64_t max_attempts = 1;  // endpoints that one request may be sent to
+  int64_t due_ms = 0;        // steps: time from submission to the last result
+  int64_t task_lifetime_ms = 0;  // steps: age from which a task may be given up
+  bool is_single_version = false;  // steps: one weight version per result
+  bool is_resumable = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(route, name, host, path_prefix,
+                                                kind, services, timeout_ms,
+                                                objective_ms, priority,
+                                                max_attempts, due_ms,
+                                                task_lifetime_ms,
+                                                is_single_version, is_resumable)
+
+// What the endpoints of a service are, where they are model engines.
+struct engine_shape {
+  int64_t slots = 0;  // requests in one batch
+  int64_t kv_tokens = 0;
+  std::vector<std::string> models;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_shape, slots, kv_tokens,
+                                                models)
+
+struct service {
+  std::string name;
+  std::string health_path;
+  int64_t max_connections = 0;
+  bool has_engines = false;
+  engine_shape engine;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(service, name, health_path,
+                                                max_connections, has_engines,
+                                                engine)
+
+// Bounds on what a caller may send; 0: the listener's own.
+struct request_limits {
+  int64_t header_bytes = 0;
+  int64_t body_bytes = 0;
+  int64_t header_timeout_ms = 0;
+  int64_t idle_timeout_ms = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(request_limits, header_bytes,
+                                                body_bytes, header_timeout_ms,
+                                                idle_timeout_ms)
+
+struct configuration {
+  uint64_t version = 0;  // 0: none yet
+  std::vector<route> routes;
+  std::vector<service> services;
+  request_limits limits;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(configuration, version, routes,
+                                                services, limits)
+
+// All that makes a configuration impossible to obey: routes to services that
+// are not there, two routes at one place, weights that add up to nothing, no
+// time to answer in. Empty: it is valid.
+std::vector<std::string> CheckConfiguration(const configuration& config);
+
+// The route of a request: among those of its host the one with the longest
+// prefix of its path. nullptr: none.
+const route* FindRoute(const configuration& config, std::string_view host,
+                       std::string_view path);
+
+const service* FindService(const configuration& config, std::string_view name);
+
+// The service that takes a request of `where`, drawn by weight with `draw` in
+// [0, 1). Empty when all weights are 0.
+std::string_view DrawService(const route& where, double draw);
+
+}  // namespace hickorywood::fleet
+
+#endif  // HICKORYWOOD_FLEET_CONFIGURATION_H_
--- /dev/null
+++ b/packages/group/group_host.cc
@@ -0,0 +1,272 @@
+#include "group/group_host.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "consensus/members.h"
+#include "core/binary.h"
+#include "core/events.h"
+#include "peering/messages.h"
+
+namespace hickorywood::group {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::milliseconds;
+
+// A third of the shortest heartbeat, so that it is late by little.
+constexpr milliseconds kTickPeriod{50};
+constexpr milliseconds kJoinPeriod{200};
+// Most of the round trip and the sync of an append; a snapshot's piece is
+// larger.
+constexpr milliseconds kAppendTimeout{400};
+constexpr milliseconds kSnapshotTimeout{2000};
+// Pause before a message that could not be delivered counts as lost. Without it
+// a replica that is down would be called again at each flush.
+constexpr milliseconds kUnreachablePause{100};
+// How long an instance that asked for admission counts as waiting for it.
+constexpr milliseconds kApplicantLifetime{1000};
+
+consensus::group_replica_settings ReplicaSettings(
+    const group_settings& settings) {
+  consensus::group_replica_settings options;
+  options.node = settings.own_address;
+  options.raft = settings.raft;
+  options.random_seed = std::random_device()();
+  return options;
+}
+
+}  // namespace
+
+group_settings MakeGroupSettings(const settings::node_settings& node,
+                                 std::string name, size_t wanted_voters) {
+  group_settings settings;
+  settings.name = std::move(name);
+  settings.own_address = node.peers_address;
+  settings.data_folder = node.data_folder;
+  settings.raft.election_timeout = node.election_timeout;
+  settings.raft.heartbeat = node.raft_heartbeat;
+  settings.raft.leader_lease = node.leader_lease;
+  settings.raft.reply_timeout = node.leader_lease;
+  settings.raft.wanted_voters = wanted_voters;
+  return settings;
+}
+
+group_host::group_host(asio::io_context& loop, const core::runtime_clock& clock,
+                       group_settings settings, net::connection_pool& pool,
+                       hosted_state& state)
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      pool_(pool),
+      storage_(settings_.data_folder),
+      state_(state),
+      replica_(clock, ReplicaSettings(settings_), storage_, *this, *this) {}
+
+bool group_host::Start() {
+  if (!replica_.Load()) return false;
+  asio::co_spawn(loop_, KeepTicking(), asio::detached);
+  asio::co_spawn(loop_, KeepJoining(), asio::detached);
+  return true;
+}
+
+void group_host::Found() {
+  if (!IsInGroup()) replica_.Bootstrap(settings_.name);
+}
+
+void group_host::SetContacts(std::vector<std::string> contacts) {
+  contacts_ = std::move(contacts);
+}
+
+void group_host::SetLeaving(std::set<std::string> nodes) {
+  replica_.SetLeaving(std::move(nodes));
+}
+
+std::set<std::string> group_host::Applicants() const {
+  std::set<std::string> nodes;
+  for (const auto& [node, asked_at] : applicants_) {
+    if (clock_.Now() - asked_at < kApplicantLifetime) nodes.insert(node);
+  }
+  return nodes;
+}
+
+awaitable<void> group_host::KeepTicking() {
+  for (;;) {
+    replica_.Tick();
+    ScheduleFlush();
+    co_await net::Sleep(kTickPeriod);
+  }
+}
+
+// A replica that is in no group, or whose disk was replaced, is not among the
+// voters. It goes on asking until the leader has made it one.
+awaitable<void> group_host::KeepJoining() {
+  for (;;) {
+    co_await net::Sleep(kJoinPeriod);
+    if (!replica_.IsVoter()) AskToJoin();
+  }
+}
+
+void group_host::AskToJoin() {
+  std::set<std::string> targets(contacts_.begin(), contacts_.end());
+  for (const std::string& node : Members()) targets.insert(node);
+  targets.erase(settings_.own_address);
+  for (const std::string& node : targets) {
+    consensus::message join;
+    join.kind = consensus::message_kind::kJoin;
+    join.group = replica_.Raft().group;
+    join.from = replica_.Raft().self;
+    join.to.node = node;
+    Send(join);
+  }
+}
+
+// Once for all that the loop has ready now, so that a burst shares one sync.
+void group_host::ScheduleFlush() {
+  if (is_flush_scheduled_) return;
+  is_flush_scheduled_ = true;
+  asio::post(loop_, [this] {
+    is_flush_scheduled_ = false;
+    replica_.Flush();
+  });
+}
+
+void group_host::Send(const consensus::message& output) {
+  asio::co_spawn(loop_, Deliver(output), asio::detached);
+}
+
+awaitable<void> group_host::Deliver(consensus::message output) {
+  const bool is_large = output.kind == consensus::message_kind::kSnapshot;
+  const core::time_point deadline =
+      clock_.Now() + (is_large ? kSnapshotTimeout : kAppendTimeout);
+  net::request input;
+  input.target =
+      std::string(peering::kPeerPathPrefix) + peering::kConsensusMethod;
+  input.headers = {{"Content-Type", "application/msgpack"}};
+  input.body = core::EncodeBinary(output);
+  net::call_options options;
+  options.connect_deadline = deadline;
+  options.deadline = deadline;
+  const consensus::member peer = output.to;
+  const net::call_result result =
+      co_await net::Call(pool_, peer.node, input, options);
+  const bool is_answered =
+      result.how == net::progress::kAnswered && result.answer.status == 200;
+  const auto answers =
+      is_answered
+          ? core::DecodeBinary<peering::consensus_messages>(result.answer.body)
+          : std::optional<peering::consensus_messages>();
+  if (!answers) {
+    if (result.is_timeout) pool_.Forget(peer.node);
+    co_await net::Sleep(kUnreachablePause);
+    replica_.ReportUnreachable(peer);
+    co_return;
+  }
+  for (const consensus::message& answer : answers->messages) {
+    replica_.Receive(answer,
+                     [](const std::vector<consensus::message>& /*none*/) {});
+  }
+  ScheduleFlush();
+}
+
+awaitable<std::string> group_host::Receive(std::string payload) {
+  const auto input = core::DecodeBinary<consensus::message>(payload);
+  peering::consensus_messages answers;
+  if (!input) {
+    core::LogEvent(core::event_id::kPeerMessageMalformed,
+                   {{"reason", core::LastReason().text}});
+    co_return core::EncodeBinary(answers);
+  }
+  if (input->kind == consensus::message_kind::kJoin) {
+    applicants_[input->from.node] = clock_.Now();
+  }
+  const net::one_shot<std::vector<consensus::message>> reply;
+  replica_.Receive(*input, [reply](std::vector<consensus::message> messages) {
+    reply.Set(std::move(messages));
+  });
+  ScheduleFlush();
+  auto messages = co_await reply.WaitUntil(clock_.Now() + kSnapshotTimeout);
+  if (messages) answers.messages = std::move(*messages);
+  co_return core::EncodeBinary(answers);
+}
+
+awaitable<group_host::commit_result> group_host::Commit(std::string name,
+                                                        std::string payload) {
+  hosted_command input;
+  input.name = std::move(name);
+  input.now_ms = core::ToUnixMillis(clock_.WallNow());
+  input.payload = std::move(payload);
+  const net::one_shot<consensus::proposal_end> end;
+  commit_result result;
+  result.was_proposed =
+      replica_.Propose(core::EncodeBinary(input),
+                       [end](consensus::proposal_end how) { end.Set(how); });
+  if (!result.was_proposed) co_return result;
+  ScheduleFlush();
+  // Ends at the commit, or when leadership ends.
+  const auto how = co_await end.WaitUntil(core::time_point::max());
+  result.is_committed = how && *how == consensus::proposal_end::kCommitted;
+  co_return result;
+}
+
+bool group_host::IsSpread() const {
+  return Voters().size() >= settings_.spread_voters;
+}
+
+std::vector<std::string> group_host::Voters() const {
+  const consensus::group_members members =
+      consensus::ActiveMembers(replica_.Raft().log);
+  std::vector<std::string> nodes;
+  for (const consensus::member& who : members.voters) {
+    nodes.push_back(who.node);
+  }
+  return nodes;
+}
+
+std::vector<std::string> group_host::Members() const {
+  const consensus::group_members members =
+      consensus::ActiveMembers(replica_.Raft().log);
+  std::vector<std::string> nodes;
+  for (const consensus::member& who : members.voters) {
+    nodes.push_back(who.node);
+  }
+  for (const consensus::member& who : members.learners) {
+    nodes.push_back(who.node);
+  }
+  return nodes;
+}
+
+void group_host::Apply(const consensus::log_entry& entry) {
+  const auto input = core::DecodeBinary<hosted_command>(entry.data);
+  if (input) state_.Apply(*input);
+}
+
+void group_host::Restore(uint64_t /*index*/, const std::string& data) {
+  if (state_.Restore(data)) return;
+  core::LogEvent(
+      core::event_id::kLogCorrupt,
+      {{"node", settings_.own_address}, {"reason", core::LastReason().text}});
+  OnStorageFailure();
+}
+
+std::string group_host::Save() const { return state_.Save(); }
+
+void group_host::OnLeadership(bool is_leader) {
+  if (on_leadership) on_leadership(is_leader);
+}
+
+void group_host::OnApplied() {
+  if (on_applied) on_applied();
+}
+
+void group_host::OnStorageFailure() {
+  if (on_failure) on_failure();
+}
+
+}  // namespace hickorywood::group
--- /dev/null
+++ b/packages/group/group_host.h
@@ -0,0 +1,122 @@
+#ifndef HICKORYWOOD_GROUP_GROUP_HOST_H_
+#define HICKORYWOOD_GROUP_GROUP_HOST_H_
+
+// Runs this instance's replica of a group on the I/O loop: its clock, its links
+// to the other replicas, founding and joining.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "consensus/file_storage.h"
+#include "consensus/group_replica.h"
+#include "core/clock.h"
+#include "group/hosted_state.h"
+#include "net/connection_pool.h"
+#include "net/event.h"
+#include "settings/node_settings.h"
+
+namespace hickorywood::group {
+
+struct group_settings {
+  std::string name;         // of the group
+  std::string own_address;  // peer address; names the instance in the group
+  std::string data_folder;
+  consensus::raft_options raft;
+  // Voters below which nothing is acknowledged: with fewer the loss of one disk
+  // could take all copies.
+  size_t spread_voters = 3;
+};
+
+// The settings of a group with `wanted_voters` voters, as a process's settings
+// give them.
+group_settings MakeGroupSettings(const settings::node_settings& node,
+                                 std::string name, size_t wanted_voters);
+
+class group_host : private consensus::replicated_machine,
+                   private consensus::message_sender {
+ public:
+  group_host(boost::asio::io_context& loop, const core::runtime_clock& clock,
+             group_settings settings, net::connection_pool& pool,
+             hosted_state& state);
+
+  // False with the reason when the data folder can't be used.
+  bool Start();
+  // Makes this replica the first voter of the group, if it is in none. Exactly
+  // one instance may ever do it.
+  void Found();
+  // Other instances that may be members, to ask for admission.
+  void SetContacts(std::vector<std::string> contacts);
+  // Nodes that shall not be members.
+  void SetLeaving(std::set<std::string> nodes);
+
+  // Takes messages of another replica and answers it once that may be said.
+  boost::asio::awaitable<std::string> Receive(std::string payload);
+
+  struct commit_result {
+    bool was_proposed = false;  // false: this replica does not lead
+    bool is_committed = false;  // false and proposed: the fate is open
+  };
+  boost::asio::awaitable<commit_result> Commit(std::string name,
+                                               std::string payload);
+
+  // Whether this replica may act as the leader now. Ask again right before each
+  // outside effect: a frozen process wakes up late.
+  bool IsServing() const { return replica_.IsServing(); }
+  // Whether enough voters hold the state that no single disk carries what is
+  // acknowledged.
+  bool IsSpread() const;
+  bool HasFailed() const { return replica_.HasFailed(); }
+  uint64_t Term() const { return replica_.Raft().hard.term; }
+  core::time_point ElectedAt() const { return replica_.Raft().elected_at; }
+  // Peer address of the leader as far as known.
+  const std::string& Leader() const { return replica_.Raft().leader.node; }
+  const std::string& OwnAddress() const { return settings_.own_address; }
+  std::vector<std::string> Members() const;
+  std::vector<std::string> Voters() const;
+  bool IsInGroup() const { return !replica_.Raft().group.empty(); }
+  // Instances that asked for admission within the last second.
+  std::set<std::string> Applicants() const;
+  bool HandOver() { return replica_.HandOver(); }
+
+  // Set before Start(). `on_leadership` is called when this replica starts or
+  // stops leading, `on_applied` after the state changed, `on_failure` when the
+  // disk failed and the process must end.
+  std::function<void(bool)> on_leadership;
+  std::function<void()> on_applied;
+  std::function<void()> on_failure;
+
+ private:
+  void Apply(const consensus::log_entry& entry) override;
+  void Restore(uint64_t index, const std::string& data) override;
+  std::string Save() const override;
+  void OnLeadership(bool is_leader) override;
+  void OnApplied() override;
+  void OnStorageFailure() override;
+  void Send(const consensus::message& output) override;
+
+  boost::asio::awaitable<void> Deliver(consensus::message output);
+  boost::asio::awaitable<void> KeepTicking();
+  boost::asio::awaitable<void> KeepJoining();
+  void ScheduleFlush();
+  void AskToJoin();
+
+  boost::asio::io_context& loop_;
+  const core::runtime_clock& clock_;
+  group_settings settings_;
+  net::connection_pool& pool_;
+  consensus::file_storage storage_;
+  hosted_state& state_;
+  std::vector<std::string> contacts_;
+  std::map<std::string, core::time_point> applicants_;
+  consensus::group_replica replica_;
+  bool is_flush_scheduled_ = false;
+};
+
+}  // namespace hickorywood::group
+
+#endif  // HICKORYWOOD_GROUP_GROUP_HOST_H_
--- /dev/null
+++ b/packages/group/hosted_state.h
@@ -0,0 +1,38 @@
+#ifndef HICKORYWOOD_GROUP_HOSTED_STATE_H_
+#define HICKORYWOOD_GROUP_HOSTED_STATE_H_
+
+// What a group of instances replicates, as its host sees it.
+
+#include <cstdint>
+#include <string>
+
+#include "core/json.h"
+
+namespace hickorywood::group {
+
+// One entry of the log. `payload` is the encoded struct that `name` stands for.
+struct hosted_command {
+  std::string name;
+  int64_t now_ms = 0;  // wall clock of the leader that proposed it
+  std::string payload;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hosted_command, name, now_ms,
+                                                payload)
+
+class hosted_state {
+ public:
+  virtual ~hosted_state() = default;
+
+  // Applies a command: a pure function of the state and the command, the same
+  // at each replica. A command that is no news changes nothing, so that repeats
+  // are harmless.
+  virtual void Apply(const hosted_command& input) = 0;
+  // Replaces the state by what Save() gave; empty: the initial state. False
+  // with the reason when it can't be read.
+  virtual bool Restore(const std::string& data) = 0;
+  virtual std::string Save() const = 0;
+};
+
+}  // namespace hickorywood::group
+
+#endif  // HICKORYWOOD_GROUP_HOSTED_STATE_H_
--- /dev/null
+++ b/packages/group/leader_calls.cc
@@ -0,0 +1,35 @@
+#include "group/leader_calls.h"
+
+#include <utility>
+
+namespace hickorywood::group {
+
+using peering::call_outcome;
+using peering::envelope;
+
+envelope NotLeader(const group_host& host) {
+  envelope answer;
+  answer.outcome = call_outcome::kNotLeader;
+  const bool is_other = host.Leader() != host.OwnAddress();
+  if (is_other) answer.leader = host.Leader();
+  return answer;
+}
+
+boost::asio::awaitable<envelope> CommitCall(group_host& host, std::string name,
+                                            std::string payload) {
+  envelope answer;
+  if (!host.IsSpread()) {
+    answer.reason = "too few copies of the state yet";
+    co_return answer;
+  }
+  const auto result = co_await host.Commit(std::move(name), std::move(payload));
+  if (!result.was_proposed) co_return NotLeader(host);
+  answer.outcome =
+      result.is_committed ? call_outcome::kDone : call_outcome::kUnknown;
+  if (!result.is_committed) {
+    answer.reason = "leadership ended before the commit was seen";
+  }
+  co_return answer;
+}
+
+}  // namespace hickorywood::group
--- a/packages/hickoryd/main.cc
+++ b/packages/hickoryd/main.cc
@@ -15,10 +15,15 @@
 #include "core/events.h"
 #include "core/reason.h"
 #include "hickoryd/instance.h"
+#include "hickoryd/node_main.h"
 #include "settings/instance_settings.h"
 
 ABSL_FLAG(std::vector<std::string>, settings, {},
           "Settings files, layered: base,specific,local. Later ones win.");
+ABSL_FLAG(std::string, node_settings, "",
+          "Settings file of an entry or a control instance that finds the "
+          "others by its seeds. Without it and --settings: the file that "
+          "HICKORYWOOD_SETTINGS names.");
 ABSL_FLAG(bool, check, false, "Only check the settings.");
 ABSL_FLAG(std::string, baseline, "",
           "For measurements only: comma-separated baselines: round_robin, "
@@ -34,6 +39,14 @@
 namespace settings = hickorywood::settings;
 namespace routing = hickorywood::routing;
 
+// Empty: this process is an instance with a list of its peers.
+std::string NodeSettingsFile() {
+  std::string file = absl::GetFlag(FLAGS_node_settings);
+  if (!file.empty() || !absl::GetFlag(FLAGS_settings).empty()) return file;
+  const char* const named = std::getenv("HICKORYWOOD_SETTINGS");
+  return named == nullptr ? "" : named;
+}
+
 hickoryd::instance_options OptionsFromFlags() {
   hickoryd::instance_options options;
   const std::string list = "," + absl::GetFlag(FLAGS_baseline) + ",";
@@ -60,6 +73,10 @@
       "One instance of hickorywood.\n  hickoryd --settings "
       "base.yaml,instance.yaml");
   absl::ParseCommandLine(argc, argv);
+  const std::string node_settings = NodeSettingsFile();
+  if (!node_settings.empty()) {
+    return hickoryd::RunNode(node_settings, absl::GetFlag(FLAGS_check));
+  }
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
 
--- /dev/null
+++ b/packages/hickoryd/node_main.cc
@@ -0,0 +1,202 @@
+#include "hickoryd/node_main.h"
+
+#include <signal.h>
+#include <sys/stat.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "controller/controller.h"
+#include "core/clock.h"
+#include "core/events.h"
+#include "core/log_sink.h"
+#include "core/reason.h"
+#include "entry/entry_instance.h"
+#include "net/event.h"
+#include "platform/protocol.h"
+#include "settings/node_settings.h"
+#include "store/store_instance.h"
+
+namespace hickorywood::hickoryd {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
+// Log lines are written together, so that a busy process makes few writes.
+constexpr milliseconds kLogDelay{50};
+// How often the settings file is looked at: its writer need not send a signal,
+// and new seeds are wanted only when all known instances are gone.
+constexpr std::chrono::seconds kSettingsPeriod{2};
+
+std::optional<settings::node_settings> Load(const std::string& file) {
+  std::vector<core::finding> findings;
+  auto loaded = settings::LoadNodeSettings(file, findings);
+  if (!loaded) {
+    std::fputs(core::FormatFindings(findings).c_str(), stderr);
+    LogEvent(event_id::kSettingsRefused,
+             {{"file", file}, {"findings", core::FormatFindings(findings)}});
+  }
+  return loaded;
+}
+
+// When the file was last written, in nanoseconds; 0 where that is not known.
+int64_t ChangedAt(const std::string& file) {
+  struct stat info {};
+  if (stat(file.c_str(), &info) != 0) return 0;
+  return info.st_mtim.tv_sec * 1000000000LL + info.st_mtim.tv_nsec;
+}
+
+class node {
+ public:
+  node(std::string settings_file, settings::node_settings settings)
+      : file_(std::move(settings_file)),
+        settings_(std::move(settings)),
+        wire_(platform::MakeProtocol()),
+        changed_at_(ChangedAt(file_)) {}
+
+  int Run();
+
+ private:
+  bool StartRole();
+  awaitable<void> KeepTakingSignals();
+  awaitable<void> KeepWatchingSettings();
+  void Reload(const char* cause);
+  void WriteLogSoon();
+
+  const std::string file_;
+  const settings::node_settings settings_;
+  const core::runtime_clock clock_;
+  const std::unique_ptr<fleet::protocol> wire_;
+  int64_t changed_at_;
+  asio::io_context loop_{1};
+  std::unique_ptr<entry::entry_instance> entry_;
+  std::unique_ptr<controller::controller> controller_;
+  std::unique_ptr<store::store_instance> store_;
+  bool is_stopping_ = false;
+};
+
+bool node::StartRole() {
+  if (settings_.role == settings::node_role::kEntry) {
+    entry_ = std::make_unique<entry::entry_instance>(loop_, clock_, settings_,
+                                                     *wire_);
+    return entry_->Start();
+  }
+  if (settings_.role == settings::node_role::kStore) {
+    store_ = std::make_unique<store::store_instance>(loop_, clock_, settings_,
+                                                     *wire_);
+    return store_->Start();
+  }
+  controller_ = std::make_unique<controller::controller>(loop_, clock_,
+                                                         settings_, *wire_);
+  return controller_->Start();
+}
+
+int node::Run() {
+  core::log_sink::Standard().OnFirstLine([this] { WriteLogSoon(); });
+  if (!StartRole()) {
+    LogEvent(event_id::kChildGaveUp, {{"reason", core::LastReason().text}});
+    core::log_sink::Standard().Flush();
+    return kExitFailed;
+  }
+  LogEvent(event_id::kProcessStarted,
+           {{"instance", settings_.id},
+            {"role", entry_   ? "entry"
+                     : store_ ? "store"
+                              : "control"},
+            {"zone", settings_.zone},
+            {"peers", settings_.peers_address},
+            {"first_start", settings_.is_first_start ? "true" : "false"},
+            {"seeds", std::to_string(settings_.seeds.size())}});
+  asio::co_spawn(loop_, KeepTakingSignals(), asio::detached);
+  asio::co_spawn(loop_, KeepWatchingSettings(), asio::detached);
+  loop_.run();
+  core::log_sink::Standard().Flush();
+  const bool has_failed = (controller_ && controller_->HasFailed()) ||
+                          (store_ && store_->HasFailed());
+  return has_failed ? kExitFailed : 0;
+}
+
+// Lines come from the loop's own thread only, so the timer needs no lock.
+void node::WriteLogSoon() {
+  asio::co_spawn(
+      loop_,
+      []() -> awaitable<void> {
+        co_await net::Sleep(kLogDelay);
+        core::log_sink& sink = core::log_sink::Standard();
+        sink.Flush();
+        const uint64_t dropped = sink.TakeDropped();
+        if (dropped > 0) {
+          LogEvent(event_id::kLogLinesDropped,
+                   {{"lines", std::to_string(dropped)}});
+        }
+      },
+      asio::detached);
+}
+
+awaitable<void> node::KeepTakingSignals() {
+  asio::signal_set signals(loop_, SIGTERM, SIGINT, SIGHUP);
+  for (;;) {
+    const auto [failure, number] =
+        co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (failure) co_return;
+    if (number == SIGHUP) {
+      Reload("signal");
+      continue;
+    }
+    if (std::exchange(is_stopping_, true)) continue;
+    if (entry_) entry_->BeginStop();
+    if (controller_) controller_->BeginStop();
+    if (store_) store_->BeginStop();
+  }
+}
+
+awaitable<void> node::KeepWatchingSettings() {
+  for (;;) {
+    co_await net::Sleep(kSettingsPeriod);
+    const int64_t now = ChangedAt(file_);
+    if (now != 0 && now != changed_at_) Reload("file");
+  }
+}
+
+// Settings that can't be read leave the running ones in force.
+void node::Reload(const char* cause) {
+  changed_at_ = ChangedAt(file_);
+  const auto fresh = Load(file_);
+  if (!fresh) return;
+  if (entry_) entry_->Reload(*fresh);
+  if (controller_) controller_->Reload(*fresh);
+  if (store_) store_->Reload(*fresh);
+  LogEvent(event_id::kSettingsReloaded,
+           {{"cause", cause}, {"seeds", std::to_string(fresh->seeds.size())}});
+}
+
+}  // namespace
+
+int RunNode(const std::string& settings_file, bool only_check) {
+  core::SetLogFormat(core::log_format::kJson);
+  signal(SIGPIPE, SIG_IGN);
+  auto settings = Load(settings_file);
+  if (!settings) {
+    core::log_sink::Standard().Flush();
+    return kExitBadSettings;
+  }
+  if (only_check) return 0;
+  node running(settings_file, std::move(*settings));
+  return running.Run();
+}
+
+}  // namespace hickorywood::hickoryd
--- /dev/null
+++ b/packages/net/address.cc
@@ -0,0 +1,46 @@
+#include "net/address.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+#include "core/reason.h"
+
+namespace hickorywood::net {
+namespace {
+
+// Milliseconds that sent bytes may go unacknowledged. Well above a round trip
+// between regions with one retransmission.
+constexpr int kUnacknowledgedMs = 4000;
+
+}  // namespace
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(
+    const std::string& text) {
+  const size_t colon = text.rfind(':');
+  boost::system::error_code failure;
+  uint16_t port = 0;
+  if (colon != std::string::npos) {
+    const auto address =
+        boost::asio::ip::make_address(text.substr(0, colon), failure);
+    const char* const end = text.data() + text.size();
+    const auto [rest, error] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    if (!failure && error == std::errc() && rest == end) {
+      return boost::asio::ip::tcp::endpoint(address, port);
+    }
+  }
+  return core::Fail(core::reason_code::kInvalid,
+                    "'" + text + "' is not IP:PORT");
+}
+
+void TuneSocket(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;  // the connection works without, slower
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
+}
+
+}  // namespace hickorywood::net
--- /dev/null
+++ b/packages/net/connection_pool.cc
@@ -0,0 +1,264 @@
+#include "net/connection_pool.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include "core/reason.h"
+#include "net/address.h"
+
+namespace hickorywood::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+using core::time_point;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned kHttp11 = 11;
+constexpr uint32_t kAnswerHeaderBytes = 64 * 1024;
+
+class pooled_connection : public connection {
+ public:
+  pooled_connection(asio::io_context& loop, std::string address)
+      : address_(std::move(address)), stream_(loop) {}
+
+  awaitable<bool> Connect(tcp::endpoint where, time_point deadline) {
+    stream_.expires_at(deadline);
+    const auto [failure] = co_await stream_.async_connect(where, kNoThrow);
+    if (failure) co_return Fail(failure);
+    TuneSocket(stream_.socket());
+    co_return true;
+  }
+
+  const std::string& Address() const { return address_; }
+  bool IsReused() const override { return is_reused_; }
+  const std::string& Error() const override { return error_; }
+
+  awaitable<bool> Write(const request& output, time_point deadline) override {
+    http::request<http::string_body> message;
+    message.version(kHttp11);
+    message.method_string(output.method);
+    message.target(output.target);
+    for (const header& item : output.headers) {
+      message.insert(item.name, item.value);
+    }
+    if (!Has(output.headers, "Host")) message.set(http::field::host, address_);
+    message.body() = output.body;
+    const bool has_body = !output.body.empty() || output.method == "POST" ||
+                          output.method == "PUT" || output.method == "PATCH";
+    if (has_body) message.content_length(output.body.size());
+    stream_.expires_at(deadline);
+    const auto [failure, count] =
+        co_await http::async_write(stream_, message, kNoThrow);
+    if (failure) co_return Fail(failure);
+    co_return true;
+  }
+
+  awaitable<bool> ReadHead(response& head, time_point deadline) override {
+    parser_.emplace();
+    parser_->header_limit(kAnswerHeaderBytes);
+    parser_->body_limit(boost::none);
+    stream_.expires_at(deadline);
+    const auto [failure, count] =
+        co_await http::async_read_header(stream_, buffer_, *parser_, kNoThrow);
+    if (failure) co_return Fail(failure);
+    const auto& message = parser_->get();
+    head.status = static_cast<int>(message.result_int());
+    head.headers.clear();
+    for (const auto& field : message) {
+      head.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    co_return true;
+  }
+
+  awaitable<body_state> ReadSome(std::string& piece,
+                                 time_point deadline) override {
+    if (parser_->is_done()) co_return Take(piece);
+    stream_.expires_at(deadline);
+    const auto [failure, count] =
+        co_await http::async_read_some(stream_, buffer_, *parser_, kNoThrow);
+    if (failure) {
+      Fail(failure);
+      co_return body_state::kBroken;
+    }
+    co_return Take(piece);
+  }
+
+  // Whether another request may go over it.
+  bool IsReusable() {
+    if (!parser_ || !parser_->is_done() || !parser_->get().keep_alive()) {
+      return false;
+    }
+    // Bytes after a whole answer belong to no request.
+    return buffer_.size() == 0 && IsQuiet();
+  }
+
+  // False when the other side has closed it or has sent anything.
+  bool IsQuiet() {
+    char byte = 0;
+    const ssize_t count = recv(stream_.socket().native_handle(), &byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void MarkReused() { is_reused_ = true; }
+
+ private:
+  body_state Take(std::string& piece) {
+    std::string& body = parser_->get().body();
+    piece += body;
+    body.clear();
+    return parser_->is_done() ? body_state::kEnd : body_state::kMore;
+  }
+
+  bool Fail(error_code failure) {
+    error_ = failure.message();
+    return false;
+  }
+
+  const std::string address_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  std::string error_;
+  bool is_reused_ = false;
+};
+
+struct idle_connection {
+  std::unique_ptr<pooled_connection> item;
+  time_point since{};
+};
+
+}  // namespace
+
+struct connection_pool::impl {
+  impl(asio::io_context& io, pool_options settings)
+      : loop(io), options(settings) {}
+
+  std::unique_ptr<pooled_connection> TakeIdle(const std::string& address) {
+    const auto found = idle.find(address);
+    if (found == idle.end()) return nullptr;
+    const time_point now = std::chrono::steady_clock::now();
+    while (!found->second.empty()) {
+      idle_connection candidate = std::move(found->second.back());
+      found->second.pop_back();
+      const bool is_fresh = now - candidate.since < options.idle_limit;
+      if (is_fresh && candidate.item->IsQuiet()) {
+        return std::move(candidate.item);
+      }
+    }
+    idle.erase(found);
+    return nullptr;
+  }
+
+  asio::io_context& loop;
+  const pool_options options;
+  std::map<std::string, std::deque<idle_connection>> idle;
+  uint64_t opened = 0;
+};
+
+connection_pool::connection_pool(asio::io_context& loop, pool_options options)
+    : impl_(std::make_shared<impl>(loop, options)) {}
+
+connection_pool::~connection_pool() = default;
+
+awaitable<std::unique_ptr<connection>> connection_pool::Acquire(
+    const std::string& address, time_point deadline, bool needs_fresh) {
+  const std::shared_ptr<impl> state = impl_;
+  std::unique_ptr<pooled_connection> made;
+  if (!needs_fresh) made = state->TakeIdle(address);
+  if (made) {
+    made->MarkReused();
+    co_return made;
+  }
+  const auto where = ParseAddress(address);
+  if (!where) co_return nullptr;
+  made = std::make_unique<pooled_connection>(state->loop, address);
+  ++state->opened;
+  const bool is_open = co_await made->Connect(*where, deadline);
+  if (!is_open) {
+    core::SetLastReason(core::reason_code::kUnavailable, made->Error());
+    co_return nullptr;
+  }
+  co_return made;
+}
+
+void connection_pool::Release(std::unique_ptr<connection> used) {
+  auto* const item = static_cast<pooled_connection*>(used.get());
+  if (item == nullptr || !item->IsReusable()) return;
+  std::deque<idle_connection>& waiting = impl_->idle[item->Address()];
+  if (waiting.size() >= impl_->options.idle_per_address) waiting.pop_front();
+  used.release();
+  waiting.push_back({std::unique_ptr<pooled_connection>(item),
+                     std::chrono::steady_clock::now()});
+}
+
+void connection_pool::Forget(const std::string& address) {
+  impl_->idle.erase(address);
+}
+
+uint64_t connection_pool::Opened() const { return impl_->opened; }
+
+namespace {
+
+// Reads answers until the one that is expected. False: none came whole.
+awaitable<bool> ReadExpected(connection& from, const call_options& options,
+                             call_result& result) {
+  for (;;) {
+    const bool has_head =
+        co_await from.ReadHead(result.answer, options.deadline);
+    if (!has_head) co_return false;
+    result.answer.body.clear();
+    body_state state = body_state::kMore;
+    while (state == body_state::kMore) {
+      state = co_await from.ReadSome(result.answer.body, options.deadline);
+      if (result.answer.body.size() > options.body_limit) co_return false;
+    }
+    if (state == body_state::kBroken) co_return false;
+    const std::string_view mark =
+        Find(result.answer.headers, options.expected.name);
+    const bool is_other = !options.expected.name.empty() && !mark.empty() &&
+                          mark != options.expected.value;
+    if (!is_other) co_return true;
+  }
+}
+
+}  // namespace
+
+awaitable<call_result> Call(connection_pool& pool, const std::string& address,
+                            const request& input, const call_options& options) {
+  call_result result;
+  std::unique_ptr<connection> open = co_await pool.Acquire(
+      address, options.connect_deadline, options.needs_fresh);
+  if (!open) {
+    result.error = core::LastReason().text;
+    co_return result;
+  }
+  result.how = progress::kMaybeSent;
+  bool is_whole = co_await open->Write(input, options.deadline);
+  if (is_whole) is_whole = co_await ReadExpected(*open, options, result);
+  if (!is_whole) {
+    result.error = open->Error();
+    result.is_timeout = std::chrono::steady_clock::now() >= options.deadline;
+    co_return result;
+  }
+  result.how = progress::kAnswered;
+  pool.Release(std::move(open));
+  co_return result;
+}
+
+}  // namespace hickorywood::net
--- /dev/null
+++ b/packages/net/listener.cc
@@ -0,0 +1,366 @@
+#include "net/listener.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+#include <utility>
+
+#include "core/reason.h"
+#include "net/address.h"
+
+namespace hickorywood::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+// How long one write to a caller may make no progress before the connection is
+// given up: a caller that reads nothing must not hold its answer for ever.
+constexpr std::chrono::seconds kWriteTimeout{20};
+// How long a body may take to arrive.
+constexpr std::chrono::seconds kBodyTimeout{20};
+// Pause after a failed accept (no descriptor left), so that it does not spin.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+constexpr unsigned kHttp11 = 11;
+
+// One connection of a caller.
+struct session {
+  explicit session(tcp::socket socket) : stream(std::move(socket)) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool is_idle = true;
+};
+
+// Completes once the caller has closed its side.
+awaitable<void> WaitForClose(session& connection) {
+  tcp::socket& socket = connection.stream.socket();
+  const auto [failure] =
+      co_await socket.async_wait(tcp::socket::wait_read, kNoThrow);
+  if (failure) co_return;
+  char byte = 0;
+  const ssize_t count =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool is_closed = count == 0 || (count < 0 && errno != EAGAIN);
+  if (is_closed) co_return;
+  // The next request is there already: from now on the close can't be seen
+  // without reading it.
+  asio::steady_timer never(co_await asio::this_coro::executor);
+  never.expires_at(asio::steady_timer::time_point::max());
+  co_await never.async_wait(kNoThrow);
+}
+
+class session_exchange : public exchange {
+ public:
+  session_exchange(session& connection, request input, bool keeps_alive)
+      : connection_(connection),
+        request_(std::move(input)),
+        keeps_alive_(keeps_alive) {}
+
+  const request& Request() const override { return request_; }
+  bool IsAnswered() const { return is_answered_; }
+  bool KeepsAlive() const { return keeps_alive_; }
+  void Close() { keeps_alive_ = false; }
+
+  awaitable<void> Reply(response answer) override {
+    http::response<http::string_body> output;
+    FillHead(output, answer);
+    output.body() = std::move(answer.body);
+    output.prepare_payload();
+    connection_.stream.expires_after(kWriteTimeout);
+    const auto [failure, count] =
+        co_await http::async_write(connection_.stream, output, kNoThrow);
+    is_answered_ = true;
+    if (failure) keeps_alive_ = false;
+  }
+
+  awaitable<void> BeginStream(response head) override {
+    http::response<http::empty_body> output;
+    FillHead(output, head);
+    output.chunked(true);
+    http::response_serializer<http::empty_body> serializer(output);
+    is_answered_ = true;
+    is_stream_open_ = true;
+    connection_.stream.expires_after(kWriteTimeout);
+    const auto [failure, count] = co_await http::async_write_header(
+        connection_.stream, serializer, kNoThrow);
+    if (failure) FailStream();
+  }
+
+  awaitable<void> WriteStream(std::string piece) override {
+    if (!is_stream_open_ || piece.empty()) co_return;
+    connection_.stream.expires_after(kWriteTimeout);
+    const auto [failure, count] = co_await asio::async_write(
+        connection_.stream, http::make_chunk(asio::buffer(piece)), kNoThrow);
+    if (failure) FailStream();
+  }
+
+  awaitable<void> EndStream() override {
+    if (!is_stream_open_) co_return;
+    is_stream_open_ = false;
+    connection_.stream.expires_after(kWriteTimeout);
+    const auto [failure, count] = co_await asio::async_write(
+        connection_.stream, http::make_chunk_last(), kNoThrow);
+    if (failure) keeps_alive_ = false;
+  }
+
+  bool IsStreamOpen() const { return is_stream_open_; }
+
+ private:
+  template <typename Message>
+  void FillHead(Message& output, const response& answer) const {
+    output.version(kHttp11);
+    output.result(static_cast<unsigned>(answer.status));
+    for (const header& item : answer.headers) {
+      output.insert(item.name, item.value);
+    }
+    output.keep_alive(keeps_alive_);
+  }
+
+  void FailStream() {
+    is_stream_open_ = false;
+    keeps_alive_ = false;
+  }
+
+  session& connection_;
+  request request_;
+  bool keeps_alive_;
+  bool is_answered_ = false;
+  bool is_stream_open_ = false;
+};
+
+request TakeRequest(http::request<http::string_body> input) {
+  request taken;
+  taken.method = std::string(input.method_string());
+  taken.target = std::string(input.target());
+  for (const auto& field : input) {
+    taken.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  taken.body = std::move(input.body());
+  return taken;
+}
+
+// The answer to a request that can't be read: 0 where none can be given.
+int StatusOfReadError(error_code failure) {
+  if (failure == http::error::body_limit) return 413;
+  if (failure == http::error::header_limit ||
+      failure == http::error::buffer_overflow) {
+    return 431;
+  }
+  const bool is_malformed =
+      failure.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      failure != http::error::end_of_stream &&
+      failure != http::error::partial_message;
+  return is_malformed ? 400 : 0;
+}
+
+}  // namespace
+
+struct listener::impl : std::enable_shared_from_this<listener::impl> {
+  impl(asio::io_context& io, listener_options settings, handler work)
+      : loop(io),
+        options(std::move(settings)),
+        handle(std::move(work)),
+        acceptor(io) {}
+
+  bool Start();
+  awaitable<void> Accept();
+  awaitable<void> Serve(std::shared_ptr<session> connection);
+  awaitable<bool> ServeOne(session& connection);
+  awaitable<bool> WaitForRequest(session& connection,
+                                 const caller_limits& limits);
+  awaitable<void> Refuse(session& connection, int status);
+  awaitable<bool> Answer(session& connection, session_exchange& one);
+
+  asio::io_context& loop;
+  const listener_options options;
+  const handler handle;
+  tcp::acceptor acceptor;
+  std::set<std::shared_ptr<session>> sessions;
+  size_t in_flight = 0;
+  bool is_draining = false;
+  bool is_closed = false;
+};
+
+bool listener::impl::Start() {
+  const auto where = ParseAddress(options.address);
+  if (!where) return false;
+  error_code failure;
+  acceptor.open(where->protocol(), failure);
+  if (!failure)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  if (!failure) acceptor.bind(*where, failure);
+  if (!failure)
+    acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  if (failure) {
+    core::SetLastReason(
+        core::reason_code::kIo,
+        "can't listen on " + options.address + ": " + failure.message());
+    return false;
+  }
+  asio::co_spawn(
+      loop, [self = shared_from_this()] { return self->Accept(); },
+      asio::detached);
+  return true;
+}
+
+awaitable<void> listener::impl::Accept() {
+  while (!is_closed) {
+    auto [failure, socket] = co_await acceptor.async_accept(kNoThrow);
+    if (is_closed) co_return;
+    if (failure) {
+      asio::steady_timer pause(loop, kAcceptPause);
+      co_await pause.async_wait(kNoThrow);
+      continue;
+    }
+    if (sessions.size() >= options.max_connections) continue;
+    TuneSocket(socket);
+    auto connection = std::make_shared<session>(std::move(socket));
+    sessions.insert(connection);
+    asio::co_spawn(
+        loop,
+        [self = shared_from_this(), connection] {
+          return self->Serve(connection);
+        },
+        [self = shared_from_this(), connection](std::exception_ptr) {
+          self->sessions.erase(connection);
+        });
+  }
+}
+
+awaitable<void> listener::impl::Serve(std::shared_ptr<session> connection) {
+  for (;;) {
+    const bool goes_on = co_await ServeOne(*connection);
+    if (!goes_on) break;
+  }
+  error_code ignored;
+  connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  connection->stream.close();
+}
+
+// Waits for the first byte of a request under the idle limit. The limit of the
+// header starts only then.
+awaitable<bool> listener::impl::WaitForRequest(session& connection,
+                                               const caller_limits& limits) {
+  if (connection.buffer.size() > 0) co_return true;
+  connection.is_idle = true;
+  connection.stream.expires_after(limits.idle_timeout);
+  const auto [failure, count] = co_await connection.stream.async_read_some(
+      connection.buffer.prepare(4096), kNoThrow);
+  connection.is_idle = false;
+  if (failure) co_return false;
+  connection.buffer.commit(count);
+  co_return true;
+}
+
+awaitable<bool> listener::impl::ServeOne(session& connection) {
+  const caller_limits limits = options.limits();
+  const bool has_bytes = co_await WaitForRequest(connection, limits);
+  if (!has_bytes) co_return false;
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  connection.stream.expires_after(limits.header_timeout);
+  const auto [header_failure, header_bytes] = co_await http::async_read_header(
+      connection.stream, connection.buffer, parser, kNoThrow);
+  if (header_failure) {
+    co_await Refuse(connection, StatusOfReadError(header_failure));
+    co_return false;
+  }
+  connection.stream.expires_after(kBodyTimeout);
+  const bool expects_go_ahead =
+      beast::iequals(parser.get()[http::field::expect], "100-continue");
+  if (expects_go_ahead) {
+    static constexpr std::string_view kGoAhead =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(connection.stream,
+                               asio::buffer(kGoAhead.data(), kGoAhead.size()),
+                               kNoThrow);
+  }
+  const auto [body_failure, body_bytes] = co_await http::async_read(
+      connection.stream, connection.buffer, parser, kNoThrow);
+  if (body_failure) {
+    co_await Refuse(connection, StatusOfReadError(body_failure));
+    co_return false;
+  }
+  const bool keeps_alive = parser.get().keep_alive() && !is_draining;
+  session_exchange one(connection, TakeRequest(parser.release()), keeps_alive);
+  ++in_flight;
+  const bool goes_on = co_await Answer(connection, one);
+  --in_flight;
+  co_return goes_on;
+}
+
+// Runs the handler until it is done or the caller is gone. True when the
+// connection can take another request.
+awaitable<bool> listener::impl::Answer(session& connection,
+                                       session_exchange& one) {
+  using asio::experimental::awaitable_operators::operator||;
+  connection.stream.expires_never();
+  bool has_failed = false;
+  try {
+    const auto winner = co_await (handle(one) || WaitForClose(connection));
+    if (winner.index() == 1) co_return false;
+  } catch (const std::exception& failure) {
+    has_failed = true;
+    core::SetLastReason(core::reason_code::kIo, failure.what());
+  }
+  if (has_failed || one.IsStreamOpen()) co_return false;
+  if (!one.IsAnswered()) co_return false;
+  co_return one.KeepsAlive() && !is_closed;
+}
+
+awaitable<void> listener::impl::Refuse(session& connection, int status) {
+  if (status == 0) co_return;
+  session_exchange one(connection, request{}, false);
+  response answer;
+  answer.status = status;
+  co_await one.Reply(std::move(answer));
+}
+
+listener::listener(asio::io_context& loop, listener_options options,
+                   handler handle)
+    : impl_(std::make_shared<impl>(loop, std::move(options),
+                                   std::move(handle))) {}
+
+listener::~listener() { StopAccepting(); }
+
+bool listener::Start() { return impl_->Start(); }
+
+void listener::BeginDrain() { impl_->is_draining = true; }
+
+void listener::StopAccepting() {
+  impl_->is_closed = true;
+  error_code ignored;
+  impl_->acceptor.close(ignored);
+  for (const auto& connection : impl_->sessions) {
+    if (connection->is_idle) connection->stream.close();
+  }
+}
+
+uint16_t listener::Port() const {
+  error_code ignored;
+  return impl_->acceptor.local_endpoint(ignored).port();
+}
+
+size_t listener::InFlight() const { return impl_->in_flight; }
+
+size_t listener::Connections() const { return impl_->sessions.size(); }
+
+}  // namespace hickorywood::net
--- /dev/null
+++ b/packages/net/message.h
@@ -0,0 +1,55 @@
+#ifndef HICKORYWOOD_NET_MESSAGE_H_
+#define HICKORYWOOD_NET_MESSAGE_H_
+
+// HTTP requests and responses as plain data.
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorywood::net {
+
+struct header {
+  std::string name;
+  std::string value;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(header, name, value)
+using header_list = std::vector<header>;
+
+struct request {
+  std::string method = "POST";
+  std::string target;  // path with the query
+  header_list headers;
+  std::string body;
+};
+
+struct response {
+  int status = 200;
+  header_list headers;
+  std::string body;
+};
+
+// Whether two header names are the same: they compare without case.
+bool SameName(std::string_view left, std::string_view right);
+
+// The value of the first header of that name, or empty.
+std::string_view Find(const header_list& headers, std::string_view name);
+bool Has(const header_list& headers, std::string_view name);
+
+// Whether a header concerns one connection only and is never forwarded (RFC
+// 9110, section 7.6.1), the body's framing included.
+bool IsHopByHop(std::string_view name);
+
+// `headers` without those that concern one connection only, nor any that their
+// Connection header names.
+header_list EndToEnd(const header_list& headers);
+
+// The path of a target, without the query.
+std::string_view PathOf(std::string_view target);
+// The decoded value of a query parameter, or empty.
+std::string QueryValue(std::string_view target, std::string_view name);
+
+}  // namespace hickorywood::net
+
+#endif  // HICKORYWOOD_NET_MESSAGE_H_
--- /dev/null
+++ b/packages/peering/failure_answer.cc
@@ -0,0 +1,27 @@
+#include "peering/failure_answer.h"
+
+namespace hickorywood::peering {
+
+net::response EncodeFailure(const fleet::protocol& wire, const envelope& answer,
+                            std::chrono::milliseconds retry_after) {
+  switch (answer.outcome) {
+    case call_outcome::kRefused:
+      return wire.EncodeFailure(400, answer.reason, std::nullopt);
+    case call_outcome::kNotFound:
+      return wire.EncodeFailure(404, answer.reason, std::nullopt);
+    case call_outcome::kConflict:
+      return wire.EncodeFailure(409, answer.reason, std::nullopt);
+    case call_outcome::kUnknown:
+      return wire.EncodeFailure(
+          504, "whether it was done is not known: " + answer.reason,
+          std::nullopt);
+    case call_outcome::kDone:
+    case call_outcome::kNotLeader:
+    case call_outcome::kUnavailable:
+      break;
+  }
+  return wire.EncodeFailure(503, "no leader answers: " + answer.reason,
+                            retry_after);
+}
+
+}  // namespace hickorywood::peering
--- /dev/null
+++ b/packages/peering/leader_caller.cc
@@ -0,0 +1,130 @@
+#include "peering/leader_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/binary.h"
+#include "net/event.h"
+
+namespace hickorywood::peering {
+namespace {
+
+using boost::asio::awaitable;
+using core::milliseconds;
+using core::time_point;
+
+// Pause between two tries: an election takes some hundred milliseconds, and a
+// tight loop would only load the instances that hold it.
+constexpr milliseconds kRetryPause{40};
+
+time_point Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+leader_caller::leader_caller(net::connection_pool& pool,
+                             std::vector<std::string> seeds)
+    : pool_(pool), seeds_(std::move(seeds)) {}
+
+void leader_caller::ServeLocally(std::string own_address,
+                                 local_handler handle) {
+  own_address_ = std::move(own_address);
+  local_ = std::move(handle);
+}
+
+void leader_caller::SetSeeds(std::vector<std::string> seeds) {
+  seeds_ = std::move(seeds);
+}
+
+void leader_caller::SetControllers(std::vector<std::string> controllers) {
+  controllers_ = std::move(controllers);
+}
+
+// The leader where it is known, otherwise all known control instances in turn.
+std::string leader_caller::NextTarget() {
+  if (!leader_.empty()) return leader_;
+  std::vector<std::string> known = controllers_;
+  for (const std::string& seed : seeds_) {
+    if (std::find(known.begin(), known.end(), seed) == known.end()) {
+      known.push_back(seed);
+    }
+  }
+  if (known.empty()) return own_address_;  // empty where there is none
+  return known[turn_++ % known.size()];
+}
+
+void leader_caller::NoteAnswer(const std::string& target,
+                               const envelope& answer) {
+  switch (answer.outcome) {
+    case call_outcome::kNotLeader:
+      leader_ = answer.leader == target ? "" : answer.leader;
+      return;
+    case call_outcome::kUnavailable:
+    case call_outcome::kUnknown:
+      leader_.clear();
+      return;
+    case call_outcome::kDone:
+    case call_outcome::kRefused:
+    case call_outcome::kNotFound:
+    case call_outcome::kConflict:
+      leader_ = target;
+      return;
+  }
+}
+
+awaitable<envelope> leader_caller::AskOne(const std::string& address,
+                                          const std::string& method,
+                                          const std::string& payload,
+                                          time_point deadline) {
+  if (local_ && address == own_address_) {
+    co_return co_await local_(method, payload);
+  }
+  net::request input;
+  input.target = kPeerPathPrefix + method;
+  input.headers = {{"Content-Type", "application/msgpack"}};
+  input.body = payload;
+  net::call_options options;
+  options.deadline = deadline;
+  options.connect_deadline = deadline;
+  const net::call_result result =
+      co_await net::Call(pool_, address, input, options);
+  envelope answer;
+  if (result.how == net::progress::kAnswered && result.answer.status == 200) {
+    answer =
+        core::DecodeBinary<envelope>(result.answer.body).value_or(envelope{});
+    co_return answer;
+  }
+  const bool is_sent = result.how != net::progress::kNotSent;
+  answer.outcome =
+      is_sent ? call_outcome::kUnknown : call_outcome::kUnavailable;
+  answer.reason = result.error;
+  // The other connections to that instance may have gone silent with this one.
+  if (result.is_timeout) pool_.Forget(address);
+  co_return answer;
+}
+
+awaitable<envelope> leader_caller::Ask(std::string method, std::string payload,
+                                       time_point deadline,
+                                       milliseconds patience) {
+  bool is_unknown = false;
+  envelope answer;
+  for (;;) {
+    const std::string target = NextTarget();
+    const time_point until = std::min(deadline, Now() + patience);
+    answer = co_await AskOne(target, method, payload, until);
+    NoteAnswer(target, answer);
+    const bool goes_on = answer.outcome == call_outcome::kNotLeader ||
+                         answer.outcome == call_outcome::kUnavailable ||
+                         answer.outcome == call_outcome::kUnknown;
+    if (!goes_on) co_return answer;
+    is_unknown = is_unknown || answer.outcome == call_outcome::kUnknown;
+    const bool knows_better =
+        answer.outcome == call_outcome::kNotLeader && !leader_.empty();
+    if (Now() + kRetryPause >= deadline) break;
+    if (!knows_better) co_await net::Sleep(kRetryPause);
+  }
+  answer.outcome =
+      is_unknown ? call_outcome::kUnknown : call_outcome::kUnavailable;
+  co_return answer;
+}
+
+}  // namespace hickorywood::peering
--- /dev/null
+++ b/packages/peering/peer_interface.cc
@@ -0,0 +1,52 @@
+#include "peering/peer_interface.h"
+
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+#include "core/binary.h"
+
+namespace hickorywood::peering {
+namespace {
+
+// Our own instances keep their connections; they close them earlier than this.
+constexpr std::chrono::seconds kPeerIdleTimeout{30};
+
+}  // namespace
+
+net::listener_options PeerListenerOptions(const std::string& address) {
+  net::listener_options options;
+  options.address = address;
+  options.limits = [] {
+    net::caller_limits limits;
+    limits.idle_timeout = kPeerIdleTimeout;
+    return limits;
+  };
+  return options;
+}
+
+boost::asio::awaitable<void> ServePeer(
+    net::exchange& call,
+    std::function<boost::asio::awaitable<std::string>(std::string payload)>
+        consensus,
+    std::function<boost::asio::awaitable<envelope>(std::string method,
+                                                   std::string payload)>
+        handle) {
+  static constexpr std::string_view kPrefix = kPeerPathPrefix;
+  const std::string_view path = net::PathOf(call.Request().target);
+  const std::string method(
+      path.starts_with(kPrefix) ? path.substr(kPrefix.size()) : "");
+  net::response answer;
+  answer.headers = {{"Content-Type", "application/msgpack"}};
+  if (method.empty()) {
+    answer.status = 404;
+  } else if (method == kConsensusMethod) {
+    answer.body = co_await consensus(call.Request().body);
+  } else {
+    const envelope reply = co_await handle(method, call.Request().body);
+    answer.body = core::EncodeBinary(reply);
+  }
+  co_await call.Reply(std::move(answer));
+}
+
+}  // namespace hickorywood::peering
--- /dev/null
+++ b/packages/peering/peer_interface.h
@@ -0,0 +1,29 @@
+#ifndef HICKORYWOOD_PEERING_PEER_INTERFACE_H_
+#define HICKORYWOOD_PEERING_PEER_INTERFACE_H_
+
+// The listener side of the links between the system's own processes.
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <string>
+
+#include "net/listener.h"
+#include "peering/messages.h"
+
+namespace hickorywood::peering {
+
+net::listener_options PeerListenerOptions(const std::string& address);
+
+// Takes one call: consensus messages go to `consensus`, every other method to
+// `handle`.
+boost::asio::awaitable<void> ServePeer(
+    net::exchange& call,
+    std::function<boost::asio::awaitable<std::string>(std::string payload)>
+        consensus,
+    std::function<boost::asio::awaitable<envelope>(std::string method,
+                                                   std::string payload)>
+        handle);
+
+}  // namespace hickorywood::peering
+
+#endif  // HICKORYWOOD_PEERING_PEER_INTERFACE_H_
--- /dev/null
+++ b/packages/peering/view_follower.cc
@@ -0,0 +1,83 @@
+#include "peering/view_follower.h"
+
+#include <utility>
+
+#include "core/binary.h"
+#include "core/events.h"
+#include "net/event.h"
+
+namespace hickorywood::peering {
+namespace {
+
+using boost::asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::time_point;
+
+// Pause after a round of asking that found no leader.
+constexpr core::milliseconds kPauseWithoutLeader{50};
+
+time_point Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+std::vector<std::string> StoreAddresses(const fleet::view& held) {
+  std::vector<std::string> addresses;
+  for (const fleet::store_entry& item : held.stores) {
+    addresses.push_back(item.address);
+  }
+  return addresses;
+}
+
+view_follower::view_follower(leader_caller& caller, follower_options options)
+    : caller_(caller), options_(std::move(options)) {}
+
+awaitable<void> view_follower::Run() {
+  for (;;) {
+    fleet::view_request input;
+    input.instance = options_.instance;
+    input.address = options_.store_address;
+    input.may_found = options_.may_found;
+    input.wants_weights = wants_weights_;
+    input.held_weights = view_.weights_count;
+    input.held = view_.version;
+    input.held_config = view_.config.version;
+    input.wait_ms = options_.wait.count();
+    const core::milliseconds patience = options_.wait + options_.slack;
+    const envelope answer = co_await caller_.Ask(
+        kViewMethod, core::EncodeBinary(input), Now() + patience, patience);
+    const bool is_answered = answer.outcome == call_outcome::kDone;
+    if (is_answered != is_in_touch_) {
+      is_in_touch_ = is_answered;
+      LogEvent(is_answered ? event_id::kLeaderFound : event_id::kLeaderMissed,
+               {{"reason", answer.reason},
+                {"configuration", std::to_string(view_.config.version)}});
+    }
+    if (is_answered) {
+      Take(answer);
+    } else {
+      co_await net::Sleep(kPauseWithoutLeader);
+    }
+  }
+}
+
+void view_follower::Take(const envelope& answer) {
+  const auto update = core::DecodeBinary<fleet::view_update>(answer.payload);
+  if (!update) {
+    LogEvent(event_id::kPeerMessageMalformed,
+             {{"reason", core::LastReason().text}});
+    return;
+  }
+  heard_at_ = Now();
+  const uint64_t config_before = view_.config.version;
+  if (!fleet::ApplyUpdate(view_, *update)) return;
+  if (update->has_lists) caller_.SetControllers(view_.controllers);
+  if (view_.config.version != config_before) {
+    LogEvent(event_id::kConfigurationInForce,
+             {{"version", std::to_string(view_.config.version)},
+              {"before", std::to_string(config_before)}});
+  }
+  if (changed_) changed_();
+}
+
+}  // namespace hickorywood::peering
--- /dev/null
+++ b/packages/settings/node_settings.cc
@@ -0,0 +1,158 @@
+#include "settings/node_settings.h"
+
+#include <utility>
+
+#include "settings/instance_settings.h"
+#include "settings/yaml_document.h"
+
+namespace hickorywood::settings {
+namespace {
+
+constexpr double kMillisPerMinute = 60.0 * 1000;
+constexpr double kMillisPerHour = 60 * kMillisPerMinute;
+
+// The port of an address "IP:PORT".
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':') + 1);
+}
+
+// Seeds name an address of each control instance; the peer port is the same on
+// all instances.
+std::string PeerAddressOf(const std::string& seed, const std::string& port) {
+  return seed.substr(0, seed.rfind(':')) + ":" + port;
+}
+
+std::optional<node_role> RoleOf(const std::string& word) {
+  if (word == "entry") return node_role::kEntry;
+  if (word == "control") return node_role::kControl;
+  if (word == "store") return node_role::kStore;
+  return std::nullopt;
+}
+
+void CheckRole(const node_settings& settings, const std::string& file,
+               std::vector<core::finding>& findings) {
+  const auto need = [&](const std::string& value, const char* name,
+                        const char* role) {
+    if (!value.empty()) return;
+    findings.push_back(
+        {file, 0, 0, std::string(name) + " is needed with role " + role});
+  };
+  if (settings.role == node_role::kEntry) {
+    need(settings.callers_address, "listen.callers", "entry");
+    need(settings.readiness_address, "listen.readiness", "entry");
+    return;
+  }
+  if (settings.role == node_role::kControl) {
+    need(settings.control_address, "listen.control", "control");
+  }
+  need(settings.data_folder, "data_folder", "control or store");
+  if (settings.leader_lease >= settings.election_timeout) {
+    findings.push_back({file, 0, 0,
+                        "consensus.leader_lease is not below "
+                        "consensus.election_timeout"});
+  }
+}
+
+}  // namespace
+
+const std::vector<setting_info>& NodeSchema() {
+  using type = value_type;
+  static const auto* const kSchema = new std::vector<setting_info>{
+      {"role", type::kName, nullptr, 0, 0, "`entry`, `control` or `store`."},
+      {"instance.id", type::kName, nullptr, 0, 0,
+       "Name of this instance, unique in the deployment."},
+      {"instance.zone", type::kName, nullptr, 0, 0,
+       "Availability zone of the instance."},
+      {"listen.callers", type::kText, "", 0, 0,
+       "Address for callers, `IP:PORT`. Entries only."},
+      {"listen.readiness", type::kText, "", 0, 0,
+       "Address of the readiness check. Entries only."},
+      {"listen.control", type::kText, "", 0, 0,
+       "Address for operators, trainers and endpoints. Control instances "
+       "only."},
+      {"listen.peers", type::kAddress, nullptr, 0, 0,
+       "Address for the system's own links. Its port is the same on all "
+       "instances."},
+      {"listen.metrics", type::kText, "", 0, 0,
+       "Address of the metrics. Empty: none are served."},
+      {"seeds", type::kTextList, nullptr, 0, 0,
+       "Addresses of some control instances; their peer port is this "
+       "instance's own."},
+      {"first_start", type::kFlag, "false", 0, 0,
+       "Whether the whole deployment starts for the first time: then the first "
+       "seed founds the control group."},
+      {"data_folder", type::kText, "", 0, 0,
+       "Folder for replicated state. Control instances and stores."},
+      {"consensus.election_timeout", type::kDuration, "600ms", 50,
+       kMillisPerMinute,
+       "Shortest silence of a leader after which an election starts."},
+      {"consensus.heartbeat", type::kDuration, "150ms", 5, kMillisPerMinute,
+       "Time between a leader's messages to an idle follower."},
+      {"consensus.leader_lease", type::kDuration, "450ms", 20, kMillisPerMinute,
+       "How long a quorum's confirmation lets a leader act. Below the election "
+       "timeout."},
+      {"endpoints.heartbeat", type::kDuration, "1200ms", 10, kMillisPerMinute,
+       "Time between two heartbeats of an endpoint."},
+      {"orders.holder_lease", type::kDuration, "3s", 0, kMillisPerMinute,
+       "Time after an election before the new leader gives orders to "
+       "engines."},
+      {"steps.retention", type::kDuration, "120s", 1000, 24 * kMillisPerHour,
+       "How long a step's results can be read after its submission."},
+      {"drain.grace", type::kDuration, "8s", 0, kMillisPerHour,
+       "Time from a stop signal to the end by force; the process is gone in "
+       "seven eighths of it."},
+      {"drain.notice", type::kDuration, "2500ms", 0, kMillisPerHour,
+       "How long a planned stop reports \"not ready\" before connections are "
+       "closed."},
+      {"losses.instances", type::kInteger, "1", 0, 10,
+       "Instances with a disk that may be lost at once."},
+  };
+  return *kSchema;
+}
+
+std::optional<node_settings> LoadNodeSettings(
+    const std::string& file, std::vector<core::finding>& findings) {
+  const std::optional<std::string> text = ReadTextFile(file);
+  if (!text) {
+    findings.push_back({file, 0, 0, "can't be read"});
+    return std::nullopt;
+  }
+  const value_tree tree = ParseDocument(file, *text, NodeSchema(), findings);
+  CheckRequired(tree, NodeSchema(), file, findings);
+  if (!findings.empty()) return std::nullopt;
+  const tree_reader read(tree, NodeSchema());
+  node_settings settings;
+  const std::string role = read.Text("role");
+  const std::optional<node_role> known = RoleOf(role);
+  if (!known) {
+    findings.push_back({file, 0, 0, "role is not entry, control or store"});
+  }
+  settings.role = known.value_or(node_role::kEntry);
+  settings.id = read.Text("instance.id");
+  settings.zone = read.Text("instance.zone");
+  settings.callers_address = read.Text("listen.callers");
+  settings.readiness_address = read.Text("listen.readiness");
+  settings.control_address = read.Text("listen.control");
+  settings.peers_address = read.Text("listen.peers");
+  settings.metrics_address = read.Text("listen.metrics");
+  const std::string port = PortOf(settings.peers_address);
+  for (const std::string& seed : read.List("seeds")) {
+    settings.seeds.push_back(PeerAddressOf(seed, port));
+  }
+  settings.is_first_start = read.Flag("first_start");
+  settings.data_folder = read.Text("data_folder");
+  settings.election_timeout = read.Duration("consensus.election_timeout");
+  settings.raft_heartbeat = read.Duration("consensus.heartbeat");
+  settings.leader_lease = read.Duration("consensus.leader_lease");
+  settings.endpoint_heartbeat = read.Duration("endpoints.heartbeat");
+  settings.holder_lease = read.Duration("orders.holder_lease");
+  settings.step_retention = read.Duration("steps.retention");
+  settings.drain_grace = read.Duration("drain.grace");
+  settings.drain_notice = read.Duration("drain.notice");
+  settings.tolerated_losses = read.Integer("losses.instances");
+  CheckRole(settings, file, findings);
+  if (!findings.empty()) return std::nullopt;
+  return settings;
+}
+
+}  // namespace hickorywood::settings
--- a/packages/settings/yaml_document.cc
+++ b/packages/settings/yaml_document.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
@@ -319,22 +320,28 @@
 
 std::optional<std::chrono::milliseconds> ParseDuration(
     const std::string& text) {
-  size_t digits = 0;
-  while (digits < text.size() &&
-         std::isdigit(static_cast<unsigned char>(text[digits])) != 0) {
-    ++digits;
-  }
+  // Fractions are allowed, a sign and an exponent are not.
+  const size_t digits = text.find_first_not_of("0123456789.");
+  const std::string number = text.substr(0, digits);
   constexpr size_t kMostDigits = 12;
-  if (digits == 0 || digits > kMostDigits) {
+  double count = 0;
+  const char* const end = number.data() + number.size();
+  const auto [rest, error] = std::from_chars(number.data(), end, count);
+  if (number.empty() || number.size() > kMostDigits || error != std::errc() ||
+      rest != end) {
     return core::Fail(core::reason_code::kInvalid,
                       "no number in duration '" + text + "'");
   }
-  const int64_t count = std::atoll(text.substr(0, digits).c_str());
-  const std::string unit = text.substr(digits);
-  if (unit == "ms") return std::chrono::milliseconds(count);
-  if (unit == "s") return std::chrono::seconds(count);
-  if (unit == "m") return std::chrono::minutes(count);
-  if (unit == "h") return std::chrono::hours(count);
+  const std::string unit =
+      digits == std::string::npos ? "" : text.substr(digits);
+  const auto in = [count](std::chrono::milliseconds one) {
+    return std::chrono::milliseconds(
+        std::llround(count * static_cast<double>(one.count())));
+  };
+  if (unit == "ms") return in(std::chrono::milliseconds(1));
+  if (unit == "s") return in(std::chrono::seconds(1));
+  if (unit == "m") return in(std::chrono::minutes(1));
+  if (unit == "h") return in(std::chrono::hours(1));
   return core::Fail(core::reason_code::kInvalid,
                     "unknown unit in duration '" + text + "'");
 }
--- /dev/null
+++ b/packages/steps/event_text.cc
@@ -0,0 +1,83 @@
+#include "steps/event_text.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorywood::steps {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+
+const std::string* FieldOf(const event_fields& fields, std::string_view name) {
+  for (const auto& [field, value] : fields) {
+    if (field == name) return &value;
+  }
+  return nullptr;
+}
+
+bool NotesVersion(const generated_text& text, uint64_t version) {
+  return std::find(text.versions.begin(), text.versions.end(), version) !=
+         text.versions.end();
+}
+
+}  // namespace
+
+std::optional<event_fields> TakeEvent(std::string& buffer) {
+  const size_t end = buffer.find(kEventEnd);
+  if (end == std::string::npos) return std::nullopt;
+  event_fields fields;
+  const std::vector<std::string> lines =
+      absl::StrSplit(buffer.substr(0, end), '\n');
+  for (const std::string& line : lines) {
+    const size_t colon = line.find(':');
+    std::string value =
+        colon == std::string::npos ? "" : line.substr(colon + 1);
+    if (value.starts_with(' ')) value.erase(0, 1);
+    fields.emplace_back(line.substr(0, colon), std::move(value));
+  }
+  buffer.erase(0, end + kEventEnd.size());
+  return fields;
+}
+
+bool MayContinue(const generated_text& text, const text_rules& rules,
+                 std::optional<uint64_t> version) {
+  if (!version) return true;
+  if (*version < rules.minimum_version) return false;
+  return !rules.is_single_version || text.versions.empty() ||
+         NotesVersion(text, *version);
+}
+
+event_verdict AddEvent(generated_text& text, const event_fields& fields,
+                       const text_rules& rules, const version_reader& read,
+                       std::optional<uint64_t>& run_version) {
+  for (const auto& [field, value] : fields) {
+    const std::optional<uint64_t> version = read(field, value);
+    if (version) run_version = version;
+  }
+  const std::string* id_text = FieldOf(fields, "id");
+  const std::string* data = FieldOf(fields, "data");
+  uint64_t id = 0;
+  const bool is_next = id_text != nullptr && data != nullptr &&
+                       absl::SimpleAtoi(*id_text, &id) && id == text.events + 1;
+  if (!is_next) return event_verdict::kSpoiled;
+  if (run_version) {
+    if (*run_version < rules.minimum_version) return event_verdict::kTooOld;
+    if (!MayContinue(text, rules, run_version)) return event_verdict::kMixed;
+    if (!NotesVersion(text, *run_version)) {
+      text.versions.push_back(*run_version);
+    }
+  }
+  text.events = id;
+  text.data.push_back(*data);
+  return event_verdict::kTaken;
+}
+
+std::string JoinText(const generated_text& text) {
+  return absl::StrJoin(text.data, "\n");
+}
+
+}  // namespace hickorywood::steps
--- /dev/null
+++ b/packages/steps/step.cc
@@ -0,0 +1,67 @@
+#include "steps/step.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorywood::steps {
+
+bool OpenStep(step_book& book, submission input, int64_t now_ms) {
+  const std::string id = input.id;
+  step fresh;
+  fresh.input = std::move(input);
+  fresh.opened_ms = now_ms;
+  return book.emplace(id, std::move(fresh)).second;
+}
+
+bool HasResult(const step& where, uint32_t task) {
+  return std::any_of(
+      where.results.begin(), where.results.end(),
+      [task](const task_result& item) { return item.task == task; });
+}
+
+size_t AddResults(step_book& book, const std::string& id,
+                  std::vector<task_result> results) {
+  const auto found = book.find(id);
+  if (found == book.end()) return 0;
+  step& where = found->second;
+  size_t taken = 0;
+  for (task_result& item : results) {
+    const bool is_known = item.task < where.input.tasks.size();
+    if (!is_known || HasResult(where, item.task)) continue;
+    where.results.push_back(std::move(item));
+    ++taken;
+  }
+  return taken;
+}
+
+bool EndStep(step_book& book, const std::string& id) {
+  const auto found = book.find(id);
+  if (found == book.end()) return false;
+  found->second.is_ended = true;
+  return true;
+}
+
+void ForgetSteps(step_book& book, int64_t limit_ms, int64_t oldest_ms) {
+  std::erase_if(book, [&](const auto& item) {
+    const step& where = item.second;
+    return where.opened_ms < (where.is_ended ? limit_ms : oldest_ms);
+  });
+}
+
+result_page ReadPage(const step& where, uint64_t after, size_t page_bytes) {
+  result_page page;
+  page.total = where.input.tasks.size();
+  page.next = after;
+  size_t bytes = 0;
+  while (page.next < where.results.size()) {
+    const task_result& item = where.results[page.next];
+    bytes += item.output.size();
+    if (!page.results.empty() && bytes > page_bytes) break;
+    page.results.push_back(item);
+    page.ids.push_back(where.input.tasks[item.task].id);
+    ++page.next;
+  }
+  return page;
+}
+
+}  // namespace hickorywood::steps
--- /dev/null
+++ b/packages/steps/step.h
@@ -0,0 +1,99 @@
+#ifndef HICKORYWOOD_STEPS_STEP_H_
+#define HICKORYWOOD_STEPS_STEP_H_
+
+// Steps as the control group replicates them: what a trainer submitted, and the
+// results in the order in which they became readable.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/json.h"
+#include "net/message.h"
+
+namespace hickorywood::steps {
+
+// One generation of a step.
+struct task {
+  std::string id;  // of the request that runs it
+  std::string path;
+  net::header_list headers;
+  std::string body;
+  std::string group;   // tasks of one group share their prompt
+  int64_t tokens = 0;  // of the prompt and the longest output together
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task, id, path, headers, body,
+                                                group, tokens)
+
+// What a trainer submits.
+struct submission {
+  std::string id;
+  std::string host;
+  std::string path;
+  int64_t number = 0;  // of the step, from 0
+  std::string model;
+  uint64_t minimum_version = 0;  // oldest weights that may generate its tokens
+  int64_t wanted_groups = 0;     // complete groups that the trainer waits for
+  std::vector<task> tasks;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(submission, id, host, path,
+                                                number, model, minimum_version,
+                                                wanted_groups, tasks)
+
+struct task_result {
+  uint32_t task = 0;               // index in the submission
+  bool is_complete = false;        // false: given up
+  std::string output;              // data of all events, one a line
+  std::vector<uint64_t> versions;  // that generated an event of the output
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_result, task, is_complete,
+                                                output, versions)
+
+struct step {
+  submission input;
+  int64_t opened_ms = 0;  // wall clock of the leader that took it
+  bool is_ended = false;
+  std::vector<task_result> results;  // by position
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step, input, opened_ms,
+                                                is_ended, results)
+
+// Steps by id.
+using step_book = std::map<std::string, step>;
+
+// Opens a step. False when one of that id is open already: then nothing
+// changes.
+bool OpenStep(step_book& book, submission input, int64_t now_ms);
+
+// Gives the results the next positions. A task that has a position keeps it:
+// results that are no news are passed over. Returns how many were taken.
+size_t AddResults(step_book& book, const std::string& id,
+                  std::vector<task_result> results);
+
+// False when there is no such step.
+bool EndStep(step_book& book, const std::string& id);
+
+// Drops the steps that were opened before `limit_ms` and are ended or older
+// than `oldest_ms`.
+void ForgetSteps(step_book& book, int64_t limit_ms, int64_t oldest_ms);
+
+bool HasResult(const step& where, uint32_t task);
+
+// Results from a position on, as many as fit.
+struct result_page {
+  uint64_t total = 0;            // tasks of the step
+  uint64_t next = 0;             // first position after the page
+  std::vector<std::string> ids;  // of the tasks, beside `results`
+  std::vector<task_result> results;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(result_page, total, next, ids,
+                                                results)
+
+// At least one result if there is one, and no more bytes of output than
+// `page_bytes`.
+result_page ReadPage(const step& where, uint64_t after, size_t page_bytes);
+
+}  // namespace hickorywood::steps
+
+#endif  // HICKORYWOOD_STEPS_STEP_H_
--- /dev/null
+++ b/packages/steps/task_choice.cc
@@ -0,0 +1,68 @@
+#include "steps/task_choice.h"
+
+#include <algorithm>
+
+namespace hickorywood::steps {
+namespace {
+
+// Streams that an engine without heartbeats counts as having more: it is used
+// when the others are well filled, or when all are silent.
+constexpr double kDistrust = 6;
+// A prompt that is there already saves reading it again, which costs about as
+// much as a stream more in the batch.
+constexpr double kPromptAtHand = 1;
+// Times the median gap from which an engine counts as slow. A full batch makes
+// events about half as slow again as a short one, so twice is no batch's doing.
+constexpr double kClearlySlow = 2;
+// ... and up to which another one is a place to go.
+constexpr double kFast = 1.5;
+
+double ExpectedCost(const engine_load& engine, const std::string& group) {
+  double cost = static_cast<double>(engine.running + 1);
+  if (!engine.is_trusted) cost += kDistrust;
+  if (engine.groups.count(group) != 0) cost -= kPromptAtHand;
+  return cost * engine.slowness;
+}
+
+}  // namespace
+
+std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines,
+                                   const std::string& group) {
+  std::optional<size_t> best;
+  double best_cost = 0;
+  for (size_t i = 0; i < engines.size(); ++i) {
+    if (engines[i].running >= engines[i].slots) continue;
+    const double cost = ExpectedCost(engines[i], group);
+    if (best && cost >= best_cost) continue;
+    best = i;
+    best_cost = cost;
+  }
+  return best;
+}
+
+std::vector<double> Slowness(const std::vector<double>& gaps_ms) {
+  std::vector<double> known;
+  for (const double gap : gaps_ms) {
+    if (gap > 0) known.push_back(gap);
+  }
+  std::vector<double> slowness(gaps_ms.size(), 1);
+  if (known.empty()) return slowness;
+  const auto middle = known.begin() + static_cast<ptrdiff_t>(known.size() / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  for (size_t i = 0; i < gaps_ms.size(); ++i) {
+    if (gaps_ms[i] > 0) slowness[i] = gaps_ms[i] / *middle;
+  }
+  return slowness;
+}
+
+bool IsWorthMoving(const engine_load& from,
+                   const std::vector<engine_load>& engines) {
+  if (from.slowness < kClearlySlow) return false;
+  return std::any_of(engines.begin(), engines.end(),
+                     [](const engine_load& other) {
+                       return other.is_trusted && other.running < other.slots &&
+                              other.slowness < kFast;
+                     });
+}
+
+}  // namespace hickorywood::steps
--- /dev/null
+++ b/packages/steps/task_choice.h
@@ -0,0 +1,45 @@
+#ifndef HICKORYWOOD_STEPS_TASK_CHOICE_H_
+#define HICKORYWOOD_STEPS_TASK_CHOICE_H_
+
+// Which task runs next, and at which engine. Decisions over plain data.
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickorywood::steps {
+
+// What is known of an engine for the choice.
+struct engine_load {
+  std::string incarnation;
+  int64_t slots = 0;
+  int64_t running = 0;  // own dispatches that are not over
+  // Time between two events against that of the engine's peers; 1: as fast.
+  double slowness = 1;
+  bool is_trusted = true;        // false: silent towards the control group
+  std::set<std::string> groups;  // whose prompt it has read under these weights
+};
+
+// The engine for a task of `group`: the one that is expected to make its events
+// fastest. The batch of an engine slows each of its streams, so the shortest
+// batch wins; having read the group's prompt counts like one stream less.
+// Empty: all are full.
+std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines,
+                                   const std::string& group);
+
+// How much slower an engine makes its events than its peers do: its time
+// between events against the median of all that have one. 0 in `gaps_ms`: not
+// known, and then 1.
+std::vector<double> Slowness(const std::vector<double>& gaps_ms);
+
+// Whether a run is worth moving: its engine is clearly slower than another one
+// that has room. Reading the text again there costs a few ms, an event of a
+// slow engine some hundred.
+bool IsWorthMoving(const engine_load& from,
+                   const std::vector<engine_load>& engines);
+
+}  // namespace hickorywood::steps
+
+#endif  // HICKORYWOOD_STEPS_TASK_CHOICE_H_
--- /dev/null
+++ b/packages/store/dispatcher.h
@@ -0,0 +1,160 @@
+#ifndef HICKORYWOOD_STORE_DISPATCHER_H_
+#define HICKORYWOOD_STORE_DISPATCHER_H_
+
+// Runs the tasks of all open steps on the engines, while this instance leads.
+// One dispatcher for the whole deployment knows each engine's load from its own
+// count, so that nothing is left to luck or to late reports. A successor goes
+// on from the committed results.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "fleet/endpoint_registry.h"
+#include "fleet/protocol.h"
+#include "fleet/view.h"
+#include "group/group_host.h"
+#include "net/connection_pool.h"
+#include "net/event.h"
+#include "net/spawn.h"
+#include "steps/event_text.h"
+#include "steps/task_choice.h"
+#include "store/step_state.h"
+
+namespace hickorywood::store {
+
+class dispatcher {
+ public:
+  dispatcher(boost::asio::io_context& loop, const core::runtime_clock& clock,
+             group::group_host& group, const step_state& state,
+             net::connection_pool& pool, const fleet::protocol& wire,
+             const fleet::view& view);
+
+  void Start();
+  // This instance starts or stops leading. When it stops, all runs are
+  // cancelled: their results could not be committed.
+  void OnLeadership(bool is_leader);
+  // The replicated state changed: steps were opened, ended or got results.
+  void OnApplied();
+  // The endpoints, their weights or the configuration changed.
+  void OnView();
+
+  size_t Running() const { return runs_.size(); }
+
+ private:
+  enum class task_stage { kWaiting, kRunning, kDone };
+
+  // Where a task stands, in this leader's memory.
+  struct task_run {
+    task_stage stage = task_stage::kWaiting;
+    steps::generated_text text;
+    int64_t failures = 0;  // answers that count as a failed attempt
+    core::time_point not_before{};
+  };
+  struct step_run {
+    std::vector<task_run> tasks;
+    core::time_point opened_at{};
+    size_t open_tasks = 0;  // that have no result yet
+  };
+  struct weights_at_engine {
+    uint64_t version = 0;
+    bool is_loading = false;
+  };
+  // What is known of one engine beside its registration.
+  struct engine_record {
+    int64_t running = 0;
+    double gap_ms = 0;  // time between events, smoothed; 0: not known
+    core::time_point gap_at{};
+    core::time_point avoid_until{};
+    int failures = 0;  // in a row
+    std::set<std::string> groups;
+    std::map<std::string, weights_at_engine> weights;  // by model
+  };
+  enum class run_end {
+    kComplete,
+    kFailed,      // the engine answered that the attempt failed
+    kImpossible,  // the task can never be done
+    kNotRun,      // the engine did not take it
+    kBroken,      // cut, silent or spoiled midway
+    kUnusable,    // made under weights that the step does not allow
+    kMoved,       // given up here to go on elsewhere
+  };
+  struct task_key {
+    std::string step;
+    uint32_t task = 0;
+    bool operator<(const task_key& other) const {
+      return step != other.step ? step < other.step : task < other.task;
+    }
+  };
+  struct run {
+    task_key key;
+    fleet::endpoint engine;
+    uint64_t events_at_start = 0;
+    core::time_point started_at{};
+    bool is_moving = false;
+    net::cancel_signal cancel = net::MakeCancelSignal();
+  };
+  // One task with its place and terms, as it waits for an engine.
+  struct candidate {
+    task_key key;
+    const steps::step* step = nullptr;
+    const fleet::route* terms = nullptr;
+  };
+
+  boost::asio::awaitable<void> KeepWatching();
+  boost::asio::awaitable<void> KeepCommitting();
+  void SyncSteps();
+  void StartStep(const std::string& id, const steps::step& where);
+  void Pump();
+  void PumpStep(const std::string& id, step_run& where);
+  bool TryStart(const candidate& item);
+  std::vector<steps::engine_load> LoadsFor(const std::string& service,
+                                           const std::string& model,
+                                           uint64_t minimum_version);
+  void StartRun(const candidate& item, const fleet::endpoint& engine);
+  boost::asio::awaitable<run_end> Run(std::shared_ptr<run> self,
+                                      net::request input,
+                                      steps::text_rules rules);
+  boost::asio::awaitable<run_end> ReadText(std::shared_ptr<run> self,
+                                           net::connection& from,
+                                           const steps::text_rules& rules,
+                                           std::optional<uint64_t> version);
+  void EndRun(const std::shared_ptr<run>& ended, run_end how);
+  void NoteEngine(const std::string& incarnation, run_end how);
+  void NoteGap(const std::string& incarnation, core::milliseconds gap);
+  void Finish(const task_key& key, bool is_complete);
+  void GiveUpOld();
+  void MoveStragglers();
+  void CancelRuns(const std::string& step);
+  void CancelAll();
+  task_run* FindTask(const task_key& key);
+  const fleet::route* RouteOf(const task_key& key) const;
+  std::vector<std::string> StepsByAge() const;
+
+  boost::asio::io_context& loop_;
+  const core::runtime_clock& clock_;
+  group::group_host& group_;
+  const step_state& state_;
+  net::connection_pool& pool_;
+  const fleet::protocol& wire_;
+  const fleet::view& view_;
+  bool is_leading_ = false;
+  std::map<std::string, step_run> steps_;
+  std::map<std::string, engine_record> engines_;  // by incarnation
+  std::map<task_key, std::shared_ptr<run>> runs_;
+  std::vector<step_results> outbox_;
+  net::event outbox_filled_;
+  net::event wake_;
+};
+
+}  // namespace hickorywood::store
+
+#endif  // HICKORYWOOD_STORE_DISPATCHER_H_
--- /dev/null
+++ b/packages/store/step_service.cc
@@ -0,0 +1,219 @@
+#include "store/step_service.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "core/binary.h"
+#include "core/events.h"
+#include "group/leader_calls.h"
+
+namespace hickorywood::store {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+using core::time_point;
+using peering::call_outcome;
+using peering::envelope;
+
+constexpr milliseconds kHousePeriod{500};
+// Between two commands that drop old steps; each costs a sync.
+constexpr std::chrono::seconds kForgetPeriod{10};
+// Most output in one page of results; the rest comes with the next.
+constexpr uint64_t kMostPageBytes = 1000 * 1000;
+constexpr milliseconds kLongestWait{5000};
+
+envelope Done(std::string payload = "") {
+  return {call_outcome::kDone, "", "", std::move(payload)};
+}
+
+envelope Malformed() {
+  return {call_outcome::kRefused, "", core::LastReason().text, ""};
+}
+
+envelope NoSuch(const std::string& what) {
+  return {call_outcome::kNotFound, "", "no such " + what, ""};
+}
+
+}  // namespace
+
+step_service::step_service(asio::io_context& loop,
+                           const core::runtime_clock& clock,
+                           group::group_host& group, const step_state& state,
+                           step_service_options options)
+    : loop_(loop),
+      clock_(clock),
+      group_(group),
+      state_(state),
+      options_(options) {}
+
+void step_service::Start() {
+  asio::co_spawn(loop_, KeepHouse(), asio::detached);
+}
+
+void step_service::OnChange() {
+  group_.SetLeaving(state_.Retired());
+  changed_.Notify();
+}
+
+envelope step_service::NotLeader() const { return group::NotLeader(group_); }
+
+awaitable<envelope> step_service::Handle(std::string method,
+                                         std::string payload) {
+  if (!group_.IsServing()) co_return NotLeader();
+  if (method == peering::kOpenStepMethod) {
+    co_return co_await OpenStep(std::move(payload));
+  }
+  if (method == peering::kReadResultsMethod) {
+    co_return co_await ReadResults(std::move(payload));
+  }
+  if (method == peering::kReadTaskMethod) {
+    co_return co_await ReadTask(std::move(payload));
+  }
+  if (method == peering::kEndStepMethod) {
+    co_return co_await EndStep(std::move(payload));
+  }
+  if (method == peering::kRetireMethod) {
+    co_return co_await Retire(std::move(payload));
+  }
+  if (method == peering::kRetirementMethod) {
+    co_return co_await ReadRetirement(std::move(payload));
+  }
+  co_return envelope{call_outcome::kRefused, "", "no method '" + method + "'",
+                     ""};
+}
+
+awaitable<envelope> step_service::OpenStep(std::string payload) {
+  const auto input = core::DecodeBinary<steps::submission>(payload);
+  if (!input) co_return Malformed();
+  if (state_.Find(input->id) != nullptr) co_return Done();
+  co_return co_await CommitCall(kOpenStepCommand, std::move(payload));
+}
+
+awaitable<envelope> step_service::ReadResults(std::string payload) {
+  const auto input = core::DecodeBinary<peering::read_results_request>(payload);
+  if (!input) co_return Malformed();
+  const milliseconds wait =
+      std::min(milliseconds(input->wait_ms), kLongestWait);
+  const time_point until = clock_.Now() + wait;
+  for (;;) {
+    if (!group_.IsServing()) co_return NotLeader();
+    const steps::step* where = state_.Find(input->step);
+    if (where == nullptr) co_return NoSuch("step");
+    const bool has_all =
+        where->is_ended || where->results.size() == where->input.tasks.size();
+    const bool has_news = where->results.size() > input->after;
+    if (has_news || has_all || clock_.Now() >= until) {
+      const uint64_t bytes = std::min(input->page_bytes, kMostPageBytes);
+      co_return Done(
+          core::EncodeBinary(steps::ReadPage(*where, input->after, bytes)));
+    }
+    co_await changed_.WaitUntil(until);
+  }
+}
+
+awaitable<envelope> step_service::ReadTask(std::string payload) {
+  const auto input = core::DecodeBinary<peering::read_task_request>(payload);
+  if (!input) co_return Malformed();
+  const steps::step* where = state_.Find(input->step);
+  if (where == nullptr) co_return NoSuch("step");
+  for (const steps::task& task : where->input.tasks) {
+    if (task.id == input->task) co_return Done(task.body);
+  }
+  co_return NoSuch("task");
+}
+
+awaitable<envelope> step_service::EndStep(std::string payload) {
+  const auto input = core::DecodeBinary<peering::named_item>(payload);
+  if (!input) co_return Malformed();
+  const steps::step* where = state_.Find(input->name);
+  if (where == nullptr) co_return NoSuch("step");
+  if (where->is_ended) co_return Done();
+  const size_t results = where->results.size();
+  end_step_command command;
+  command.step = input->name;
+  envelope answer =
+      co_await CommitCall(kEndStepCommand, core::EncodeBinary(command));
+  if (answer.outcome == call_outcome::kDone) {
+    LogEvent(event_id::kStepEnded,
+             {{"step", input->name}, {"results", std::to_string(results)}});
+  }
+  co_return answer;
+}
+
+// --- Stores that are emptied.
+
+// Stores that hold the data or wait to, if `node` is left out.
+size_t step_service::StoresWithout(const std::string& node) const {
+  std::set<std::string> nodes = group_.Applicants();
+  for (const std::string& member : group_.Members()) nodes.insert(member);
+  for (const std::string& leaving : state_.Retired()) nodes.erase(leaving);
+  nodes.erase(node);
+  return nodes.size();
+}
+
+awaitable<envelope> step_service::Retire(std::string payload) {
+  const auto input = core::DecodeBinary<peering::named_item>(payload);
+  if (!input) co_return Malformed();
+  if (state_.Retired().count(input->name) != 0) co_return Done();
+  if (StoresWithout(input->name) < options_.least_stores) {
+    co_return envelope{call_outcome::kConflict, "",
+                       "too few stores would be left", ""};
+  }
+  retire_command command;
+  command.node = input->name;
+  co_return co_await CommitCall(kRetireCommand, core::EncodeBinary(command));
+}
+
+// A store is empty once it is no member any more: then no copy counts on it.
+awaitable<envelope> step_service::ReadRetirement(std::string payload) {
+  const auto input = core::DecodeBinary<peering::named_item>(payload);
+  if (!input) co_return Malformed();
+  if (state_.Retired().count(input->name) == 0) co_return NoSuch("retirement");
+  const std::vector<std::string> members = group_.Members();
+  const bool is_member =
+      std::find(members.begin(), members.end(), input->name) != members.end();
+  const peering::flag_answer answer{!is_member && group_.IsSpread()};
+  co_return Done(core::EncodeBinary(answer));
+}
+
+// --- Upkeep.
+
+awaitable<envelope> step_service::CommitCall(std::string name,
+                                             std::string payload) {
+  return group::CommitCall(group_, std::move(name), std::move(payload));
+}
+
+awaitable<void> step_service::KeepHouse() {
+  time_point forget_at = clock_.Now() + kForgetPeriod;
+  for (;;) {
+    co_await net::Sleep(kHousePeriod);
+    if (!group_.IsServing()) continue;
+    // A leader that is to be emptied can't leave while it leads.
+    if (state_.Retired().count(group_.OwnAddress()) != 0) group_.HandOver();
+    if (clock_.Now() < forget_at) continue;
+    forget_at = clock_.Now() + kForgetPeriod;
+    co_await ForgetOldSteps();
+  }
+}
+
+awaitable<void> step_service::ForgetOldSteps() {
+  const int64_t now_ms = core::ToUnixMillis(clock_.WallNow());
+  forget_steps_command command;
+  command.ended_before_ms = now_ms - options_.step_retention.count();
+  command.opened_before_ms = now_ms - options_.open_step_retention.count();
+  const bool has_old =
+      std::any_of(state_.Steps().begin(), state_.Steps().end(),
+                  [&command](const auto& item) {
+                    return item.second.opened_ms < command.ended_before_ms;
+                  });
+  if (!has_old) co_return;
+  co_await group_.Commit(kForgetStepsCommand, core::EncodeBinary(command));
+}
+
+}  // namespace hickorywood::store
--- /dev/null
+++ b/packages/store/step_service.h
@@ -0,0 +1,68 @@
+#ifndef HICKORYWOOD_STORE_STEP_SERVICE_H_
+#define HICKORYWOOD_STORE_STEP_SERVICE_H_
+
+// What the leader of a data group does for the other processes: it takes steps,
+// hands out their results, and empties stores. Each method answers kNotLeader
+// where this instance does not hold a live lease.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <string>
+
+#include "core/clock.h"
+#include "group/group_host.h"
+#include "net/event.h"
+#include "peering/messages.h"
+#include "store/step_state.h"
+
+namespace hickorywood::store {
+
+struct step_service_options {
+  // How long a step is kept after it was submitted.
+  std::chrono::milliseconds step_retention{120000};
+  // A step that nobody ended is kept this long.
+  std::chrono::milliseconds open_step_retention{600000};
+  // Stores that must be left when one is emptied.
+  size_t least_stores = 3;
+};
+
+class step_service {
+ public:
+  step_service(boost::asio::io_context& loop, const core::runtime_clock& clock,
+               group::group_host& group, const step_state& state,
+               step_service_options options);
+
+  void Start();
+  boost::asio::awaitable<peering::envelope> Handle(std::string method,
+                                                   std::string payload);
+  // The replicated state changed, or this instance stopped leading.
+  void OnChange();
+
+ private:
+  using answer = boost::asio::awaitable<peering::envelope>;
+
+  answer OpenStep(std::string payload);
+  answer ReadResults(std::string payload);
+  answer ReadTask(std::string payload);
+  answer EndStep(std::string payload);
+  answer Retire(std::string payload);
+  answer ReadRetirement(std::string payload);
+
+  answer CommitCall(std::string name, std::string payload);
+  boost::asio::awaitable<void> KeepHouse();
+  boost::asio::awaitable<void> ForgetOldSteps();
+  size_t StoresWithout(const std::string& node) const;
+  peering::envelope NotLeader() const;
+
+  boost::asio::io_context& loop_;
+  const core::runtime_clock& clock_;
+  group::group_host& group_;
+  const step_state& state_;
+  const step_service_options options_;
+  net::event changed_;
+};
+
+}  // namespace hickorywood::store
+
+#endif  // HICKORYWOOD_STORE_STEP_SERVICE_H_
--- /dev/null
+++ b/packages/store/step_state.cc
@@ -0,0 +1,74 @@
+#include "store/step_state.h"
+
+#include <utility>
+
+#include "core/binary.h"
+
+namespace hickorywood::store {
+namespace {
+
+void OpenStep(step_state::content& held, const group::hosted_command& input) {
+  auto submission = core::DecodeBinary<steps::submission>(input.payload);
+  if (submission) {
+    steps::OpenStep(held.steps, std::move(*submission), input.now_ms);
+  }
+}
+
+void AddResults(step_state::content& held, const std::string& payload) {
+  auto input = core::DecodeBinary<add_results_command>(payload);
+  if (!input) return;
+  for (step_results& item : input->steps) {
+    steps::AddResults(held.steps, item.step, std::move(item.results));
+  }
+}
+
+void EndStep(step_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<end_step_command>(payload);
+  if (input) steps::EndStep(held.steps, input->step);
+}
+
+void ForgetSteps(step_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<forget_steps_command>(payload);
+  if (!input) return;
+  steps::ForgetSteps(held.steps, input->ended_before_ms,
+                     input->opened_before_ms);
+}
+
+void Retire(step_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<retire_command>(payload);
+  if (input) held.retired.insert(input->node);
+}
+
+}  // namespace
+
+void step_state::Apply(const group::hosted_command& input) {
+  if (input.name == kOpenStepCommand) {
+    OpenStep(held_, input);
+  } else if (input.name == kAddResultsCommand) {
+    AddResults(held_, input.payload);
+  } else if (input.name == kEndStepCommand) {
+    EndStep(held_, input.payload);
+  } else if (input.name == kForgetStepsCommand) {
+    ForgetSteps(held_, input.payload);
+  } else if (input.name == kRetireCommand) {
+    Retire(held_, input.payload);
+  }
+}
+
+bool step_state::Restore(const std::string& data) {
+  held_ = content{};
+  if (data.empty()) return true;
+  auto saved = core::DecodeBinary<content>(data);
+  if (!saved) return false;
+  held_ = std::move(*saved);
+  return true;
+}
+
+std::string step_state::Save() const { return core::EncodeBinary(held_); }
+
+const steps::step* step_state::Find(const std::string& id) const {
+  const auto found = held_.steps.find(id);
+  return found == held_.steps.end() ? nullptr : &found->second;
+}
+
+}  // namespace hickorywood::store
--- /dev/null
+++ b/packages/store/step_state.h
@@ -0,0 +1,78 @@
+#ifndef HICKORYWOOD_STORE_STEP_STATE_H_
+#define HICKORYWOOD_STORE_STEP_STATE_H_
+
+// What a data group replicates: steps with their tasks and results, and which
+// stores shall be empty.
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/json.h"
+#include "group/hosted_state.h"
+#include "steps/step.h"
+
+namespace hickorywood::store {
+
+constexpr char kOpenStepCommand[] = "open_step";
+constexpr char kAddResultsCommand[] = "add_results";
+constexpr char kEndStepCommand[] = "end_step";
+constexpr char kForgetStepsCommand[] = "forget_steps";
+constexpr char kRetireCommand[] = "retire";
+
+struct step_results {
+  std::string step;
+  std::vector<steps::task_result> results;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step_results, step, results)
+
+struct add_results_command {
+  std::vector<step_results> steps;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(add_results_command, steps)
+
+struct end_step_command {
+  std::string step;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(end_step_command, step)
+
+struct forget_steps_command {
+  int64_t ended_before_ms = 0;   // ended steps submitted before are dropped
+  int64_t opened_before_ms = 0;  // and all steps submitted before this
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(forget_steps_command,
+                                                ended_before_ms,
+                                                opened_before_ms)
+
+struct retire_command {
+  std::string node;  // peer address
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(retire_command, node)
+
+class step_state : public group::hosted_state {
+ public:
+  void Apply(const group::hosted_command& input) override;
+  bool Restore(const std::string& data) override;
+  std::string Save() const override;
+
+  const steps::step_book& Steps() const { return held_.steps; }
+  // nullptr: there is none.
+  const steps::step* Find(const std::string& id) const;
+  // Stores that are to be emptied, by peer address.
+  const std::set<std::string>& Retired() const { return held_.retired; }
+
+  struct content {
+    steps::step_book steps;
+    std::set<std::string> retired;
+  };
+
+ private:
+  content held_;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step_state::content, steps,
+                                                retired)
+
+}  // namespace hickorywood::store
+
+#endif  // HICKORYWOOD_STORE_STEP_STATE_H_
--- /dev/null
+++ b/packages/store/store_instance.cc
@@ -0,0 +1,148 @@
+#include "store/store_instance.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "core/events.h"
+#include "group/group_host.h"
+#include "net/connection_pool.h"
+#include "net/event.h"
+#include "net/listener.h"
+#include "peering/leader_caller.h"
+#include "peering/peer_interface.h"
+#include "peering/view_follower.h"
+#include "store/dispatcher.h"
+#include "store/step_service.h"
+#include "store/step_state.h"
+
+namespace hickorywood::store {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+
+constexpr char kGroupName[] = "data";
+// Time for a hand-over to reach the successor before the listener closes.
+constexpr milliseconds kHandOverTime{300};
+
+peering::follower_options FollowerOptions(
+    const settings::node_settings& settings) {
+  peering::follower_options options;
+  options.instance = settings.id;
+  options.store_address = settings.peers_address;
+  options.may_found = settings.is_first_start;
+  return options;
+}
+
+step_service_options ServiceOptions(const settings::node_settings& settings) {
+  step_service_options options;
+  options.step_retention = settings.step_retention;
+  options.least_stores = settings.DataVoters();
+  return options;
+}
+
+}  // namespace
+
+struct store_instance::impl {
+  impl(asio::io_context& io, const core::runtime_clock& runtime,
+       const settings::node_settings& node, const fleet::protocol& wire)
+      : loop(io),
+        settings(node),
+        pool(io),
+        group(io, runtime,
+              group::MakeGroupSettings(node, kGroupName, node.DataVoters()),
+              pool, state),
+        caller(pool, node.seeds),
+        follower(caller, FollowerOptions(node)),
+        service(io, runtime, group, state, ServiceOptions(node)),
+        dispatch(io, runtime, group, state, pool, wire, follower.View()),
+        peers(io, peering::PeerListenerOptions(node.peers_address),
+              [this](net::exchange& call) { return ServePeer(call); }) {
+    group.on_leadership = [this](bool is_leader) {
+      follower.WantWeights(is_leader);
+      dispatch.OnLeadership(is_leader);
+      service.OnChange();
+    };
+    group.on_applied = [this] {
+      service.OnChange();
+      dispatch.OnApplied();
+    };
+    group.on_failure = [this] { loop.stop(); };
+    follower.OnChange([this] { OnView(); });
+  }
+
+  void OnView() {
+    const fleet::view& view = follower.View();
+    group.SetContacts(peering::StoreAddresses(view));
+    const bool is_founder =
+        settings.is_first_start && view.data_founder == settings.peers_address;
+    if (is_founder) group.Found();
+    dispatch.OnView();
+  }
+
+  awaitable<void> ServePeer(net::exchange& call) {
+    return peering::ServePeer(
+        call,
+        [this](std::string payload) {
+          return group.Receive(std::move(payload));
+        },
+        [this](std::string method, std::string payload) {
+          return service.Handle(std::move(method), std::move(payload));
+        });
+  }
+
+  awaitable<void> Stop() {
+    LogEvent(event_id::kProcessStopping, {{"instance", settings.id}});
+    dispatch.OnLeadership(false);
+    group.HandOver();
+    co_await net::Sleep(kHandOverTime);
+    peers.StopAccepting();
+    LogEvent(event_id::kProcessStopped, {{"instance", settings.id}});
+    loop.stop();
+  }
+
+  asio::io_context& loop;
+  const settings::node_settings settings;
+  net::connection_pool pool;
+  step_state state;
+  group::group_host group;
+  peering::leader_caller caller;
+  peering::view_follower follower;
+  step_service service;
+  dispatcher dispatch;
+  net::listener peers;
+};
+
+store_instance::store_instance(asio::io_context& loop,
+                               const core::runtime_clock& clock,
+                               const settings::node_settings& settings,
+                               const fleet::protocol& wire)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire)) {}
+
+store_instance::~store_instance() = default;
+
+bool store_instance::Start() {
+  if (!impl_->peers.Start() || !impl_->group.Start()) return false;
+  impl_->group.SetLeaving(impl_->state.Retired());
+  impl_->service.Start();
+  impl_->dispatch.Start();
+  asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
+  return true;
+}
+
+void store_instance::Reload(const settings::node_settings& settings) {
+  impl_->caller.SetSeeds(settings.seeds);
+}
+
+void store_instance::BeginStop() {
+  asio::co_spawn(impl_->loop, impl_->Stop(), asio::detached);
+}
+
+bool store_instance::HasFailed() const { return impl_->group.HasFailed(); }
+
+}  // namespace hickorywood::store
--- /dev/null
+++ b/tests/unit/net/connection_pool_test.cc
@@ -0,0 +1,101 @@
+// Connections over real sockets: what a caller gets when answers are cut, late
+// or doubled, and what the other side sees of a cancelled call.
+
+#include "net/connection_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <string>
+
+#include "net/event.h"
+#include "net/listener.h"
+#include "net/spawn.h"
+
+namespace hickorywood::net {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::io_context;
+using core::milliseconds;
+
+core::time_point In(milliseconds time) {
+  return std::chrono::steady_clock::now() + time;
+}
+
+// Reads the stream of `address` until it ends or breaks.
+awaitable<int> ReadAll(connection_pool& pool, std::string address) {
+  std::unique_ptr<connection> open =
+      co_await pool.Acquire(address, In(milliseconds(2000)));
+  if (!open) co_return -1;
+  request input;
+  input.target = "/stream";
+  co_await open->Write(input, In(milliseconds(2000)));
+  response head;
+  co_await open->ReadHead(head, In(milliseconds(2000)));
+  int pieces = 0;
+  body_state state = body_state::kMore;
+  while (state == body_state::kMore) {
+    std::string piece;
+    state = co_await open->ReadSome(piece, In(milliseconds(2000)));
+    ++pieces;
+  }
+  co_return pieces;
+}
+
+// A step ends while its tasks run: each run is cancelled in the middle of its
+// stream. The engine must see its connection close, so that it stops work.
+TEST(ConnectionPoolTest, CancelledStreamsCloseTheirConnections) {
+  io_context loop;
+  constexpr int kStreams = 20;
+  int open_streams = 0;
+  listener_options options;
+  options.address = "127.0.0.1:0";
+  options.limits = [] { return caller_limits{}; };
+  struct count_guard {
+    int& count;
+    ~count_guard() { --count; }
+  };
+  listener engine(loop, options,
+                  [&open_streams](exchange& call) -> awaitable<void> {
+                    ++open_streams;
+                    const count_guard guard{open_streams};
+                    response head;
+                    co_await call.BeginStream(std::move(head));
+                    for (;;) {
+                      co_await call.WriteStream("id: 1\n");
+                      co_await Sleep(milliseconds(2));
+                    }
+                  });
+  ASSERT_TRUE(engine.Start());
+  const std::string address = "127.0.0.1:" + std::to_string(engine.Port());
+  connection_pool pool(loop);
+  std::vector<cancel_signal> signals;
+  int ended = 0;
+  for (int i = 0; i < kStreams; ++i) {
+    signals.push_back(MakeCancelSignal());
+    SpawnCancellable(
+        loop, ReadAll(pool, address), signals.back(),
+        [&ended](const std::exception_ptr& /*failure*/, int /*pieces*/) {
+          ++ended;
+        });
+  }
+  const auto watch = [&]() -> awaitable<void> {
+    while (open_streams < kStreams) co_await Sleep(milliseconds(1));
+    for (const cancel_signal& signal : signals) Cancel(signal);
+    signals.clear();
+    while (ended < kStreams || open_streams > 0) {
+      co_await Sleep(milliseconds(1));
+    }
+    loop.stop();
+  };
+  boost::asio::co_spawn(loop, watch(), boost::asio::detached);
+  loop.run_for(std::chrono::seconds(20));
+  EXPECT_EQ(ended, kStreams);
+  EXPECT_EQ(open_streams, 0);
+}
+
+}  // namespace
+}  // namespace hickorywood::net
--- a/tests/unit/settings/documentation_test.cc
+++ b/tests/unit/settings/documentation_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "settings/instance_settings.h"
+#include "settings/node_settings.h"
 #include "settings/schema.h"
 
 namespace hickorywood::settings {
@@ -24,7 +25,8 @@
   const auto page =
       ReadTextFile(std::string(SOURCE_FOLDER) + "/docs/configuration.md");
   ASSERT_TRUE(page);
-  for (const auto* schema : {&InstanceSchema(), &FleetSchema()}) {
+  for (const auto* schema :
+       {&InstanceSchema(), &NodeSchema(), &FleetSchema()}) {
     for (const setting_info& info : *schema) {
       EXPECT_NE(page->find(Row(info)), std::string::npos) << Row(info);
       EXPECT_NE(page->find(info.meaning), std::string::npos) << info.meaning;
--- a/tests/unit/settings/fleet_config_test.cc
+++ b/tests/unit/settings/fleet_config_test.cc
@@ -98,8 +98,9 @@
 TEST(FleetConfigTest, Durations) {
   EXPECT_EQ(ParseDuration("250ms"), std::chrono::milliseconds(250));
   EXPECT_EQ(ParseDuration("2m"), std::chrono::minutes(2));
-  for (const char* text :
-       {"", "ms", "5", "-5s", "1.5s", "9999999999999s", "5 s"}) {
+  EXPECT_EQ(ParseDuration("1.5s"), std::chrono::milliseconds(1500));
+  for (const char* text : {"", "ms", "5", "-5s", "1.5.5s", ".s", "1e3s",
+                           "9999999999999s", "5 s", "nans", "1.5"}) {
     EXPECT_FALSE(ParseDuration(text)) << text;
   }
 }
