--- /dev/null
+++ b/tests/unit/controller/weight_book_test.cc
@@ -0,0 +1,119 @@
+#include "controller/weight_book.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace hickorywood::controller {
+namespace {
+
+load_plan_input Engines(size_t count) {
+  load_plan_input input;
+  for (size_t i = 0; i < count; ++i) {
+    plannable_engine engine;
+    engine.incarnation = "e" + std::to_string(i);
+    input.engines.push_back(engine);
+  }
+  return input;
+}
+
+void SetAll(weight_book& book, const load_plan_input& input,
+            const std::string& model, uint64_t version) {
+  for (const plannable_engine& engine : input.engines) {
+    NoteVersion(book, engine.incarnation, model, version);
+  }
+}
+
+// Carries the plan out until nothing is left to load.
+size_t LoadAll(weight_book& book, const load_plan_input& input) {
+  size_t loads = 0;
+  for (;;) {
+    const std::vector<planned_load> plan = PlanLoads(book, input);
+    if (plan.empty()) return loads;
+    for (const planned_load& load : plan) {
+      NoteVersion(book, load.incarnation, load.target.model,
+                  load.target.version);
+      ++loads;
+    }
+  }
+}
+
+TEST(WeightBookTest, VersionsNeverStepBack) {
+  weight_book book;
+  EXPECT_TRUE(NoteVersion(book, "e", "m", 3));
+  EXPECT_FALSE(NoteVersion(book, "e", "m", 2));
+  EXPECT_EQ(VersionAt(book, "e", "m"), 3U);
+  EXPECT_FALSE(VersionAt(book, "e", "other"));
+}
+
+// One trainer, nine engines, a version every few seconds; a step takes the
+// newest version and the one before. Half of the engines load each version, and
+// at no time are all of them too old for the next step.
+TEST(WeightBookTest, HalvesTakeTurns) {
+  weight_book book;
+  load_plan_input input = Engines(9);
+  SetAll(book, input, "m", 1);
+  for (uint64_t version = 2; version < 20; ++version) {
+    input.newest = {{"m", version}};
+    const size_t loads = LoadAll(book, input);
+    EXPECT_LE(loads, 5U) << version;
+    for (const plannable_engine& engine : input.engines) {
+      EXPECT_GE(*VersionAt(book, engine.incarnation, "m") + 1, version);
+    }
+  }
+}
+
+// Three trainers on nine engines: each model is kept up on six of them, so that
+// a version costs three loads, a third of the engines.
+TEST(WeightBookTest, ModelsShareTheEngines) {
+  weight_book book;
+  load_plan_input input = Engines(9);
+  for (const char* model : {"a", "b", "c"}) SetAll(book, input, model, 1);
+  size_t loads = 0;
+  constexpr uint64_t kVersions = 12;
+  for (uint64_t version = 2; version < 2 + kVersions; ++version) {
+    input.newest = {{"a", version}, {"b", version}, {"c", version}};
+    loads += LoadAll(book, input);
+  }
+  EXPECT_LE(loads, 3 * 3 * kVersions + 9);
+  for (const auto& item : book.assigned) EXPECT_EQ(item.second.size(), 6U);
+}
+
+// Loads share the link to the weight store: few run at once, and an engine has
+// one at a time.
+TEST(WeightBookTest, FewLoadsAtOnce) {
+  weight_book book;
+  load_plan_input input = Engines(9);
+  input.newest = {{"a", 9}, {"b", 9}};
+  EXPECT_EQ(PlanLoads(book, input).size(), 2U);
+  input.loads_under_way = 1;
+  EXPECT_EQ(PlanLoads(book, input).size(), 1U);
+  input.loads_under_way = 2;
+  EXPECT_TRUE(PlanLoads(book, input).empty());
+  load_plan_input large = Engines(48);
+  large.newest = {{"a", 9}};
+  EXPECT_EQ(PlanLoads(book, large).size(), 10U);
+}
+
+// An engine is lost and a new one comes. The others keep their models; the new
+// one takes the place that is free.
+TEST(WeightBookTest, LostEngineIsReplaced) {
+  weight_book book;
+  load_plan_input input = Engines(9);
+  input.newest = {{"a", 2}, {"b", 2}, {"c", 2}};
+  LoadAll(book, input);
+  const auto before = book.assigned;
+  input.engines[0].incarnation = "fresh";
+  LoadAll(book, input);
+  for (const auto& [model, engines] : before) {
+    size_t kept = 0;
+    for (const std::string& name : engines) {
+      kept += book.assigned.at(model).count(name);
+    }
+    EXPECT_EQ(kept, engines.size() - engines.count("e0")) << model;
+  }
+}
+
+}  // namespace
+}  // namespace hickorywood::controller
--- /dev/null
+++ b/tests/unit/core/log_sink_test.cc
@@ -0,0 +1,82 @@
+#include "core/log_sink.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <string>
+
+namespace hickorywood::core {
+namespace {
+
+class LogSinkTest : public ::testing::Test {
+ protected:
+  LogSinkTest() {
+    EXPECT_EQ(pipe(ends_), 0);
+    fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+  }
+  ~LogSinkTest() override {
+    close(ends_[0]);
+    close(ends_[1]);
+  }
+
+  std::string ReadAll() const {
+    std::string text;
+    char buffer[4096];
+    for (ssize_t count; (count = read(ends_[0], buffer, sizeof buffer)) > 0;) {
+      text.append(buffer, static_cast<size_t>(count));
+    }
+    return text;
+  }
+
+  int ends_[2] = {-1, -1};
+};
+
+TEST_F(LogSinkTest, LinesComeOutWhole) {
+  log_sink sink(ends_[1], 1 << 20);
+  sink.Add("one", false);
+  sink.Add("two", true);
+  EXPECT_EQ(ReadAll(), "");
+  sink.Flush();
+  EXPECT_EQ(ReadAll(), "one\ntwo\n");
+}
+
+// Nobody reads standard output. Writing must not block; lines are dropped and
+// counted, and a warning pushes out lines that matter less.
+TEST_F(LogSinkTest, NobodyReads) {
+  constexpr size_t kCapacity = 10000;
+  log_sink sink(ends_[1], kCapacity);
+  const std::string line(99, 'x');
+  constexpr int kLines = 3000;
+  for (int i = 0; i < kLines; ++i) {
+    sink.Add(line, false);
+    sink.Flush();
+  }
+  sink.Add("warning", true);
+  const uint64_t dropped = sink.TakeDropped();
+  EXPECT_GT(dropped, 1000U);
+  EXPECT_EQ(sink.TakeDropped(), 0U);
+  std::string text;
+  for (int i = 0; i < 100; ++i) {
+    text += ReadAll();
+    sink.Flush();
+  }
+  text += ReadAll();
+  EXPECT_TRUE(text.ends_with("warning\n"));
+  EXPECT_EQ(text.size(), (kLines - dropped) * (line.size() + 1) + 8);
+}
+
+TEST_F(LogSinkTest, FirstLineAsksForAFlush) {
+  log_sink sink(ends_[1], 1000);
+  int asked = 0;
+  sink.OnFirstLine([&asked] { ++asked; });
+  sink.Add("a", false);
+  sink.Add("b", false);
+  EXPECT_EQ(asked, 1);
+  sink.Flush();
+  sink.Add("c", false);
+  EXPECT_EQ(asked, 2);
+}
+
+}  // namespace
+}  // namespace hickorywood::core
--- /dev/null
+++ b/tests/unit/entry/endpoint_choice_test.cc
@@ -0,0 +1,102 @@
+#include "entry/endpoint_choice.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace hickorywood::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class EndpointChoiceTest : public ::testing::Test {
+ protected:
+  EndpointChoiceTest() {
+    for (const char* zone : {"a", "b", "c"}) {
+      fleet::endpoint item;
+      item.incarnation = std::string("in-") + zone;
+      item.service = "slots";
+      item.zone = zone;
+      item.slots = 6;
+      endpoints_.push_back(item);
+    }
+  }
+
+  std::string Choose() {
+    choice_input input;
+    input.endpoints = &endpoints_;
+    input.service = "slots";
+    input.own_zone = "b";
+    input.excluded = &excluded_;
+    input.now = now_;
+    const fleet::endpoint* chosen = ChooseEndpoint(book_, input);
+    return chosen == nullptr ? "" : chosen->incarnation;
+  }
+
+  std::vector<fleet::endpoint> endpoints_;
+  std::set<std::string> excluded_;
+  endpoint_book book_;
+  core::time_point now_ = core::time_point(seconds(100));
+};
+
+TEST_F(EndpointChoiceTest, OwnZoneFirstAndSpillOver) {
+  EXPECT_EQ(Choose(), "in-b");
+  NoteSent(book_, "in-b");
+  EXPECT_NE(Choose(), "in-b");
+  NoteOver(book_, "in-b");
+  EXPECT_EQ(Choose(), "in-b");
+}
+
+TEST_F(EndpointChoiceTest, DrainingAndTriedEndpointsAreLeftOut) {
+  endpoints_[1].state = fleet::endpoint_state::kDraining;
+  excluded_ = {"in-a"};
+  EXPECT_EQ(Choose(), "in-c");
+  excluded_ = {"in-a", "in-c"};
+  EXPECT_EQ(Choose(), "");
+}
+
+// An endpoint crashed: the entry that met the failure leaves it alone, but
+// tries it rather than refuse a request when nothing else is left.
+TEST_F(EndpointChoiceTest, FailedEndpointIsTheLastResort) {
+  NoteFailure(book_, "in-b", now_);
+  EXPECT_NE(Choose(), "in-b");
+  excluded_ = {"in-a", "in-c"};
+  EXPECT_EQ(Choose(), "in-b");
+  excluded_.clear();
+  now_ += seconds(1);
+  EXPECT_EQ(Choose(), "in-b");
+}
+
+// An endpoint answers three times as slowly as its peers. It gets work again
+// once that is no news any more.
+TEST_F(EndpointChoiceTest, SlowEndpointIsAvoidedForAWhile) {
+  for (int i = 0; i < 8; ++i) {
+    NoteAnswer(book_, "in-a", milliseconds(25), {}, now_);
+    NoteAnswer(book_, "in-b", milliseconds(90), {}, now_);
+    NoteAnswer(book_, "in-c", milliseconds(25), {}, now_);
+  }
+  EXPECT_NE(Choose(), "in-b");
+  now_ += seconds(5);
+  EXPECT_EQ(Choose(), "in-b");
+}
+
+// Other entries load the endpoint of this zone: its answers say so, and the
+// word fades with its age.
+TEST_F(EndpointChoiceTest, LoadOfOtherEntriesCountsWhileItIsFresh) {
+  NoteAnswer(book_, "in-b", milliseconds(25), fleet::load_hint{5, 2, 6}, now_);
+  EXPECT_NE(Choose(), "in-b");
+  now_ += milliseconds(1001);
+  EXPECT_EQ(Choose(), "in-b");
+}
+
+// The control group hears nothing of an endpoint that callers still reach.
+TEST_F(EndpointChoiceTest, SilentEndpointIsUsedWithCaution) {
+  endpoints_[1].state = fleet::endpoint_state::kSilent;
+  EXPECT_NE(Choose(), "in-b");
+  excluded_ = {"in-a", "in-c"};
+  EXPECT_EQ(Choose(), "in-b");
+}
+
+}  // namespace
+}  // namespace hickorywood::entry
--- /dev/null
+++ b/tests/unit/fleet/configuration_test.cc
@@ -0,0 +1,92 @@
+#include "fleet/configuration.h"
+
+#include <gtest/gtest.h>
+
+#include "fleet/view.h"
+
+namespace hickorywood::fleet {
+namespace {
+
+route MakeRoute(const std::string& name, const std::string& prefix,
+                const std::string& service) {
+  route where;
+  where.name = name;
+  where.host = "host";
+  where.path_prefix = prefix;
+  where.timeout_ms = 1000;
+  where.services = {{service, 1}};
+  return where;
+}
+
+configuration MakeConfiguration(uint64_t version) {
+  configuration config;
+  config.version = version;
+  config.services = {{"a"}, {"b"}};
+  config.routes = {MakeRoute("short", "/x/", "a"),
+                   MakeRoute("long", "/x/y/", "b")};
+  return config;
+}
+
+TEST(ConfigurationTest, LongestPrefixOfTheHostWins) {
+  const configuration config = MakeConfiguration(1);
+  EXPECT_EQ(FindRoute(config, "host", "/x/y/1")->name, "long");
+  EXPECT_EQ(FindRoute(config, "host", "/x/z")->name, "short");
+  EXPECT_EQ(FindRoute(config, "host", "/x"), nullptr);
+  EXPECT_EQ(FindRoute(config, "other", "/x/y/1"), nullptr);
+  EXPECT_EQ(FindRoute(config, "host", "/xy/"), nullptr);
+}
+
+TEST(ConfigurationTest, EachFaultIsFound) {
+  EXPECT_TRUE(CheckConfiguration(MakeConfiguration(1)).empty());
+  configuration unknown = MakeConfiguration(1);
+  unknown.routes[0].services[0].service = "c";
+  EXPECT_EQ(CheckConfiguration(unknown).size(), 1U);
+  configuration same_place = MakeConfiguration(1);
+  same_place.routes[1].path_prefix = "/x/";
+  EXPECT_EQ(CheckConfiguration(same_place).size(), 1U);
+  configuration no_weight = MakeConfiguration(1);
+  no_weight.routes[0].services[0].weight = 0;
+  EXPECT_EQ(CheckConfiguration(no_weight).size(), 1U);
+  configuration no_time = MakeConfiguration(1);
+  no_time.routes[1].timeout_ms = 0;
+  EXPECT_EQ(CheckConfiguration(no_time).size(), 1U);
+  configuration no_version = MakeConfiguration(0);
+  EXPECT_EQ(CheckConfiguration(no_version).size(), 1U);
+}
+
+TEST(ConfigurationTest, ServicesAreDrawnByWeight) {
+  route where = MakeRoute("r", "/", "a");
+  where.services = {{"a", 90}, {"b", 0}, {"c", 10}};
+  EXPECT_EQ(DrawService(where, 0.0), "a");
+  EXPECT_EQ(DrawService(where, 0.89), "a");
+  EXPECT_EQ(DrawService(where, 0.91), "c");
+  EXPECT_EQ(DrawService(where, 1.0), "c");
+}
+
+// A process follows a new leader, and then a late answer of the old one comes
+// in. Neither its list nor its configuration may step back.
+TEST(ConfigurationTest, ViewsNeverStepBack) {
+  view held;
+  view_update update;
+  update.version = {2, 1};
+  update.has_config = true;
+  update.config = MakeConfiguration(5);
+  update.has_lists = true;
+  update.endpoints = {{"new"}};
+  EXPECT_TRUE(ApplyUpdate(held, update));
+  view_update late = update;
+  late.version = {1, 9};
+  late.config.version = 6;
+  late.endpoints = {{"old"}};
+  EXPECT_FALSE(ApplyUpdate(held, late));
+  EXPECT_EQ(held.endpoints[0].incarnation, "new");
+  view_update older_config = update;
+  older_config.version = {2, 2};
+  older_config.config.version = 4;
+  older_config.has_lists = false;
+  ApplyUpdate(held, older_config);
+  EXPECT_EQ(held.config.version, 5U);
+}
+
+}  // namespace
+}  // namespace hickorywood::fleet
--- /dev/null
+++ b/tests/unit/steps/steps_test.cc
@@ -0,0 +1,217 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "steps/event_text.h"
+#include "steps/step.h"
+#include "steps/task_choice.h"
+
+namespace hickorywood::steps {
+namespace {
+
+submission MakeSubmission(const std::string& id, size_t tasks) {
+  submission input;
+  input.id = id;
+  for (size_t i = 0; i < tasks; ++i) {
+    task item;
+    item.id = id + "-" + std::to_string(i);
+    input.tasks.push_back(item);
+  }
+  return input;
+}
+
+task_result Result(uint32_t task, const std::string& output) {
+  task_result result;
+  result.task = task;
+  result.is_complete = true;
+  result.output = output;
+  return result;
+}
+
+// A trainer's submission arrives again after a lost answer. The step is opened
+// once, and what is listed of it stays.
+TEST(StepBookTest, RepeatedSubmissionChangesNothing) {
+  step_book book;
+  EXPECT_TRUE(OpenStep(book, MakeSubmission("s", 2), 100));
+  AddResults(book, "s", {Result(1, "text")});
+  EXPECT_FALSE(OpenStep(book, MakeSubmission("s", 5), 200));
+  EXPECT_EQ(book.at("s").input.tasks.size(), 2U);
+  EXPECT_EQ(book.at("s").results.size(), 1U);
+}
+
+// Two leaders commit a result of the same task, with different texts. The task
+// keeps the position and the text that came first.
+TEST(StepBookTest, TaskHasOnePosition) {
+  step_book book;
+  OpenStep(book, MakeSubmission("s", 2), 0);
+  EXPECT_EQ(AddResults(book, "s", {Result(1, "first")}), 1U);
+  EXPECT_EQ(AddResults(book, "s", {Result(1, "second"), Result(0, "other")}),
+            1U);
+  EXPECT_EQ(AddResults(book, "s", {Result(7, "none such")}), 0U);
+  const result_page page = ReadPage(book.at("s"), 0, 1000);
+  ASSERT_EQ(page.results.size(), 2U);
+  EXPECT_EQ(page.results[0].output, "first");
+  EXPECT_EQ(page.ids[0], "s-1");
+  EXPECT_EQ(page.ids[1], "s-0");
+}
+
+TEST(StepBookTest, PagesHaveAResultAndABound) {
+  step_book book;
+  OpenStep(book, MakeSubmission("s", 3), 0);
+  AddResults(
+      book, "s",
+      {Result(0, std::string(100, 'a')), Result(1, std::string(100, 'b')),
+       Result(2, std::string(100, 'c'))});
+  EXPECT_EQ(ReadPage(book.at("s"), 0, 10).results.size(), 1U);
+  EXPECT_EQ(ReadPage(book.at("s"), 0, 250).results.size(), 2U);
+  EXPECT_EQ(ReadPage(book.at("s"), 1, 1000).next, 3U);
+  EXPECT_EQ(ReadPage(book.at("s"), 9, 1000).next, 9U);
+}
+
+TEST(StepBookTest, EndedStepsAreKeptForTheirRetention) {
+  step_book book;
+  OpenStep(book, MakeSubmission("ended", 1), 100);
+  OpenStep(book, MakeSubmission("open", 1), 100);
+  EndStep(book, "ended");
+  ForgetSteps(book, 100, 0);
+  EXPECT_EQ(book.size(), 2U);
+  ForgetSteps(book, 101, 0);
+  EXPECT_EQ(book.count("ended"), 0U);
+  EXPECT_EQ(book.count("open"), 1U);
+}
+
+const version_reader kRead =
+    [](const std::string& field,
+       const std::string& value) -> std::optional<uint64_t> {
+  if (field != "version") return std::nullopt;
+  return std::stoull(value);
+};
+
+event_verdict Add(generated_text& text, const std::string& frame,
+                  const text_rules& rules, std::optional<uint64_t>& version) {
+  std::string buffer = frame + "\n\n";
+  return AddEvent(text, *TakeEvent(buffer), rules, kRead, version);
+}
+
+// An event is lost, comes twice, or has no data. The text stays as it was, so
+// that another run can go on after its last event.
+TEST(EventTextTest, OnlyTheNextEventIsTaken) {
+  generated_text text;
+  std::optional<uint64_t> version = 3;
+  EXPECT_EQ(Add(text, "id: 1\ndata: a", {}, version), event_verdict::kTaken);
+  EXPECT_EQ(Add(text, "id: 3\ndata: c", {}, version), event_verdict::kSpoiled);
+  EXPECT_EQ(Add(text, "id: 1\ndata: a", {}, version), event_verdict::kSpoiled);
+  EXPECT_EQ(Add(text, "id: 2", {}, version), event_verdict::kSpoiled);
+  EXPECT_EQ(Add(text, "id: x\ndata: b", {}, version), event_verdict::kSpoiled);
+  EXPECT_EQ(Add(text, "id: 2\ndata: b", {}, version), event_verdict::kTaken);
+  EXPECT_EQ(JoinText(text), "a\nb");
+  EXPECT_EQ(text.versions, std::vector<uint64_t>({3}));
+}
+
+// The engine swaps its weights in the middle of a run: the label lists both
+// versions, and a step that allows one only gets no text of two.
+TEST(EventTextTest, VersionsAreThoseOfTheEvents) {
+  generated_text text;
+  std::optional<uint64_t> version = 3;
+  Add(text, "id: 1\ndata: a", {}, version);
+  EXPECT_EQ(Add(text, "version: 4\nid: 2\ndata: b", {}, version),
+            event_verdict::kTaken);
+  EXPECT_EQ(text.versions, std::vector<uint64_t>({3, 4}));
+  generated_text single;
+  text_rules rules;
+  rules.is_single_version = true;
+  version = 3;
+  Add(single, "id: 1\ndata: a", rules, version);
+  EXPECT_EQ(Add(single, "version: 4\nid: 2\ndata: b", rules, version),
+            event_verdict::kMixed);
+  rules = text_rules{};
+  rules.minimum_version = 4;
+  generated_text bounded;
+  version = 3;
+  EXPECT_EQ(Add(bounded, "id: 1\ndata: a", rules, version),
+            event_verdict::kTooOld);
+  EXPECT_FALSE(MayContinue(bounded, rules, 3));
+  EXPECT_TRUE(MayContinue(bounded, rules, 4));
+}
+
+// However the network cuts a stream, the same events come out.
+RC_GTEST_PROP(EventTextTest, PiecesDoNotMatter, ()) {
+  const std::string stream =
+      "id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+  std::string buffer;
+  std::string taken;
+  for (size_t at = 0; at < stream.size();) {
+    const auto size = *rc::gen::inRange<size_t>(1, 12);
+    buffer += stream.substr(at, size);
+    at += size;
+    while (const auto fields = TakeEvent(buffer)) {
+      taken += fields->back().second;
+    }
+  }
+  RC_ASSERT(taken == "abc");
+  RC_ASSERT(buffer.empty());
+}
+
+RC_GTEST_PROP(EventTextTest, AnyBytesAreTaken, (const std::string& bytes)) {
+  std::string buffer = bytes;
+  generated_text text;
+  std::optional<uint64_t> version;
+  const version_reader none = [](const std::string&, const std::string&) {
+    return std::optional<uint64_t>();
+  };
+  while (const auto fields = TakeEvent(buffer)) {
+    AddEvent(text, *fields, {}, none, version);
+  }
+}
+
+engine_load Engine(const std::string& name, int64_t running) {
+  engine_load load;
+  load.incarnation = name;
+  load.slots = 4;
+  load.running = running;
+  return load;
+}
+
+TEST(TaskChoiceTest, ShortestBatchWinsAndFullEnginesAreLeftOut) {
+  std::vector<engine_load> engines = {Engine("a", 3), Engine("b", 1),
+                                      Engine("c", 4)};
+  EXPECT_EQ(ChooseEngine(engines, "g"), 1U);
+  engines = {Engine("a", 4), Engine("b", 5)};
+  EXPECT_FALSE(ChooseEngine(engines, "g"));
+  engines[0].slots = 0;
+  EXPECT_FALSE(ChooseEngine({engines[0]}, "g"));
+}
+
+// A step's tasks share a prompt per group: an engine that has read it is worth
+// one stream more in its batch, and no more than that.
+TEST(TaskChoiceTest, PromptAtHandCountsLikeOneStream) {
+  std::vector<engine_load> engines = {Engine("a", 1), Engine("b", 1)};
+  engines[1].groups = {"g"};
+  EXPECT_EQ(ChooseEngine(engines, "g"), 1U);
+  engines[1].running = 3;
+  EXPECT_EQ(ChooseEngine(engines, "g"), 0U);
+}
+
+// One engine of nine turns slow: its peers' median does not move, it counts as
+// slow, and its runs are worth moving as long as another one has room.
+TEST(TaskChoiceTest, SlowEngineIsSeenAgainstItsPeers) {
+  std::vector<double> gaps(9, 30);
+  gaps[4] = 110;
+  gaps[7] = 0;  // not known
+  const std::vector<double> slowness = Slowness(gaps);
+  EXPECT_NEAR(slowness[4], 110.0 / 30, 0.01);
+  EXPECT_EQ(slowness[7], 1);
+  std::vector<engine_load> engines;
+  for (size_t i = 0; i < gaps.size(); ++i) {
+    engines.push_back(Engine(std::to_string(i), 2));
+    engines.back().slowness = slowness[i];
+  }
+  EXPECT_TRUE(IsWorthMoving(engines[4], engines));
+  EXPECT_FALSE(IsWorthMoving(engines[3], engines));
+  for (engine_load& engine : engines) engine.running = engine.slots;
+  EXPECT_FALSE(IsWorthMoving(engines[4], engines));
+}
+
+}  // namespace
+}  // namespace hickorywood::steps
