--- a/packages/controller/weight_book.cc
+++ b/packages/controller/weight_book.cc
@@ -17,12 +17,11 @@
   return std::max(share, kLeastLoadsAtOnce);
 }
 
-// Engines that a model is kept up to date on.
-size_t EnginesPerModel(size_t engines, size_t models) {
-  if (models == 0) return 0;
-  const size_t doubled = (2 * engines + models - 1) / models;
-  return std::min(engines, doubled);
-}
+// Share of the loader's time that planned loads may take. The rest is for
+// engines that restart, are replaced, or answer late.
+constexpr double kLoaderShare = 1.3;
+// Engines below which a model is not kept up: one loads while the other serves.
+constexpr size_t kLeastEngines = 2;
 
 size_t AssignmentsOf(const weight_book& book, const std::string& incarnation) {
   size_t count = 0;
@@ -38,6 +37,18 @@
                      });
 }
 
+// Leaves out the engine that is furthest behind.
+void DropOne(const weight_book& book, std::set<std::string>& chosen,
+             const std::string& model) {
+  const auto worst =
+      std::min_element(chosen.begin(), chosen.end(),
+                       [&](const std::string& left, const std::string& right) {
+                         return VersionAt(book, left, model).value_or(0) <
+                                VersionAt(book, right, model).value_or(0);
+                       });
+  chosen.erase(worst);
+}
+
 // Fills a model's engines up with those that serve the fewest models so far,
 // and among these with the ones whose version is newest.
 void Assign(weight_book& book, const load_plan_input& input,
@@ -46,8 +57,8 @@
   std::erase_if(chosen, [&](const std::string& incarnation) {
     return !IsListed(input, incarnation);
   });
-  const size_t wanted =
-      EnginesPerModel(input.engines.size(), input.newest.size());
+  const size_t wanted = EnginesPerModel(input, input.models.at(model).period);
+  while (chosen.size() > wanted) DropOne(book, chosen, model);
   while (chosen.size() < wanted) {
     const plannable_engine* best = nullptr;
     const auto rank = [&](const plannable_engine& engine) {
@@ -65,7 +76,8 @@
 }
 
 struct load_candidate {
-  uint64_t behind = 0;  // versions
+  uint64_t behind = 0;     // versions
+  size_t serviceable = 0;  // engines that the model's next step can use
   int64_t running = 0;
   planned_load load;
 };
@@ -77,6 +89,7 @@
                    std::vector<load_candidate>& candidates) {
   const std::set<std::string>& chosen = book.assigned.at(newest.model);
   size_t current = 0;
+  size_t serviceable = 0;
   std::vector<load_candidate> useful;
   for (const plannable_engine& engine : input.engines) {
     if (chosen.count(engine.incarnation) == 0) continue;
@@ -90,7 +103,7 @@
     }
     if (!engine.is_usable) continue;
     const uint64_t behind = newest.version - version;
-    useful.push_back({behind, engine.running, {engine.incarnation, newest}});
+    useful.push_back({behind, 0, engine.running, {engine.incarnation, newest}});
   }
   std::sort(useful.begin(), useful.end(),
             [](const load_candidate& left, const load_candidate& right) {
@@ -98,8 +111,9 @@
                      std::make_tuple(~right.behind, right.running);
             });
   const size_t half = (chosen.size() + 1) / 2;
-  for (const load_candidate& item : useful) {
+  for (load_candidate& item : useful) {
     if (item.behind < 2 && current >= half) break;
+    item.serviceable = serviceable;
     candidates.push_back(item);
     ++current;
   }
@@ -107,6 +121,21 @@
 
 }  // namespace
 
+size_t EnginesPerModel(const load_plan_input& input,
+                       std::chrono::milliseconds period) {
+  const size_t engines = input.engines.size();
+  const size_t models = std::max<size_t>(1, input.models.size());
+  const double loads = kLoaderShare *
+                       static_cast<double>(MostLoadsAtOnce(engines)) *
+                       (std::chrono::duration<double>(period) /
+                        std::chrono::duration<double>(input.load_time)) /
+                       static_cast<double>(models);
+  const auto affordable = static_cast<size_t>(2 * loads);
+  const size_t doubled = (2 * engines + models - 1) / models;
+  return std::min(engines,
+                  std::max(kLeastEngines, std::min(affordable, doubled)));
+}
+
 bool NoteVersion(weight_book& book, const std::string& incarnation,
                  const std::string& model, uint64_t version) {
   uint64_t& known = book.engines[incarnation].versions[model];
@@ -134,14 +163,20 @@
 std::vector<planned_load> PlanLoads(weight_book& book,
                                     const load_plan_input& input) {
   std::vector<load_candidate> candidates;
-  for (const auto& [model, version] : input.newest) {
+  for (const auto& [model, terms] : input.models) {
     Assign(book, input, model);
-    AddCandidates(book, input, {model, version}, candidates);
+    AddCandidates(book, input, {model, terms.newest}, candidates);
   }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const load_candidate& left, const load_candidate& right) {
-                     return left.behind > right.behind;
-                   });
+  // An engine that is two versions behind is of no use to the next step; one
+  // that is further behind is of no less.
+  const auto urgency = [](const load_candidate& item) {
+    return std::make_tuple(item.behind < 2, item.serviceable);
+  };
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [&urgency](const load_candidate& left, const load_candidate& right) {
+        return urgency(left) < urgency(right);
+      });
   std::vector<planned_load> plan;
   std::set<std::string> taken;
   const size_t most = MostLoadsAtOnce(input.engines.size());
--- a/packages/controller/weight_book.h
+++ b/packages/controller/weight_book.h
@@ -4,6 +4,7 @@
 // Which weights each engine has, and which loads are worth ordering. Plain data
 // and decisions; weight_keeper carries them out.
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -55,19 +56,33 @@
   bool is_usable = true;  // ready, reachable, no load under way
 };
 
+// A model as the planner sees it.
+struct plannable_model {
+  uint64_t newest = 0;  // published version
+  // Usual time between two published versions.
+  std::chrono::milliseconds period{4000};
+};
+
 struct load_plan_input {
-  std::vector<plannable_engine> engines;  // of one service
-  // Newest published version of each model that they serve.
-  std::map<std::string, uint64_t> newest;
+  std::vector<plannable_engine> engines;          // of one service
+  std::map<std::string, plannable_model> models;  // that they serve
   size_t loads_under_way = 0;
+  std::chrono::milliseconds load_time{1000};  // usual, of one load
 };
 
+// Engines that each of `models` models is kept up to date on. A new version
+// costs half as many loads; these must fit into the time until the next one
+// with some to spare, or steps wait for engines that are new enough. At most
+// twice the even share: then each version costs one even share of loads.
+size_t EnginesPerModel(const load_plan_input& input,
+                       std::chrono::milliseconds period);
+
 // Chooses the loads to order. The pattern: each trainer names a version every
 // few seconds, and its next step takes the newest version and the one before.
 // So an engine needs only every second version: half of a model's engines take
 // this one, the other half the next, and the half that is not loading serves.
-// With several models on the same engines each model gets twice its even share
-// of them, so that the loads stay at one even share per published version.
+// Which model goes first when loads have to wait: the one with the fewest
+// engines that its next step can use.
 std::vector<planned_load> PlanLoads(weight_book& book,
                                     const load_plan_input& input);
 
--- a/packages/controller/weight_keeper.cc
+++ b/packages/controller/weight_keeper.cc
@@ -19,12 +19,19 @@
 
 constexpr milliseconds kPlanPeriod{200};
 constexpr milliseconds kCallTimeout{700};
-// First look at whether a load is done. Loads of the engines that we know take
-// 0.9 s and more; a report is some hundred milliseconds old.
-constexpr milliseconds kFirstLook{900};
-constexpr milliseconds kNextLook{200};
+// Between two looks at whether a load is done. A report is some hundred
+// milliseconds old itself, so looking more often tells nothing new.
+constexpr milliseconds kNextLook{100};
+// A new sample's share in the smoothed times.
+constexpr int kSmoothing = 4;
+// Time between two versions within which the next one is thought to come.
+constexpr milliseconds kShortestPeriod{500};
+constexpr milliseconds kLongestPeriod{60000};
 // After this an order counts as lost and is given again.
 constexpr milliseconds kLoadLimit{6000};
+// How long an engine that gave no report counts as lost. Its heartbeats tell of
+// a crash only after several seconds.
+constexpr milliseconds kLostTime{2000};
 // Pause before an engine that did not take an order is asked again.
 constexpr milliseconds kRetryPause{700};
 
@@ -57,11 +64,30 @@
          clock_.Now() - group_.ElectedAt() >= options_.holder_lease;
 }
 
+// Learns how often each model's weights change.
+void weight_keeper::NotePublications() {
+  const time_point now = clock_.Now();
+  for (const auto& [model, version] : state_.Versions()) {
+    publication& known = publications_[model];
+    if (version == known.version) continue;
+    if (known.version != 0 && version == known.version + 1) {
+      const auto gap =
+          std::chrono::duration_cast<milliseconds>(now - known.seen_at);
+      const milliseconds sample =
+          std::clamp(gap, kShortestPeriod, kLongestPeriod);
+      known.period += (sample - known.period) / kSmoothing;
+    }
+    known.version = version;
+    known.seen_at = now;
+  }
+}
+
 awaitable<void> weight_keeper::KeepPlanning() {
   for (;;) {
     const bool is_idle = state_.Versions().empty() || !MayOrder();
     co_await wake_.WaitUntil(clock_.Now() +
                              (is_idle ? milliseconds(1000) : kPlanPeriod));
+    NotePublications();
     if (!MayOrder()) continue;
     for (const fleet::service& service : state_.Config().services) {
       if (service.has_engines) PlanService(service);
@@ -72,26 +98,33 @@
 void weight_keeper::PlanService(const fleet::service& service) {
   load_plan_input input;
   for (const std::string& model : service.engine.models) {
-    const auto found = state_.Versions().find(model);
-    if (found != state_.Versions().end()) {
-      input.newest[model] = found->second;
-    }
+    const auto found = publications_.find(model);
+    if (found == publications_.end()) continue;
+    plannable_model& terms = input.models[model];
+    terms.newest = found->second.version;
+    terms.period = found->second.period;
   }
-  if (input.newest.empty()) return;
+  if (input.models.empty()) return;
+  input.load_time = load_time_;
   const time_point now = clock_.Now();
   for (const auto& [incarnation, entry] : registry_.endpoints) {
     if (entry.item.service != service.name ||
         entry.item.state == fleet::endpoint_state::kDraining) {
       continue;
     }
-    const bool is_loading = under_way_.count(incarnation) != 0;
+    // Another engine takes its place meanwhile.
+    const auto lost = lost_until_.find(incarnation);
+    if (lost != lost_until_.end() && lost->second > now) continue;
+    const auto load = under_way_.find(incarnation);
+    const bool is_loading = load != under_way_.end();
     const auto avoid = avoid_until_.find(incarnation);
     plannable_engine engine;
     engine.incarnation = incarnation;
     engine.is_usable = !is_loading &&
                        entry.item.state == fleet::endpoint_state::kReady &&
                        (avoid == avoid_until_.end() || avoid->second <= now);
-    if (is_loading) ++input.loads_under_way;
+    // The next load need not wait until the report shows what is over by now.
+    if (is_loading && load->second > now) ++input.loads_under_way;
     input.engines.push_back(engine);
   }
   for (const planned_load& load : PlanLoads(book_, input)) StartLoad(load);
@@ -100,26 +133,40 @@
 void weight_keeper::StartLoad(const planned_load& load) {
   const std::string address =
       registry_.endpoints.at(load.incarnation).item.address;
-  under_way_.insert(load.incarnation);
+  under_way_[load.incarnation] = clock_.Now() + load_time_;
   book_.engines[load.incarnation].loading = load.target.model;
   if (on_change) on_change();
-  asio::co_spawn(loop_, Load(load, address),
-                 [this, load](const std::exception_ptr& failure, load_end end) {
-                   under_way_.erase(load.incarnation);
-                   book_.engines[load.incarnation].loading.clear();
-                   if (failure || end != load_end::kDone) {
-                     avoid_until_[load.incarnation] =
-                         clock_.Now() + kRetryPause;
-                   }
-                   if (on_change) on_change();
-                   wake_.Notify();
-                 });
+  asio::co_spawn(
+      loop_, Load(load, address),
+      [this, load, started = clock_.Now()](const std::exception_ptr& failure,
+                                           load_end end) {
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
+        LogEvent(event_id::kWeightsLoaded,
+                 {{"endpoint", load.incarnation},
+                  {"model", load.target.model},
+                  {"version", std::to_string(load.target.version)},
+                  {"done", end == load_end::kDone ? "true" : "false"},
+                  {"under_way", std::to_string(under_way_.size())},
+                  {"usual_ms", std::to_string(load_time_.count())},
+                  {"ms", std::to_string(took.count())}});
+        under_way_.erase(load.incarnation);
+        book_.engines[load.incarnation].loading.clear();
+        if (failure || end != load_end::kDone) {
+          avoid_until_[load.incarnation] = clock_.Now() + kRetryPause;
+        }
+        if (end == load_end::kUnreachable) {
+          lost_until_[load.incarnation] = clock_.Now() + kLostTime;
+        }
+        if (on_change) on_change();
+        wake_.Notify();
+      });
 }
 
 awaitable<weight_keeper::load_end> weight_keeper::Load(planned_load load,
                                                        std::string address) {
   const auto before = co_await Report(load, address);
-  if (!before) co_return load_end::kRetryLater;
+  if (!before) co_return load_end::kUnreachable;
   NoteReport(load, *before);
   const bool is_done =
       VersionAt(book_, load.incarnation, load.target.model).value_or(0) >=
@@ -133,13 +180,17 @@
                         *outcome == fleet::order_outcome::kAlreadyDone;
   if (!is_taken) co_return load_end::kRetryLater;
   const time_point started = clock_.Now();
-  co_await net::Sleep(kFirstLook);
+  under_way_[load.incarnation] = started + load_time_;
+  co_await net::Sleep(load_time_);
   while (clock_.Now() - started < kLoadLimit && group_.IsServing()) {
     const auto after = co_await Report(load, address);
     if (after) {
       NoteReport(load, *after);
       if (VersionAt(book_, load.incarnation, load.target.model).value_or(0) >=
           load.target.version) {
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
+        load_time_ += (took - kNextLook - load_time_) / kSmoothing;
         co_return load_end::kDone;
       }
       // Not answered and not under way: it may still come, but its precondition
--- a/packages/controller/weight_keeper.h
+++ b/packages/controller/weight_keeper.h
@@ -12,7 +12,6 @@
 #include <chrono>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 
 #include "controller/control_state.h"
@@ -51,7 +50,7 @@
   std::function<void()> on_change;
 
  private:
-  enum class load_end { kDone, kRetryLater, kFenced };
+  enum class load_end { kDone, kRetryLater, kFenced, kUnreachable };
 
   boost::asio::awaitable<void> KeepPlanning();
   void PlanService(const fleet::service& service);
@@ -63,6 +62,7 @@
       const planned_load& load, const std::string& address,
       uint64_t expected_sequence);
   bool MayOrder() const;
+  void NotePublications();
   void NoteReport(const planned_load& load,
                   const fleet::endpoint_report& report);
 
@@ -76,8 +76,18 @@
   weight_book& book_;
   const weight_keeper_options options_;
   net::event wake_;
-  std::set<std::string> under_way_;                      // incarnations
+  // Loads that were ordered and not seen done, by incarnation: when each
+  // should be over.
+  std::map<std::string, core::time_point> under_way_;
+  struct publication {
+    uint64_t version = 0;
+    core::time_point seen_at{};
+    core::milliseconds period{4000};  // smoothed
+  };
+  std::map<std::string, publication> publications_;  // by model
+  core::milliseconds load_time_{1000};  // smoothed, of loads seen done
   std::map<std::string, core::time_point> avoid_until_;  // by incarnation
+  std::map<std::string, core::time_point> lost_until_;   // by incarnation
 };
 
 }  // namespace hickorywood::controller
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -55,6 +55,7 @@
   kEndpointChanged = 4007,
   kStoreJoined = 4008,
   kRetirementAsked = 4009,
+  kWeightsLoaded = 4010,
   kRequestRefused = 5001,
   kRequestFailed = 5002,
   kEndpointEjected = 5003,
--- a/packages/steps/task_choice.cc
+++ b/packages/steps/task_choice.cc
@@ -11,7 +11,7 @@
 // A prompt that is there already saves reading it again, which costs about as
 // much as a stream more in the batch.
 constexpr double kPromptAtHand = 1;
-// Times the median gap from which an engine counts as slow. A full batch makes
+// Times the usual gap from which an engine counts as slow. A full batch makes
 // events about half as slow again as a short one, so twice is no batch's doing.
 constexpr double kClearlySlow = 2;
 // ... and up to which another one is a place to go.
@@ -47,10 +47,11 @@
   }
   std::vector<double> slowness(gaps_ms.size(), 1);
   if (known.empty()) return slowness;
-  const auto middle = known.begin() + static_cast<ptrdiff_t>(known.size() / 2);
-  std::nth_element(known.begin(), middle, known.end());
+  const auto usual =
+      known.begin() + static_cast<ptrdiff_t>((known.size() - 1) / 4);
+  std::nth_element(known.begin(), usual, known.end());
   for (size_t i = 0; i < gaps_ms.size(); ++i) {
-    if (gaps_ms[i] > 0) slowness[i] = gaps_ms[i] / *middle;
+    if (gaps_ms[i] > 0) slowness[i] = gaps_ms[i] / *usual;
   }
   return slowness;
 }
--- a/packages/steps/task_choice.h
+++ b/packages/steps/task_choice.h
@@ -16,7 +16,7 @@
   std::string incarnation;
   int64_t slots = 0;
   int64_t running = 0;  // own dispatches that are not over
-  // Time between two events against that of the engine's peers; 1: as fast.
+  // Time between two events against what is usual; 1: as fast.
   double slowness = 1;
   bool is_trusted = true;        // false: silent towards the control group
   std::set<std::string> groups;  // whose prompt it has read under these weights
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -36,6 +36,10 @@
 // Pause of a task that an engine did not take, so that it does not knock again
 // at once.
 constexpr milliseconds kRetryPause{30};
+// A run stays this long before it may be moved, and a task is moved so often at
+// most: a move costs its prompt to be read again.
+constexpr milliseconds kLeastStay{400};
+constexpr int kMostMoves = 2;
 // Share of a new sample in the smoothed gap between events.
 constexpr double kGapWeight = 0.3;
 // Age after which an engine's gap counts for nothing: it is tried again.
@@ -94,8 +98,9 @@
   });
   for (const fleet::engine_weights_entry& item : view_.weights) {
     if (known.count(item.incarnation) == 0) continue;
-    engines_[item.incarnation].weights[item.model] = {item.version,
-                                                      item.is_loading};
+    weights_at_engine& weights = engines_[item.incarnation].weights[item.model];
+    weights.version = std::max(weights.version, item.version);
+    weights.is_loading = item.is_loading;
   }
   if (is_leading_) Pump();
 }
@@ -275,6 +280,7 @@
   auto self = std::make_shared<run>();
   self->key = item.key;
   self->engine = engine;
+  self->model = step.model;
   self->events_at_start = task.text.events;
   self->started_at = clock_.Now();
   runs_[item.key] = self;
@@ -312,6 +318,12 @@
   if (marks.is_not_run) co_return run_end::kNotRun;
   if (head.status == 422) co_return run_end::kImpossible;
   if (head.status != 200 || !marks.is_signed) co_return run_end::kFailed;
+  if (marks.weights_version) {
+    // Newer than what the view says, where the leader has not heard yet.
+    uint64_t& known =
+        engines_[self->engine.incarnation].weights[self->model].version;
+    known = std::max(known, *marks.weights_version);
+  }
   const task_run* task = FindTask(self->key);
   if (task == nullptr) co_return run_end::kMoved;
   if (!steps::MayContinue(task->text, rules, marks.weights_version)) {
@@ -510,7 +522,10 @@
   std::vector<std::shared_ptr<run>> moving;
   std::map<std::string, std::vector<steps::engine_load>> by_step;
   for (const auto& [key, item] : runs_) {
-    if (item->is_moving) continue;
+    const bool is_settled =
+        clock_.Now() - item->started_at >= kLeastStay && !item->is_moving;
+    const task_run* task = FindTask(key);
+    if (!is_settled || task == nullptr || task->moves >= kMostMoves) continue;
     const auto step = state_.Steps().find(key.step);
     if (step == state_.Steps().end()) continue;
     auto loads = by_step.find(key.step);
@@ -532,6 +547,7 @@
   }
   for (const auto& item : moving) {
     item->is_moving = true;
+    if (task_run* const task = FindTask(item->key)) ++task->moves;
     net::Cancel(item->cancel);
   }
 }
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -58,6 +58,7 @@
     steps::generated_text text;
     int64_t failures = 0;  // answers that count as a failed attempt
     core::time_point not_before{};
+    int moves = 0;  // off slow engines
   };
   struct step_run {
     std::vector<task_run> tasks;
@@ -97,6 +98,7 @@
   struct run {
     task_key key;
     fleet::endpoint engine;
+    std::string model;
     uint64_t events_at_start = 0;
     core::time_point started_at{};
     bool is_moving = false;
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -64,7 +64,6 @@
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
     group.on_leadership = [this](bool is_leader) {
-      follower.WantWeights(is_leader);
       dispatch.OnLeadership(is_leader);
       service.OnChange();
     };
@@ -73,6 +72,8 @@
       dispatch.OnApplied();
     };
     group.on_failure = [this] { loop.stop(); };
+    // Followers too: a new leader must know at once which engine has what.
+    follower.WantWeights(true);
     follower.OnChange([this] { OnView(); });
   }
 
--- a/tests/unit/controller/weight_book_test.cc
+++ b/tests/unit/controller/weight_book_test.cc
@@ -8,6 +8,8 @@
 namespace hickorywood::controller {
 namespace {
 
+using std::chrono::milliseconds;
+
 load_plan_input Engines(size_t count) {
   load_plan_input input;
   for (size_t i = 0; i < count; ++i) {
@@ -55,7 +57,7 @@
   load_plan_input input = Engines(9);
   SetAll(book, input, "m", 1);
   for (uint64_t version = 2; version < 20; ++version) {
-    input.newest = {{"m", version}};
+    input.models = {{"m", {version}}};
     const size_t loads = LoadAll(book, input);
     EXPECT_LE(loads, 5U) << version;
     for (const plannable_engine& engine : input.engines) {
@@ -64,8 +66,38 @@
   }
 }
 
-// Three trainers on nine engines: each model is kept up on six of them, so that
-// a version costs three loads, a third of the engines.
+// Three trainers on nine engines, each with a version every 4 s; a load takes
+// 1 s and two run at a time. The loads of a period must fit into it: with six
+// engines a model, nine loads took longer than that, and the model that came
+// last had its steps wait 6 s for an engine that was new enough.
+TEST(WeightBookTest, LoadsFitIntoThePeriod) {
+  load_plan_input input = Engines(9);
+  input.models = {{"a", {2}}, {"b", {2}}, {"c", {2}}};
+  EXPECT_EQ(EnginesPerModel(input, milliseconds(4000)), 3U);
+  EXPECT_EQ(EnginesPerModel(input, milliseconds(60000)), 6U);
+  EXPECT_EQ(EnginesPerModel(input, milliseconds(100)), 2U);
+  input.models = {{"a", {2}}};
+  EXPECT_EQ(EnginesPerModel(input, milliseconds(4000)), 9U);
+}
+
+// When loads have to wait, the model whose next step finds the fewest engines
+// goes first, whatever its name.
+TEST(WeightBookTest, ModelWithFewestUsableEnginesGoesFirst) {
+  weight_book book;
+  load_plan_input input = Engines(9);
+  input.models = {{"a", {5}}, {"b", {5}}};
+  SetAll(book, input, "a", 4);
+  SetAll(book, input, "b", 3);
+  NoteVersion(book, "e0", "a", 3);
+  const std::vector<planned_load> plan = PlanLoads(book, input);
+  ASSERT_EQ(plan.size(), 2U);
+  EXPECT_EQ(plan[0].target.model, "b");
+  EXPECT_EQ(plan[1].target.model, "b");
+}
+
+// Three trainers with all the time that loads need: each model is kept up on
+// six of nine engines, so that a version costs three loads, a third of the
+// engines.
 TEST(WeightBookTest, ModelsShareTheEngines) {
   weight_book book;
   load_plan_input input = Engines(9);
@@ -73,7 +105,8 @@
   size_t loads = 0;
   constexpr uint64_t kVersions = 12;
   for (uint64_t version = 2; version < 2 + kVersions; ++version) {
-    input.newest = {{"a", version}, {"b", version}, {"c", version}};
+    input.models = {{"a", {version}}, {"b", {version}}, {"c", {version}}};
+    for (auto& item : input.models) item.second.period = milliseconds(60000);
     loads += LoadAll(book, input);
   }
   EXPECT_LE(loads, 3 * 3 * kVersions + 9);
@@ -85,14 +118,14 @@
 TEST(WeightBookTest, FewLoadsAtOnce) {
   weight_book book;
   load_plan_input input = Engines(9);
-  input.newest = {{"a", 9}, {"b", 9}};
+  input.models = {{"a", {9}}, {"b", {9}}};
   EXPECT_EQ(PlanLoads(book, input).size(), 2U);
   input.loads_under_way = 1;
   EXPECT_EQ(PlanLoads(book, input).size(), 1U);
   input.loads_under_way = 2;
   EXPECT_TRUE(PlanLoads(book, input).empty());
   load_plan_input large = Engines(48);
-  large.newest = {{"a", 9}};
+  large.models = {{"a", {9}}};
   EXPECT_EQ(PlanLoads(book, large).size(), 10U);
 }
 
@@ -101,7 +134,7 @@
 TEST(WeightBookTest, LostEngineIsReplaced) {
   weight_book book;
   load_plan_input input = Engines(9);
-  input.newest = {{"a", 2}, {"b", 2}, {"c", 2}};
+  input.models = {{"a", {2}}, {"b", {2}}, {"c", {2}}};
   LoadAll(book, input);
   const auto before = book.assigned;
   input.engines[0].incarnation = "fresh";
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -193,8 +193,17 @@
   EXPECT_EQ(ChooseEngine(engines, "g"), 0U);
 }
 
-// One engine of nine turns slow: its peers' median does not move, it counts as
-// slow, and its runs are worth moving as long as another one has room.
+// Four engines of nine turn slow at once and are all known as slow; nothing else
+// is. Runs are worth moving off them as long as another one has room.
+TEST(TaskChoiceTest, ManySlowEnginesAreAllSeen) {
+  const std::vector<double> slowness =
+      Slowness({30, 31, 110, 112, 29, 105, 30, 108, 33});
+  for (const size_t slow : {2, 3, 5, 7}) EXPECT_GT(slowness[slow], 3);
+  for (const size_t fast : {0, 1, 4, 6, 8}) EXPECT_LT(slowness[fast], 1.2);
+}
+
+// One engine of nine turns slow: it counts as slow against its peers, and its
+// runs are worth moving as long as another one has room.
 TEST(TaskChoiceTest, SlowEngineIsSeenAgainstItsPeers) {
   std::vector<double> gaps(9, 30);
   gaps[4] = 110;
