A restarted replica applies what is committed before it takes part in elections, and in turns

Ruled out: the start of all runs in one turn (16 at a time now; the flapping stayed). Change: the commit index is written with each frame as a hint, and what it covers is applied while loading; a replica applies 256 KB a turn and serves only once it has applied all that came before its term; tasks with a result, and all of an ended step, lose body and headers.

--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -1,6 +1,7 @@
 #include "consensus/group_replica.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -14,6 +15,10 @@
 using core::event_id;
 using core::LogEvent;
 
+// Bytes of commands that are applied in one turn, some 10 ms of work on the
+// small instances: heartbeats come between two turns.
+constexpr size_t kApplyBytes = 256 * 1024;
+
 bool IsReply(message_kind kind) {
   return kind == message_kind::kPreVoteReply ||
          kind == message_kind::kVoteReply ||
@@ -79,6 +84,12 @@
   StartReplica(raft_, clock_.Now());
   applied_ = raft_.log.snap.index;
   machine_.Restore(applied_, raft_.log.snap.data);
+  // What was known as committed is applied before this replica takes part in an
+  // election. Applied after one, a day's entries kept a new leader from its
+  // heartbeats for longer than its followers wait.
+  raft_output known;
+  HandOutKnown(raft_, known);
+  for (const log_entry& entry : known.committed) ApplyEntry(entry);
   return true;
 }
 
@@ -112,19 +123,21 @@
                {{"index", std::to_string(raft_.log.snap.index)}});
       applied_ = raft_.log.snap.index;
       applied_bytes_ = 0;
+      backlog_.clear();
       machine_.Restore(applied_, raft_.log.snap.data);
       FailWaiting();
     }
-    const bool has_applied = !out.committed.empty();
-    for (const log_entry& entry : out.committed) ApplyEntry(entry);
+    std::move(out.committed.begin(), out.committed.end(),
+              std::back_inserter(backlog_));
     RouteMessages(out.messages);
+    const bool has_applied = ApplySome();
     if (has_applied) {
       SaveSnapshotIfDue();
       machine_.OnApplied();
     }
     const bool is_quiet = out_.messages.empty() && out_.appended.empty() &&
                           !out_.hard_state_changed;
-    if (is_quiet && !has_applied) break;
+    if (is_quiet && (!has_applied || HasBacklog())) break;
   }
   // A message whose answer is empty is answered too, so that its connection is
   // free again.
@@ -150,7 +163,8 @@
   out.messages.erase(first_append, out.messages.end());
 }
 
-bool group_replica::Persist(const raft_output& out) {
+bool group_replica::Persist(raft_output& out) {
+  raft_.hard.commit = raft_.commit;
   bool is_durable = true;
   if (out.snapshot_installed) {
     is_durable = storage_.WriteSnapshot(raft_.log, raft_.hard);
@@ -170,6 +184,20 @@
   machine_.OnStorageFailure();
 }
 
+// Applies committed entries for one turn. True when there were any.
+bool group_replica::ApplySome() {
+  size_t bytes = 0;
+  bool has_applied = false;
+  while (!backlog_.empty() && bytes < kApplyBytes) {
+    const log_entry entry = std::move(backlog_.front());
+    backlog_.pop_front();
+    bytes += entry.data.size();
+    ApplyEntry(entry);
+    has_applied = true;
+  }
+  return has_applied;
+}
+
 void group_replica::ApplyEntry(const log_entry& entry) {
   applied_ = entry.index;
   applied_bytes_ += static_cast<int64_t>(entry.data.size());
@@ -200,8 +228,9 @@
 
 void group_replica::SaveSnapshotIfDue() {
   const uint64_t since = applied_ - raft_.log.snap.index;
-  const bool is_due = since >= static_cast<uint64_t>(settings_.snapshot_every) ||
-                      applied_bytes_ >= settings_.snapshot_bytes;
+  const bool is_due =
+      since >= static_cast<uint64_t>(settings_.snapshot_every) ||
+      applied_bytes_ >= settings_.snapshot_bytes;
   if (!is_due) return;
   applied_bytes_ = 0;
   Compact(raft_, applied_, machine_.Save());
@@ -233,9 +262,9 @@
   const bool is_leader = raft_.role == raft_role::kLeader;
   if (is_leader == was_leader_) return;
   was_leader_ = is_leader;
-  LogEvent(is_leader ? event_id::kLeaderElected : event_id::kLeadershipLost,
-           {{"node", settings_.node},
-            {"term", std::to_string(raft_.hard.term)}});
+  LogEvent(
+      is_leader ? event_id::kLeaderElected : event_id::kLeadershipLost,
+      {{"node", settings_.node}, {"term", std::to_string(raft_.hard.term)}});
   machine_.OnLeadership(is_leader);
   if (!is_leader) FailWaiting();
 }
@@ -271,7 +300,8 @@
 }
 
 bool group_replica::IsServing() const {
-  return !has_failed_ && IsServingLeader(raft_, clock_.Now());
+  return !has_failed_ && applied_ >= raft_.term_start_index &&
+         IsServingLeader(raft_, clock_.Now());
 }
 
 bool group_replica::IsVoter() const {
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -8,6 +8,7 @@
 // sync, sends the messages and answers the proposers.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -103,10 +104,14 @@
   // take it.
   bool HandOver();
 
+  // Whether this replica leads under a live lease and has applied all that was
+  // committed before its term.
   bool IsServing() const;
   bool IsVoter() const;
   bool HasFailed() const { return has_failed_; }
   uint64_t Applied() const { return applied_; }
+  // Whether Flush() left committed entries for a later call.
+  bool HasBacklog() const { return !backlog_.empty(); }
   const raft_state& Raft() const { return raft_; }
 
  private:
@@ -120,7 +125,8 @@
   };
 
   void SendBeforeSync(raft_output& out);
-  bool Persist(const raft_output& out);
+  bool Persist(raft_output& out);
+  bool ApplySome();
   void ApplyEntry(const log_entry& entry);
   void NoteMembers(const log_entry& entry);
   void SaveSnapshotIfDue();
@@ -138,6 +144,7 @@
 
   raft_state raft_;
   raft_output out_;
+  std::deque<log_entry> backlog_;  // committed, not applied
   uint64_t applied_ = 0;
   int64_t applied_bytes_ = 0;  // since the latest snapshot
   bool was_leader_ = false;
--- a/packages/consensus/raft.cc
+++ b/packages/consensus/raft.cc
@@ -311,12 +311,17 @@
 void StartReplica(raft_state& state, time_point now) {
   state.role = raft_role::kFollower;
   state.group = state.log.snap.group;
-  state.commit = state.log.snap.index;
+  state.commit = std::max(state.log.snap.index,
+                          std::min(state.hard.commit, LastIndex(state.log)));
   state.handed_out = state.log.snap.index;
   state.leader_contact = now;
   DrawElectionDeadline(state, now);
 }
 
+void HandOutKnown(raft_state& state, raft_output& out) {
+  internal::HandOutCommitted(state, out);
+}
+
 bool BootstrapGroup(raft_state& state, const std::string& group, time_point now,
                     raft_output& out) {
   if (!state.group.empty()) return false;
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -97,11 +97,15 @@
   std::vector<log_entry> committed;  // to apply, in order
 };
 
-// Sets the state up after loading it. Until one election timeout has passed it
+// Sets the state up after loading it. Entries known as committed are there to
+// be handed out, see HandOutKnown(). Until one election timeout has passed it
 // votes for nobody: what it promised a leader before the restart is not on
 // disk.
 void StartReplica(raft_state& state, time_point now);
 
+// Hands out the entries that were known as committed before the restart.
+void HandOutKnown(raft_state& state, raft_output& out);
+
 // Makes the empty replica the only voter of a new group. False when it is in a
 // group already.
 bool BootstrapGroup(raft_state& state, const std::string& group, time_point now,
--- a/packages/consensus/types.h
+++ b/packages/consensus/types.h
@@ -53,8 +53,12 @@
 struct hard_state {
   uint64_t term = 0;
   member voted_for;
+  // Entries known as committed when this was written. Only a hint: more may be
+  // committed, and losing it costs nothing but time after a restart.
+  uint64_t commit = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hard_state, term, voted_for)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hard_state, term, voted_for,
+                                                commit)
 
 struct snapshot {
   std::string group;
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -134,6 +134,7 @@
   asio::post(loop_, [this] {
     is_flush_scheduled_ = false;
     replica_.Flush();
+    if (replica_.HasBacklog()) ScheduleFlush();
   });
 }
 
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -5,6 +5,18 @@
 #include <utility>
 
 namespace hickorywood::steps {
+namespace {
+
+// What nobody asks for once a task has its result or its step is ended. It
+// would stay in each snapshot until the step's retention has passed.
+void DropInput(task& item) {
+  item.body.clear();
+  item.body.shrink_to_fit();
+  item.headers.clear();
+  item.path.clear();
+}
+
+}  // namespace
 
 bool OpenStep(step_book& book, submission input, int64_t now_ms) {
   const std::string id = input.id;
@@ -30,6 +42,7 @@
     const bool is_known = item.task < where.input.tasks.size();
     if (!is_known || HasResult(where, item.task)) continue;
     where.progress.erase(item.task);
+    DropInput(where.input.tasks[item.task]);
     where.results.push_back(std::move(item));
     ++taken;
   }
@@ -60,8 +73,10 @@
 bool EndStep(step_book& book, const std::string& id) {
   const auto found = book.find(id);
   if (found == book.end()) return false;
-  found->second.is_ended = true;
-  found->second.progress.clear();
+  step& where = found->second;
+  where.is_ended = true;
+  where.progress.clear();
+  for (task& item : where.input.tasks) DropInput(item);
   return true;
 }
 
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -36,6 +36,10 @@
 // Pause of a task that an engine did not take, so that it does not knock again
 // at once.
 constexpr milliseconds kRetryPause{30};
+// Runs that are being started at once. All tasks of some steps in one turn kept
+// the loop of a new leader busy for longer than its followers wait for its
+// heartbeat: they elected another one, and that one did the same.
+constexpr size_t kMostStarting = 16;
 // A run stays this long before it may be moved, and a task is moved so often at
 // most: a move costs its prompt to be read again.
 constexpr milliseconds kLeastStay{400};
@@ -201,7 +205,15 @@
   for (const std::string& id : StepsByAge()) PumpStep(id, steps_.at(id));
 }
 
+// Runs whose engine has not answered yet.
+size_t dispatcher::Starting() const {
+  return static_cast<size_t>(
+      std::count_if(runs_.begin(), runs_.end(),
+                    [](const auto& item) { return !item.second->has_head; }));
+}
+
 void dispatcher::PumpStep(const std::string& id, step_run& where) {
+  size_t starting = Starting();
   const auto found = state_.Steps().find(id);
   if (found == state_.Steps().end()) return;
   const steps::step& step = found->second;
@@ -214,7 +226,10 @@
     item.step = &step;
     item.terms = RouteOf(item.key);
     if (item.terms == nullptr) continue;
+    // The rest starts as engines answer.
+    if (starting >= kMostStarting) return;
     if (!TryStart(item)) return;
+    ++starting;
   }
 }
 
@@ -323,6 +338,8 @@
   net::response head;
   const bool has_head = co_await open->ReadHead(head, deadline);
   if (!has_head) co_return run_end::kBroken;
+  self->has_head = true;
+  if (Starting() < kMostStarting / 2) Pump();
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
   if (marks.is_not_run) co_return run_end::kNotRun;
   if (head.status == 422) co_return run_end::kImpossible;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -103,6 +103,7 @@
     uint64_t events_at_start = 0;
     core::time_point started_at{};
     bool is_moving = false;
+    bool has_head = false;  // the engine has answered
     net::cancel_signal cancel = net::MakeCancelSignal();
   };
   // One task with its place and terms, as it waits for an engine.
@@ -119,6 +120,7 @@
   void SyncSteps();
   void StartStep(const std::string& id, const steps::step& where);
   void Pump();
+  size_t Starting() const;
   void PumpStep(const std::string& id, step_run& where);
   bool TryStart(const candidate& item);
   std::vector<steps::engine_load> LoadsFor(const std::string& service,
