--- a/packages/controller/weight_book.cc
+++ b/packages/controller/weight_book.cc
@@ -25,8 +25,9 @@
 
 size_t AssignmentsOf(const weight_book& book, const std::string& incarnation) {
   size_t count = 0;
-  for (const auto& item : book.assigned)
+  for (const auto& item : book.assigned) {
     count += item.second.count(incarnation);
+  }
   return count;
 }
 
--- a/packages/core/log_sink.cc
+++ b/packages/core/log_sink.cc
@@ -26,8 +26,8 @@
 log_sink::log_sink(int fd, size_t capacity) : fd_(fd), capacity_(capacity) {}
 
 log_sink& log_sink::Standard() {
-  static auto* const sink = new log_sink(STDOUT_FILENO, kStandardCapacity);
-  return *sink;
+  static auto* const kSink = new log_sink(STDOUT_FILENO, kStandardCapacity);
+  return *kSink;
 }
 
 void log_sink::Add(std::string line, bool is_important) {
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -23,9 +23,10 @@
 using core::LogEvent;
 using core::milliseconds;
 
-// An entry without a configuration knows no routes; the control group answers
-// it within one election.
-constexpr milliseconds kRetryAfter{300};
+// An entry without a configuration knows no routes. It has one within an
+// election of the control group, which takes 450 to 900 ms after a restart of
+// all instances.
+constexpr milliseconds kRetryAfter{600};
 constexpr milliseconds kDrainPoll{20};
 
 peering::follower_options FollowerOptions(
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -88,7 +88,7 @@
   awaitable<body_state> ReadSome(std::string& piece,
                                  time_point deadline) override {
     if (parser_->is_done()) co_return Take(piece);
-    stream_.expires_at(deadline);
+    SetDeadline(deadline);
     const auto [failure, count] =
         co_await http::async_read_some(stream_, buffer_, *parser_, kNoThrow);
     if (failure) {
@@ -118,6 +118,15 @@
   void MarkReused() { is_reused_ = true; }
 
  private:
+  // No deadline needs no timer, and a stream has many reads.
+  void SetDeadline(time_point deadline) {
+    if (deadline == time_point::max()) {
+      stream_.expires_never();
+    } else {
+      stream_.expires_at(deadline);
+    }
+  }
+
   body_state Take(std::string& piece) {
     std::string& body = parser_->get().body();
     piece += body;
--- a/packages/net/connection_pool.h
+++ b/packages/net/connection_pool.h
@@ -46,7 +46,7 @@
   virtual boost::asio::awaitable<bool> ReadHead(response& head,
                                                 core::time_point deadline) = 0;
   // Adds to `piece` what has arrived of the body. kBroken once `deadline` has
-  // passed without news.
+  // passed without news; the end of time: it waits for ever.
   virtual boost::asio::awaitable<body_state> ReadSome(
       std::string& piece, core::time_point deadline) = 0;
   // Why the last call failed.
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -124,6 +124,7 @@
       continue;
     }
     GiveUpOld();
+    EndStalledRuns();
     MoveStragglers();
     Pump();
   }
@@ -307,6 +308,8 @@
   self->model = step.model;
   self->events_at_start = task.text.events;
   self->started_at = clock_.Now();
+  self->heard_at = self->started_at;
+  self->patience = kFirstEventTimeout;
   runs_[item.key] = self;
   LogEvent(
       event_id::kTaskDispatched,
@@ -369,11 +372,9 @@
     return wire_.EventVersion(field, value);
   };
   std::string buffer;
-  time_point last_event = clock_.Now();
-  milliseconds patience = kFirstEventTimeout;
   for (;;) {
     const net::body_state state =
-        co_await from.ReadSome(buffer, last_event + patience);
+        co_await from.ReadSome(buffer, time_point::max());
     if (state == net::body_state::kBroken) co_return run_end::kBroken;
     task_run* const task = FindTask(self->key);
     if (task == nullptr) co_return run_end::kMoved;
@@ -388,10 +389,10 @@
       const bool is_first = task->text.events == self->events_at_start + 1;
       if (!is_first) {
         NoteGap(self->engine.incarnation,
-                std::chrono::duration_cast<milliseconds>(now - last_event));
+                std::chrono::duration_cast<milliseconds>(now - self->heard_at));
       }
-      last_event = now;
-      patience = kEventTimeout;
+      self->heard_at = now;
+      self->patience = kEventTimeout;
     }
     if (state != net::body_state::kEnd) continue;
     co_return buffer.empty() ? run_end::kComplete : run_end::kBroken;
@@ -408,8 +409,10 @@
   const bool is_current = found != runs_.end() && found->second == ended;
   if (!is_current) return;
   runs_.erase(found);
-  // A run that was taken off its engine ends as if the engine had cut it.
+  // A run that was taken off its engine ends as if the engine had cut it, and
+  // one whose engine is silent as if it had been taken off.
   if (ended->is_moving && how == run_end::kBroken) how = run_end::kMoved;
+  if (ended->is_stalled && how == run_end::kMoved) how = run_end::kBroken;
   NoteEngine(ended->engine.incarnation, how);
   task_run* const task = FindTask(ended->key);
   if (task == nullptr) return;
@@ -584,6 +587,22 @@
   }
 }
 
+// Ends runs whose engine has been silent for too long. One pass over all in
+// place of a timer for each read: a stream has a read for every 30 ms.
+void dispatcher::EndStalledRuns() {
+  const time_point now = clock_.Now();
+  std::vector<std::shared_ptr<run>> stalled;
+  for (const auto& item : runs_) {
+    const run& candidate = *item.second;
+    const bool is_silent = now - candidate.heard_at > candidate.patience;
+    if (is_silent && !candidate.is_stalled) stalled.push_back(item.second);
+  }
+  for (const auto& item : stalled) {
+    item->is_stalled = true;
+    net::Cancel(item->cancel);
+  }
+}
+
 // Takes runs off engines that are clearly slower than others with room. Without
 // it one slow engine holds up every group that has a task on it.
 void dispatcher::MoveStragglers() {
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -104,6 +104,9 @@
     core::time_point started_at{};
     bool is_moving = false;
     bool has_head = false;  // the engine has answered
+    bool is_stalled = false;
+    core::time_point heard_at{};  // the last event, or the start
+    core::milliseconds patience{0};
     net::cancel_signal cancel = net::MakeCancelSignal();
   };
   // One task with its place and terms, as it waits for an engine.
@@ -139,6 +142,7 @@
   void NoteGap(const std::string& incarnation, core::milliseconds gap);
   void Finish(const task_key& key, bool is_complete);
   void GiveUpOld();
+  void EndStalledRuns();
   void MoveStragglers();
   void CancelRuns(const std::string& step);
   void CancelAll();
