--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -301,7 +301,9 @@
     net::response head;
     const net::request output = wire_.EncodeDispatch(input, terms);
     bool is_open = co_await open->Write(output, deadline);
-    if (is_open) is_open = co_await open->ReadHead(head, deadline);
+    if (is_open) {
+      is_open = co_await open->ReadHead(head, deadline);
+    }
     if (!is_open) {
       NoteFailure(book_, target.incarnation, clock_.Now());
       co_await call.Reply(
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -207,13 +207,12 @@
 }
 
 void connection_pool::Release(std::unique_ptr<connection> used) {
-  auto* const item = static_cast<pooled_connection*>(used.get());
+  auto* const item = static_cast<pooled_connection*>(used.release());
+  std::unique_ptr<pooled_connection> held(item);
   if (item == nullptr || !item->IsReusable()) return;
   std::deque<idle_connection>& waiting = impl_->idle[item->Address()];
   if (waiting.size() >= impl_->options.idle_per_address) waiting.pop_front();
-  used.release();
-  waiting.push_back({std::unique_ptr<pooled_connection>(item),
-                     std::chrono::steady_clock::now()});
+  waiting.push_back({std::move(held), std::chrono::steady_clock::now()});
 }
 
 void connection_pool::Forget(const std::string& address) {
@@ -259,7 +258,9 @@
   }
   result.how = progress::kMaybeSent;
   bool is_whole = co_await open->Write(input, options.deadline);
-  if (is_whole) is_whole = co_await ReadExpected(*open, options, result);
+  if (is_whole) {
+    is_whole = co_await ReadExpected(*open, options, result);
+  }
   if (!is_whole) {
     result.error = open->Error();
     result.is_timeout = std::chrono::steady_clock::now() >= options.deadline;
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -203,11 +203,13 @@
   if (!where) return false;
   error_code failure;
   acceptor.open(where->protocol(), failure);
-  if (!failure)
+  if (!failure) {
     acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  }
   if (!failure) acceptor.bind(*where, failure);
-  if (!failure)
+  if (!failure) {
     acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
   if (failure) {
     core::SetLastReason(
         core::reason_code::kIo,
@@ -238,7 +240,7 @@
         [self = shared_from_this(), connection] {
           return self->Serve(connection);
         },
-        [self = shared_from_this(), connection](std::exception_ptr) {
+        [self = shared_from_this(), connection](const std::exception_ptr&) {
           self->sessions.erase(connection);
         });
   }
--- a/packages/net/message.cc
+++ b/packages/net/message.cc
@@ -61,11 +61,11 @@
 }
 
 std::string QueryValue(std::string_view target, std::string_view name) {
-  const auto url =
-      boost::urls::parse_origin_form({target.data(), target.size()});
+  const boost::urls::string_view text(target.data(), target.size());
+  const auto url = boost::urls::parse_origin_form(text);
   if (!url) return {};
   for (const auto& parameter : url->params()) {
-    if (std::string_view(parameter.key) == name) return parameter.value;
+    if (parameter.key == name) return parameter.value;
   }
   return {};
 }
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -120,7 +120,9 @@
     const bool knows_better =
         answer.outcome == call_outcome::kNotLeader && !leader_.empty();
     if (Now() + kRetryPause >= deadline) break;
-    if (!knows_better) co_await net::Sleep(kRetryPause);
+    if (!knows_better) {
+      co_await net::Sleep(kRetryPause);
+    }
   }
   answer.outcome =
       is_unknown ? call_outcome::kUnknown : call_outcome::kUnavailable;
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -624,10 +624,11 @@
                                 step->second.input.minimum_version))
               .first;
     }
+    const std::string& incarnation = item->engine.incarnation;
     const auto own =
         std::find_if(loads->second.begin(), loads->second.end(),
-                     [&item](const steps::engine_load& load) {
-                       return load.incarnation == item->engine.incarnation;
+                     [&incarnation](const steps::engine_load& load) {
+                       return load.incarnation == incarnation;
                      });
     if (own == loads->second.end()) continue;
     if (steps::IsWorthMoving(*own, loads->second)) moving.push_back(item);
--- a/tests/unit/consensus/group_simulation.cc
+++ b/tests/unit/consensus/group_simulation.cc
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-group_simulation::group_simulation(size_t replicas, uint64_t seed)
-    : replicas_(replicas), random_(seed) {
+group_simulation::group_simulation(size_t replicas, uint64_t seed,
+                                   size_t wanted_voters)
+    : replicas_(replicas), random_(seed), wanted_voters_(wanted_voters) {
   clock_.Pause();
   for (size_t i = 0; i < replicas; ++i) {
     replicas_[i].disks = 1;
@@ -33,6 +34,7 @@
 void group_simulation::Start(size_t index) {
   replica& item = replicas_[index];
   item.state = raft_state{};
+  item.state.options.wanted_voters = wanted_voters_;
   item.state.options.keep_entries = 3;
   item.state.options.snapshot_piece_bytes = 16;
   if (drops_promise_) item.state.options.election_timeout = milliseconds(60);
@@ -324,6 +326,18 @@
   Check();
 }
 
+std::vector<std::string> group_simulation::Voters() const {
+  std::vector<std::string> nodes;
+  for (const member& voter : CommittedMembers().voters) {
+    nodes.push_back(voter.node);
+  }
+  return nodes;
+}
+
+void group_simulation::SetLeaving(const std::string& node) {
+  for (replica& item : replicas_) item.state.leaving = {node};
+}
+
 bool group_simulation::HealsAndCommits() {
   for (size_t i = 0; i < replicas_.size(); ++i) {
     replicas_[i].is_frozen = false;
--- a/tests/unit/consensus/group_simulation.h
+++ b/tests/unit/consensus/group_simulation.h
@@ -18,7 +18,8 @@
 
 class group_simulation {
  public:
-  explicit group_simulation(size_t replicas, uint64_t seed);
+  // `wanted_voters`: see raft_options; 0: all become voters.
+  group_simulation(size_t replicas, uint64_t seed, size_t wanted_voters = 0);
 
   // Does one action; `choice` decides which and on what.
   void Act(uint32_t choice);
@@ -49,6 +50,9 @@
   // Index of the replica that serves as leader; the number of replicas when
   // there is none.
   size_t Leader() const;
+  // Nodes that vote, as far as committed.
+  std::vector<std::string> Voters() const;
+  void SetLeaving(const std::string& node);
 
   // Removes a safeguard, to see that the checks notice.
   void DropPromiseToLeader() { drops_promise_ = true; }
@@ -87,6 +91,7 @@
   std::map<uint64_t, log_entry> committed_;  // by index, as first handed out
   std::mt19937_64 random_;
   std::string violation_;
+  const size_t wanted_voters_;
   uint64_t proposals_ = 0;
   uint64_t disks_lost_ = 0;
   bool drops_promise_ = false;
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,11 @@
 // change gone. The schedule crashes replicas around their syncs, cuts and
 // freezes them, loses disks one at a time and the next one right after the
 // repair. Leases, durable votes and storage ids must prevent both.
-void CheckSchedule(size_t replicas) {
+void CheckSchedule(size_t replicas, size_t wanted_voters = 0) {
   const auto seed = *rc::gen::arbitrary<uint64_t>();
   const auto schedule = *rc::gen::container<std::vector<uint32_t>>(
       kActions, rc::gen::inRange<uint32_t>(0, 1U << 20U));
-  group_simulation group(replicas, seed);
+  group_simulation group(replicas, seed, wanted_voters);
   // Most schedules should start from a whole group.
   for (int i = 0; i < 30; ++i) group.Act(29);
   for (const uint32_t choice : schedule) {
@@ -42,6 +43,56 @@
   CheckSchedule(5);
 }
 
+// Three voters and one instance that waits to take the place of a lost one.
+RC_GTEST_PROP(GroupTest, ThreeOfFourReplicasKeepTheirPromises, ()) {
+  CheckSchedule(4, 3);
+}
+
+// A voter falls silent for good. The instance that waits takes its place, so
+// that the next loss is borne too; when the silent one is back it waits itself.
+TEST(GroupTest, SilentVoterIsReplaced) {
+  group_simulation group(4, 21, 3);
+  for (size_t i = 0; i < 4; ++i) group.Start(i);
+  group.Settle(milliseconds(8000));
+  const std::vector<std::string> before = group.Voters();
+  ASSERT_EQ(before.size(), 3U);
+  size_t victim = group.Leader();
+  ASSERT_LT(victim, 4U);
+  group.Crash(victim);
+  for (int i = 0; i < 20; ++i) {
+    group.ProposeSomewhere();
+    group.Settle(milliseconds(500));
+  }
+  const std::vector<std::string> after = group.Voters();
+  EXPECT_EQ(after.size(), 3U);
+  EXPECT_NE(after, before);
+  group.Start(victim);
+  group.Settle(milliseconds(5000));
+  EXPECT_EQ(group.Voters(), after);
+  EXPECT_EQ(group.Violation(), "");
+  EXPECT_TRUE(group.HealsAndCommits());
+}
+
+// A store is to be emptied: the one that waits becomes a voter in its place,
+// and the emptied one is not taken in again.
+TEST(GroupTest, LeavingVoterIsReplaced) {
+  group_simulation group(4, 22, 3);
+  for (size_t i = 0; i < 4; ++i) group.Start(i);
+  group.Settle(milliseconds(8000));
+  const std::vector<std::string> before = group.Voters();
+  ASSERT_EQ(before.size(), 3U);
+  const std::string leaver = before[(group.Leader() + 1) % 3];
+  group.SetLeaving(leaver);
+  for (int i = 0; i < 20; ++i) {
+    group.ProposeSomewhere();
+    group.Settle(milliseconds(500));
+  }
+  const std::vector<std::string> after = group.Voters();
+  EXPECT_EQ(after.size(), 3U);
+  EXPECT_EQ(std::count(after.begin(), after.end(), leaver), 0);
+  EXPECT_EQ(group.Violation(), "");
+}
+
 // A leader freezes and wakes up with its lease still running; meanwhile the
 // others may have elected another one. Returns what the checks found.
 std::string FreezeLeader(bool with_promise) {
--- a/tests/unit/net/connection_pool_test.cc
+++ b/tests/unit/net/connection_pool_test.cc
@@ -76,14 +76,14 @@
   int ended = 0;
   for (int i = 0; i < kStreams; ++i) {
     signals.push_back(MakeCancelSignal());
-    SpawnCancellable(
-        loop, ReadAll(pool, address), signals.back(),
-        [&ended](const std::exception_ptr& /*failure*/, int /*pieces*/) {
-          ++ended;
-        });
+    SpawnCancellable(loop, ReadAll(pool, address), signals.back(),
+                     [&ended](const std::exception_ptr& /*failure*/,
+                              int /*pieces*/) { ++ended; });
   }
   const auto watch = [&]() -> awaitable<void> {
-    while (open_streams < kStreams) co_await Sleep(milliseconds(1));
+    while (open_streams < kStreams) {
+      co_await Sleep(milliseconds(1));
+    }
     for (const cancel_signal& signal : signals) Cancel(signal);
     signals.clear();
     while (ended < kStreams || open_streams > 0) {
