--- /dev/null
+++ b/tests/integration/deployment_test.cc
@@ -0,0 +1,136 @@
+// A whole deployment of real processes that find each other by seeds, through
+// the losses that it must bear.
+
+#include "support/deployment.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <set>
+#include <string>
+
+namespace hickorywood::testing {
+namespace {
+
+using nlohmann::json;
+
+// Every task once, complete, with its whole output and the version that made
+// it.
+void ExpectWhole(const json& results, const std::string& step, int tasks) {
+  ASSERT_EQ(results.size(), static_cast<size_t>(tasks));
+  std::set<std::string> seen;
+  for (const json& result : results) {
+    const std::string id = result["id"];
+    EXPECT_TRUE(seen.insert(id).second) << id << " stands twice";
+    EXPECT_EQ(result["state"], "completed") << id;
+    EXPECT_EQ(result["output"], stand_in_endpoints::OutputOf(id));
+    EXPECT_EQ(result["versions"], json({1})) << id;
+  }
+  for (int i = 0; i < tasks; ++i) {
+    EXPECT_EQ(seen.count(deployment::TaskId(step, i)), 1U);
+  }
+}
+
+// A trainer submits a step at one entry and reads it at another one. Meanwhile
+// each store is killed and started again, the data leader among them. No result
+// is missing, double or changed, and both entries list the same positions.
+TEST(DeploymentTest, StepsOutliveEveryStore) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().SetEventTime(std::chrono::milliseconds(30));
+  constexpr int kTasks = 24;
+  ASSERT_TRUE(fleet.Submit("e1", "step-a", kTasks));
+  for (const std::string& store : fleet.Stores()) {
+    fleet.KillNode(store);
+    fleet.StartNode(store);
+    // The next one only once this one can be missed.
+    ASSERT_TRUE(fleet.Submit("e2", "after-" + store, 1));
+    ExpectWhole(fleet.WaitForResults("e1", "after-" + store, 1),
+                "after-" + store, 1);
+  }
+  const json first = fleet.WaitForResults("e1", "step-a", kTasks);
+  ExpectWhole(first, "step-a", kTasks);
+  EXPECT_EQ(fleet.WaitForResults("e2", "step-a", kTasks), first);
+}
+
+// A store loses its disk right after a step was accepted and comes back empty.
+// The step and its results are there. Once it votes again, which is what one
+// loss at a time allows, the next store loses its disk.
+TEST(DeploymentTest, AcceptedStepOutlivesALostDisk) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  int round = 0;
+  for (const std::string& store : fleet.Stores()) {
+    const std::string step = "step-" + std::to_string(round++);
+    ASSERT_TRUE(fleet.Submit("e1", step, 4));
+    fleet.KillNode(store);
+    fleet.LoseDisk(store);
+    fleet.StartNode(store);
+    ExpectWhole(fleet.WaitForResults("e2", step, 4), step, 4);
+    ASSERT_TRUE(WaitUntil([&] { return fleet.IdentitiesOf(store) == 2; }))
+        << store;
+  }
+  for (int i = 0; i < round; ++i) {
+    const std::string step = "step-" + std::to_string(i);
+    ExpectWhole(fleet.WaitForResults("e1", step, 4), step, 4);
+  }
+}
+
+// Every stream breaks off once in its middle. The text goes on after the last
+// whole event at another engine; nothing is missing and nothing stands twice.
+TEST(DeploymentTest, BrokenStreamsAreResumed) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().BreakStreamsAfter(stand_in_endpoints::kEvents / 2);
+  ASSERT_TRUE(fleet.Submit("e1", "broken", 6));
+  ExpectWhole(fleet.WaitForResults("e2", "broken", 6), "broken", 6);
+  EXPECT_EQ(fleet.Endpoints().RunsOf(deployment::TaskId("broken", 0)), 2);
+}
+
+// The control instances are killed one after the other, and all at once. What
+// an operator was told is in force stays in force: it is read back, and a
+// dropped route is gone at every entry.
+TEST(DeploymentTest, ConfigurationOutlivesTheControlGroup) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  int version = 1;
+  for (const std::string& control : fleet.Controls()) {
+    fleet.KillNode(control);
+    ASSERT_TRUE(fleet.PutConfiguration(++version, true));
+    fleet.StartNode(control);
+    ASSERT_TRUE(WaitUntil([&] { return fleet.VersionAt(control) == version; }))
+        << control;
+  }
+  ASSERT_TRUE(fleet.PutConfiguration(++version, false));
+  for (const std::string& control : fleet.Controls()) fleet.KillNode(control);
+  for (const std::string& control : fleet.Controls()) fleet.StartNode(control);
+  for (const std::string& control : fleet.Controls()) {
+    EXPECT_TRUE(WaitUntil([&] { return fleet.VersionAt(control) == version; }))
+        << control;
+  }
+  for (const char* entry : {"e1", "e2"}) {
+    EXPECT_TRUE(WaitUntil([&] {
+      return fleet.Plain(entry, "gone").status == 404;
+    })) << entry;
+  }
+}
+
+// An entry is stopped while a request is at its endpoint. The caller gets its
+// answer, the entry reports not ready, and it ends by itself with 0.
+TEST(DeploymentTest, PlannedStopCutsNothingOff) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().SetWorkTime(std::chrono::milliseconds(1500));
+  auto answer = fleet.PlainLater("e1", "in-flight");
+  ASSERT_TRUE(
+      WaitUntil([&] { return fleet.Endpoints().RunsOf("in-flight") > 0; }));
+  fleet.Node("e1").Signal(SIGTERM);
+  EXPECT_TRUE(WaitUntil([&] { return !fleet.IsReady("e1"); }));
+  const auto response = answer.get();
+  EXPECT_EQ(response.status, 200) << response.error;
+  EXPECT_EQ(response.body, "echo in-flight");
+  EXPECT_EQ(fleet.Node("e1").WaitForExit(std::chrono::milliseconds(30000)), 0);
+}
+
+}  // namespace
+}  // namespace hickorywood::testing
--- /dev/null
+++ b/tests/support/deployment.cc
@@ -0,0 +1,270 @@
+#include "support/deployment.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <utility>
+
+namespace hickorywood::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kNodes = 8;
+constexpr std::chrono::milliseconds kHeartbeatPeriod{150};
+constexpr std::chrono::milliseconds kCallTimeout{3000};
+
+std::string NodeIp(int number) {
+  return "127.1.1." + std::to_string(number + 1);
+}
+
+// Whether the port can be taken at every node's address.
+bool IsFreeEverywhere(int port) {
+  bool is_free = true;
+  for (int i = 0; i < kNodes && is_free; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(static_cast<uint16_t>(port));
+    inet_pton(AF_INET, NodeIp(i).c_str(), &where.sin_addr);
+    is_free = bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof where) == 0;
+    close(fd);
+  }
+  return is_free;
+}
+
+// A port of the kernel's choice that is the same at all nodes, as the platform
+// has it.
+int TakePort() {
+  for (;;) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    socklen_t size = sizeof where;
+    bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof where);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
+    close(fd);
+    const int port = ntohs(where.sin_port);
+    if (IsFreeEverywhere(port)) return port;
+  }
+}
+
+json PlainRoute() {
+  return {{"name", "plain"},   {"host", "h"},         {"path_prefix", "/p/"},
+          {"kind", "safe"},    {"timeout_ms", 20000}, {"goal_ms", 10000},
+          {"service", "echo"}, {"max_attempts", 2}};
+}
+
+json StepRoute() {
+  return {{"name", "steps"},   {"host", "h"},         {"path_prefix", "/s/"},
+          {"kind", "rollout"}, {"timeout_ms", 20000}, {"service", "engines"},
+          {"max_attempts", 3}, {"item_ttl_s", 600},   {"resumable", true}};
+}
+
+}  // namespace
+
+deployment::deployment()
+    : folder_(MakeTemporaryFolder()),
+      peers_port_(TakePort()),
+      callers_port_(TakePort()),
+      control_port_(TakePort()),
+      ready_port_(TakePort()) {
+  for (const char* id : {"c1", "c2", "c3"}) {
+    AddNode(id, "control");
+    controls_.emplace_back(id);
+  }
+  for (const char* id : {"s1", "s2", "s3"}) {
+    AddNode(id, "store");
+    stores_.emplace_back(id);
+  }
+  AddNode("e1", "entry");
+  AddNode("e2", "entry");
+}
+
+deployment::~deployment() {
+  is_over_ = true;
+  if (heartbeats_.joinable()) heartbeats_.join();
+  nodes_.clear();
+  std::filesystem::remove_all(folder_);
+}
+
+void deployment::AddNode(const std::string& id, const std::string& role) {
+  node& item = nodes_[id];
+  item.role = role;
+  item.ip = NodeIp(static_cast<int>(nodes_.size()) - 1);
+}
+
+std::string deployment::Address(const std::string& id, int port) const {
+  return nodes_.at(id).ip + ":" + std::to_string(port);
+}
+
+void deployment::StartNode(const std::string& id) {
+  node& item = nodes_.at(id);
+  const std::string file = folder_ + "/" + id + ".yaml";
+  std::ofstream out(file);
+  out << "role: " << item.role << "\n"
+      << "instance: {id: " << id << ", zone: z}\n"
+      << "listen:\n"
+      << "  peers: \"" << Address(id, peers_port_) << "\"\n"
+      << "  callers: \"" << Address(id, callers_port_) << "\"\n"
+      << "  readiness: \"" << Address(id, ready_port_) << "\"\n"
+      << "  control: \"" << Address(id, control_port_) << "\"\n"
+      << "seeds: [\"" << Address("c1", control_port_) << "\", \""
+      << Address("c2", control_port_) << "\", \""
+      << Address("c3", control_port_) << "\"]\n"
+      << "first_start: " << (item.was_started ? "false" : "true") << "\n"
+      << "data_folder: " << folder_ << "/" << id << "\n"
+      << "endpoints: {heartbeat: 10s}\n"
+      << "orders: {holder_lease: 0ms}\n"
+      << "drain: {grace: 20s, notice: 300ms}\n";
+  out.close();
+  item.was_started = true;
+  item.running = std::make_unique<process>(
+      std::vector<std::string>{HICKORYD_PATH, "--node_settings=" + file},
+      LogOf(id));
+}
+
+void deployment::KillNode(const std::string& id) {
+  nodes_.at(id).running->Kill();
+}
+
+void deployment::LoseDisk(const std::string& id) {
+  std::filesystem::remove_all(folder_ + "/" + id);
+}
+
+size_t deployment::IdentitiesOf(const std::string& store) const {
+  const std::regex identity(Address(store, peers_port_) + "/([0-9a-f]+)");
+  std::set<std::string> found;
+  for (const std::string& other : stores_) {
+    std::ifstream log(LogOf(other));
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("HK2007") == std::string::npos) continue;
+      std::smatch match;
+      if (std::regex_search(line, match, identity)) found.insert(match[1]);
+    }
+  }
+  return found.size();
+}
+
+bool deployment::IsReady(const std::string& entry) {
+  return web_.Get(Address(entry, ready_port_), "/v1/ready").status == 200;
+}
+
+bool deployment::Start() {
+  for (const auto& item : nodes_) StartNode(item.first);
+  for (int i = 0; i < 2; ++i) endpoints_.Start("echo");
+  for (int i = 0; i < 3; ++i) endpoints_.Start("engines");
+  heartbeats_ = std::thread([this] { SendHeartbeats(); });
+  return PutConfiguration(1, true) && WaitUntil([this] {
+           return IsReady("e1") && IsReady("e2") &&
+                  Plain("e1", "warm-1").status == 200 &&
+                  Plain("e2", "warm-2").status == 200;
+         });
+}
+
+void deployment::SendHeartbeats() {
+  size_t turn = 0;
+  while (!is_over_) {
+    for (const std::string& incarnation : endpoints_.Incarnations()) {
+      transport::http_request input;
+      input.url = "http://" +
+                  Address(controls_[turn++ % controls_.size()], control_port_) +
+                  "/v1/instances/" + incarnation + "/heartbeat";
+      input.body = endpoints_.HeartbeatOf(incarnation);
+      input.total_timeout = kCallTimeout;
+      web_.Send(std::move(input));
+    }
+    std::this_thread::sleep_for(kHeartbeatPeriod);
+  }
+}
+
+bool deployment::PutConfiguration(int version, bool with_plain_route) {
+  json body = {
+      {"version", version},
+      {"routes", json::array({StepRoute()})},
+      {"services",
+       json::array(
+           {{{"name", "echo"}},
+            {{"name", "engines"},
+             {"engine",
+              {{"slots", 8}, {"models", json::array({{{"name", "m"}}})}}}}})}};
+  if (with_plain_route) body["routes"].push_back(PlainRoute());
+  size_t turn = 0;
+  return WaitUntil([&] {
+    const std::string& control = controls_[turn++ % controls_.size()];
+    return web_.Post(Address(control, control_port_), "/v1/config/put", body)
+               .status == 200;
+  });
+}
+
+int deployment::VersionAt(const std::string& control) {
+  const json held =
+      web_.GetJson(Address(control, control_port_), "/v1/config/get");
+  return held.is_object() ? held.value("version", 0) : 0;
+}
+
+transport::http_request deployment::MakePlain(
+    const std::string& entry, const std::string& request_id) const {
+  transport::http_request input;
+  input.url = "http://" + Address(entry, callers_port_) + "/p/x";
+  input.headers = {{"Host", "h"}, {"X-Request-Id", request_id}};
+  input.body = request_id;
+  input.total_timeout = std::chrono::milliseconds(30000);
+  return input;
+}
+
+transport::http_response deployment::Plain(const std::string& entry,
+                                           const std::string& request_id) {
+  return web_.Send(MakePlain(entry, request_id));
+}
+
+std::future<transport::http_response> deployment::PlainLater(
+    const std::string& entry, const std::string& request_id) {
+  return web_.SendLater(MakePlain(entry, request_id));
+}
+
+std::string deployment::TaskId(const std::string& step, int task) {
+  return step + "-t" + std::to_string(task);
+}
+
+bool deployment::Submit(const std::string& entry, const std::string& step,
+                        int tasks) {
+  json body = {{"step", 0},
+               {"model", "m"},
+               {"min_version", 1},
+               {"target_groups", tasks},
+               {"requests", json::array()}};
+  for (int i = 0; i < tasks; ++i) {
+    const std::string id = TaskId(step, i);
+    body["requests"].push_back({{"id", id},
+                                {"path", "/s/run"},
+                                {"headers", json::object()},
+                                {"body", "eA=="},
+                                {"tokens", 10},
+                                {"group", id}});
+  }
+  return WaitUntil([&] {
+    return web_.Post(Address(entry, callers_port_), "/s/" + step, body,
+                     {{"Host", "h"}, {"X-Request-Id", step}})
+               .status == 202;
+  });
+}
+
+json deployment::WaitForResults(const std::string& entry,
+                                const std::string& step, size_t count) {
+  json page;
+  WaitUntil([&] {
+    page = web_.GetJson(Address(entry, callers_port_),
+                        "/v1/lots/" + step + "?after=0");
+    return page.is_object() && page["results"].size() >= count;
+  });
+  return page.is_object() ? page["results"] : json::array();
+}
+
+}  // namespace hickorywood::testing
--- /dev/null
+++ b/tests/support/deployment.h
@@ -0,0 +1,96 @@
+#ifndef HICKORYWOOD_TESTS_SUPPORT_DEPLOYMENT_H_
+#define HICKORYWOOD_TESTS_SUPPORT_DEPLOYMENT_H_
+
+// A whole deployment of real processes that find each other by seeds: control
+// instances, stores and entries, each on a loopback address of its own, before
+// stand-in endpoints.
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/process.h"
+#include "support/stand_in_endpoints.h"
+#include "support/web.h"
+
+namespace hickorywood::testing {
+
+class deployment {
+ public:
+  deployment();
+  ~deployment();
+  deployment(const deployment&) = delete;
+  deployment& operator=(const deployment&) = delete;
+
+  // Starts everything, puts configuration 1 in force and waits until the
+  // entries are ready. False when that does not happen.
+  bool Start();
+
+  void StartNode(const std::string& id);
+  void KillNode(const std::string& id);
+  // Storage identities under which a store has voted so far, as the logs of the
+  // stores list the voters.
+  size_t IdentitiesOf(const std::string& store) const;
+  // Removes the data folder of a stopped instance.
+  void LoseDisk(const std::string& id);
+  process& Node(const std::string& id) { return *nodes_.at(id).running; }
+  bool IsReady(const std::string& entry);
+
+  // Sends it to the control instances in turn until one takes it.
+  bool PutConfiguration(int version, bool with_plain_route);
+  // What a control instance says is in force; 0: it can't tell.
+  int VersionAt(const std::string& control);
+
+  transport::http_response Plain(const std::string& entry,
+                                 const std::string& request_id);
+  std::future<transport::http_response> PlainLater(
+      const std::string& entry, const std::string& request_id);
+  // Submits a step of `tasks` tasks until it is accepted.
+  bool Submit(const std::string& entry, const std::string& step, int tasks);
+  // All results of a step as one entry lists them, once there are `count`.
+  nlohmann::json WaitForResults(const std::string& entry,
+                                const std::string& step, size_t count);
+
+  static std::string TaskId(const std::string& step, int task);
+  const std::vector<std::string>& Stores() const { return stores_; }
+  const std::vector<std::string>& Controls() const { return controls_; }
+  stand_in_endpoints& Endpoints() { return endpoints_; }
+  web& Web() { return web_; }
+  std::string LogOf(const std::string& id) const {
+    return folder_ + "/" + id + ".log";
+  }
+
+ private:
+  struct node {
+    std::string role;
+    std::string ip;
+    std::unique_ptr<process> running;
+    bool was_started = false;
+  };
+
+  void AddNode(const std::string& id, const std::string& role);
+  std::string Address(const std::string& id, int port) const;
+  transport::http_request MakePlain(const std::string& entry,
+                                    const std::string& request_id) const;
+  void SendHeartbeats();
+
+  const std::string folder_;
+  int peers_port_ = 0;
+  int callers_port_ = 0;
+  int control_port_ = 0;
+  int ready_port_ = 0;
+  std::map<std::string, node> nodes_;
+  std::vector<std::string> stores_;
+  std::vector<std::string> controls_;
+  stand_in_endpoints endpoints_;
+  web web_;
+  std::atomic<bool> is_over_{false};
+  std::thread heartbeats_;
+};
+
+}  // namespace hickorywood::testing
+
+#endif  // HICKORYWOOD_TESTS_SUPPORT_DEPLOYMENT_H_
--- /dev/null
+++ b/tests/support/stand_in_endpoints.cc
@@ -0,0 +1,202 @@
+#include "support/stand_in_endpoints.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "net/event.h"
+
+namespace hickorywood::testing {
+namespace {
+
+using boost::asio::awaitable;
+using nlohmann::json;
+
+constexpr char kSignature[] = "X-Response-Stamp";
+
+net::response SignedAnswer(const net::request& input, int status,
+                           std::string body) {
+  net::response answer;
+  answer.status = status;
+  answer.headers = {
+      {"X-Request-Id", std::string(net::Find(input.headers, "X-Request-Id"))},
+      {kSignature, "signed"}};
+  answer.body = std::move(body);
+  return answer;
+}
+
+std::string EventData(const std::string& request_id, int event) {
+  return request_id + "-" + std::to_string(event);
+}
+
+}  // namespace
+
+struct stand_in_endpoints::endpoint {
+  std::string incarnation;
+  std::string service;
+  std::unique_ptr<net::listener> listening;
+  int sequence = 0;
+  int orders = 0;
+  int64_t version = 1;
+};
+
+stand_in_endpoints::stand_in_endpoints()
+    : thread_([this] {
+        const auto guard = boost::asio::make_work_guard(loop_);
+        loop_.run();
+      }) {}
+
+stand_in_endpoints::~stand_in_endpoints() {
+  loop_.stop();
+  thread_.join();
+}
+
+std::string stand_in_endpoints::Start(const std::string& service) {
+  std::promise<std::string> name;
+  boost::asio::post(loop_, [this, &service, &name] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto fresh = std::make_shared<endpoint>();
+    fresh->service = service;
+    fresh->incarnation =
+        "i-" + service + "-" + std::to_string(endpoints_.size());
+    net::listener_options options;
+    options.address = "127.0.0.1:0";
+    options.limits = [] { return net::caller_limits{}; };
+    fresh->listening = std::make_unique<net::listener>(
+        loop_, options,
+        [this, fresh](net::exchange& call) { return Serve(fresh, call); });
+    fresh->listening->Start();
+    endpoints_[fresh->incarnation] = fresh;
+    name.set_value(fresh->incarnation);
+  });
+  return name.get_future().get();
+}
+
+std::vector<std::string> stand_in_endpoints::Incarnations() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> names;
+  for (const auto& item : endpoints_) names.push_back(item.first);
+  return names;
+}
+
+std::string stand_in_endpoints::HeartbeatOf(const std::string& incarnation) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  endpoint& self = *endpoints_.at(incarnation);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(self.listening->Port());
+  const json models = json::array({{{"name", "m"}, {"version", self.version}}});
+  return json({{"service", self.service},
+               {"address", address},
+               {"zone", "z"},
+               {"slots", 8},
+               {"state", "ready"},
+               {"models", models},
+               {"seq", ++self.sequence}})
+      .dump();
+}
+
+void stand_in_endpoints::SetWorkTime(std::chrono::milliseconds time) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  work_time_ = time;
+}
+
+void stand_in_endpoints::SetEventTime(std::chrono::milliseconds time) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  event_time_ = time;
+}
+
+void stand_in_endpoints::BreakStreamsAfter(int events) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  break_after_ = events;
+}
+
+int stand_in_endpoints::RunsOf(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return runs_[request_id];
+}
+
+std::string stand_in_endpoints::OutputOf(const std::string& request_id) {
+  std::string output;
+  for (int event = 1; event <= kEvents; ++event) {
+    output += (event == 1 ? "" : "\n") + EventData(request_id, event);
+  }
+  return output;
+}
+
+void stand_in_endpoints::NoteRun(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++runs_[request_id];
+}
+
+awaitable<void> stand_in_endpoints::Serve(std::shared_ptr<endpoint> self,
+                                          net::exchange& call) {
+  const net::request& input = call.Request();
+  const std::string_view wanted = net::Find(input.headers, "X-Expect-Instance");
+  if (wanted != self->incarnation) {
+    net::response other;
+    other.status = 421;
+    co_await call.Reply(std::move(other));
+    co_return;
+  }
+  if (input.target == "/v1/report") {
+    const json models =
+        json::array({{{"name", "m"}, {"version", self->version}}});
+    net::response report;
+    report.body =
+        json({{"models", models}, {"busy", false}, {"seq", self->orders}})
+            .dump();
+    co_await call.Reply(std::move(report));
+    co_return;
+  }
+  if (input.target == "/v1/order") {
+    self->version = json::parse(input.body).at("version").get<int64_t>();
+    ++self->orders;
+    net::response taken;
+    taken.status = 202;
+    co_await call.Reply(std::move(taken));
+    co_return;
+  }
+  if (self->service == "engines") {
+    co_await ServeStream(self, call);
+  } else {
+    co_await ServePlain(self, call);
+  }
+}
+
+awaitable<void> stand_in_endpoints::ServePlain(
+    std::shared_ptr<endpoint> /*self*/, net::exchange& call) {
+  const net::request& input = call.Request();
+  NoteRun(std::string(net::Find(input.headers, "X-Request-Id")));
+  co_await net::Sleep(work_time_);
+  net::response answer = SignedAnswer(input, 200, "echo " + input.body);
+  co_await call.Reply(std::move(answer));
+}
+
+awaitable<void> stand_in_endpoints::ServeStream(std::shared_ptr<endpoint> self,
+                                                net::exchange& call) {
+  const net::request& input = call.Request();
+  const std::string id(net::Find(input.headers, "X-Request-Id"));
+  const std::string last(net::Find(input.headers, "Last-Event-Id"));
+  NoteRun(id);
+  net::response head = SignedAnswer(input, 200, "");
+  head.headers.push_back({"X-Weight-Versions", std::to_string(self->version)});
+  co_await call.BeginStream(std::move(head));
+  const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  for (int event = first; event <= kEvents; ++event) {
+    co_await net::Sleep(event_time_);
+    const bool breaks =
+        break_after_ > 0 && event > break_after_ && !was_broken_[id];
+    if (breaks) {
+      was_broken_[id] = true;
+      co_return;
+    }
+    std::string frame = "id: " + std::to_string(event) +
+                        "\ndata: " + EventData(id, event) + "\n\n";
+    co_await call.WriteStream(std::move(frame));
+  }
+  co_await call.EndStream();
+}
+
+}  // namespace hickorywood::testing
--- /dev/null
+++ b/tests/support/stand_in_endpoints.h
@@ -0,0 +1,73 @@
+#ifndef HICKORYWOOD_TESTS_SUPPORT_STAND_IN_ENDPOINTS_H_
+#define HICKORYWOOD_TESTS_SUPPORT_STAND_IN_ENDPOINTS_H_
+
+// Endpoints as the platform has them, within the test's process: plain services
+// that echo, and engines that stream events. They refuse requests for another
+// incarnation, take orders and report.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/listener.h"
+
+namespace hickorywood::testing {
+
+class stand_in_endpoints {
+ public:
+  stand_in_endpoints();
+  ~stand_in_endpoints();
+  stand_in_endpoints(const stand_in_endpoints&) = delete;
+  stand_in_endpoints& operator=(const stand_in_endpoints&) = delete;
+
+  // Starts an endpoint of `service` and returns its incarnation.
+  std::string Start(const std::string& service);
+  // The body of its next heartbeat.
+  std::string HeartbeatOf(const std::string& incarnation);
+  std::vector<std::string> Incarnations();
+
+  // Time that a plain request takes.
+  void SetWorkTime(std::chrono::milliseconds time);
+  // Time between two events of a stream.
+  void SetEventTime(std::chrono::milliseconds time);
+  // Each stream breaks off once, after this many events.
+  void BreakStreamsAfter(int events);
+
+  // How often a request of this id was run.
+  int RunsOf(const std::string& request_id);
+
+  static constexpr int kEvents = 20;  // of each stream
+  // The whole output of a task, as trainers read it.
+  static std::string OutputOf(const std::string& request_id);
+
+ private:
+  struct endpoint;
+
+  boost::asio::awaitable<void> Serve(std::shared_ptr<endpoint> self,
+                                     net::exchange& call);
+  boost::asio::awaitable<void> ServePlain(std::shared_ptr<endpoint> self,
+                                          net::exchange& call);
+  boost::asio::awaitable<void> ServeStream(std::shared_ptr<endpoint> self,
+                                           net::exchange& call);
+  void NoteRun(const std::string& request_id);
+
+  boost::asio::io_context loop_;
+  std::thread thread_;
+  std::mutex mutex_;
+  std::map<std::string, std::shared_ptr<endpoint>> endpoints_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, bool> was_broken_;
+  std::chrono::milliseconds work_time_{1};
+  std::chrono::milliseconds event_time_{2};
+  int break_after_ = 0;
+};
+
+}  // namespace hickorywood::testing
+
+#endif  // HICKORYWOOD_TESTS_SUPPORT_STAND_IN_ENDPOINTS_H_
