--- /dev/null
+++ b/packages/store/dispatcher_results.cc
@@ -0,0 +1,210 @@
+// What comes of the runs: results and progress that are committed, runs that
+// are ended, moved or given up.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/binary.h"
+#include "core/events.h"
+#include "net/spawn.h"
+#include "store/dispatch_limits.h"
+#include "store/dispatcher.h"
+
+namespace hickorywood::store {
+namespace {
+
+using boost::asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::time_point;
+
+std::string Text(uint64_t number) { return std::to_string(number); }
+
+}  // namespace
+
+// --- Results.
+
+void dispatcher::Finish(const task_key& key, bool is_complete) {
+  task_run* const task = FindTask(key);
+  if (task == nullptr || task->stage == task_stage::kDone) return;
+  task->stage = task_stage::kDone;
+  steps::task_result result;
+  result.task = key.task;
+  result.is_complete = is_complete;
+  if (is_complete) {
+    result.output = steps::JoinText(task->text);
+    result.versions = task->text.versions;
+  } else {
+    LogEvent(event_id::kTaskGivenUp,
+             {{"step", key.step},
+              {"task", Text(key.task)},
+              {"failures", std::to_string(task->failures)}});
+  }
+  task->text = steps::generated_text{};
+  outbox_.push_back({key.step, {std::move(result)}});
+  outbox_filled_.Notify();
+}
+
+// Commits all that has come in while the commit before was under way, so that
+// the rate of syncs does not rise with the rate of results.
+awaitable<void> dispatcher::KeepCommitting() {
+  for (;;) {
+    if (outbox_.empty()) {
+      co_await outbox_filled_.WaitUntil(time_point::max());
+      continue;
+    }
+    add_results_command batch;
+    batch.steps = std::move(outbox_);
+    outbox_.clear();
+    const auto result =
+        co_await group_.Commit(kAddResultsCommand, core::EncodeBinary(batch));
+    if (result.is_committed) continue;
+    LogEvent(event_id::kResultsNotCommitted,
+             {{"results", Text(batch.steps.size())},
+              {"proposed", result.was_proposed ? "true" : "false"}});
+    // The lease may be late by a moment while this replica still leads.
+    if (is_leading_ && !result.was_proposed) {
+      outbox_.insert(outbox_.begin(), batch.steps.begin(), batch.steps.end());
+      co_await net::Sleep(kRetryPause);
+    }
+  }
+}
+
+// What the running tasks have gained since it was last committed, where that is
+// worth a commit.
+add_progress_command dispatcher::CollectProgress() {
+  std::map<std::string, step_progress> by_step;
+  for (const auto& [key, item] : runs_) {
+    task_run* const task = FindTask(key);
+    if (task == nullptr) continue;
+    const uint64_t from = task->committed_events;
+    if (task->text.events < from + kWorthKeeping) continue;
+    steps::task_progress gained;
+    gained.task = key.task;
+    gained.after = from;
+    gained.text.events = task->text.events;
+    gained.text.versions = task->text.versions;
+    gained.text.data.assign(
+        task->text.data.begin() + static_cast<ptrdiff_t>(from),
+        task->text.data.end());
+    task->committed_events = task->text.events;
+    by_step[key.step].tasks.push_back(std::move(gained));
+  }
+  add_progress_command command;
+  for (auto& [step, progress] : by_step) {
+    progress.step = step;
+    command.steps.push_back(std::move(progress));
+  }
+  return command;
+}
+
+// Commits the text of long tasks now and then, so that a lost leader costs its
+// successor a second of it and not all. A commit that fails is no loss: without
+// leadership nothing is committed, and the successor knows what came before.
+awaitable<void> dispatcher::KeepProgress() {
+  for (;;) {
+    co_await net::Sleep(kProgressPeriod);
+    if (!is_leading_ || runs_.empty() || !group_.IsServing()) continue;
+    const add_progress_command command = CollectProgress();
+    if (command.steps.empty()) continue;
+    co_await group_.Commit(kAddProgressCommand, core::EncodeBinary(command));
+  }
+}
+
+// --- Upkeep.
+
+void dispatcher::GiveUpOld() {
+  const time_point now = clock_.Now();
+  for (auto& [id, where] : steps_) {
+    for (uint32_t i = 0; i < where.tasks.size(); ++i) {
+      if (where.tasks[i].stage == task_stage::kDone) continue;
+      const fleet::route* terms = RouteOf({id, i});
+      const bool has_route = terms != nullptr && terms->task_lifetime_ms > 0;
+      if (!has_route) continue;
+      const milliseconds lifetime(terms->task_lifetime_ms);
+      if (now - where.opened_at < lifetime + kLifetimeSlack) continue;
+      const auto running = runs_.find({id, i});
+      if (running != runs_.end()) {
+        net::Cancel(running->second->cancel);
+      }
+      Finish({id, i}, false);
+    }
+  }
+}
+
+// Ends runs whose engine has been silent for too long. One pass over all in
+// place of a timer for each read: a stream has a read for every 30 ms.
+void dispatcher::EndStalledRuns() {
+  const time_point now = clock_.Now();
+  std::vector<std::shared_ptr<run>> stalled;
+  for (const auto& item : runs_) {
+    const run& candidate = *item.second;
+    const bool is_silent = now - candidate.heard_at > candidate.patience;
+    if (is_silent && !candidate.is_stalled) stalled.push_back(item.second);
+  }
+  for (const auto& item : stalled) {
+    item->is_stalled = true;
+    net::Cancel(item->cancel);
+  }
+}
+
+// Takes runs off engines that are clearly slower than others with room. Without
+// it one slow engine holds up every group that has a task on it.
+void dispatcher::MoveStragglers() {
+  std::vector<std::shared_ptr<run>> moving;
+  std::map<std::string, std::vector<steps::engine_load>> by_step;
+  for (const auto& [key, item] : runs_) {
+    const bool is_settled =
+        clock_.Now() - item->started_at >= kLeastStay && !item->is_moving;
+    const task_run* task = FindTask(key);
+    if (!is_settled || task == nullptr || task->moves >= kMostMoves) continue;
+    const auto step = state_.Steps().find(key.step);
+    if (step == state_.Steps().end()) continue;
+    auto loads = by_step.find(key.step);
+    if (loads == by_step.end()) {
+      loads =
+          by_step
+              .emplace(key.step,
+                       LoadsFor(item->engine.service, step->second.input.model,
+                                step->second.input.minimum_version))
+              .first;
+    }
+    const std::string& incarnation = item->engine.incarnation;
+    const auto own =
+        std::find_if(loads->second.begin(), loads->second.end(),
+                     [&incarnation](const steps::engine_load& load) {
+                       return load.incarnation == incarnation;
+                     });
+    if (own == loads->second.end()) continue;
+    if (steps::IsWorthMoving(*own, loads->second)) moving.push_back(item);
+  }
+  for (const auto& item : moving) {
+    item->is_moving = true;
+    if (task_run* const task = FindTask(item->key)) ++task->moves;
+    net::Cancel(item->cancel);
+  }
+}
+
+void dispatcher::CancelRuns(const std::string& step) {
+  std::vector<std::shared_ptr<run>> ending;
+  for (const auto& [key, item] : runs_) {
+    if (key.step == step) ending.push_back(item);
+  }
+  for (const auto& item : ending) {
+    runs_.erase(item->key);
+    net::Cancel(item->cancel);
+  }
+}
+
+void dispatcher::CancelAll() {
+  std::map<task_key, std::shared_ptr<run>> ending = std::move(runs_);
+  runs_.clear();
+  for (const auto& item : ending) {
+    if (task_run* const task = FindTask(item.first)) {
+      task->stage = task_stage::kWaiting;
+    }
+    net::Cancel(item.second->cancel);
+  }
+}
+
+}  // namespace hickorywood::store
