--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -20,6 +20,9 @@
 using core::LogEvent;
 using core::milliseconds;
 using core::time_point;
+using group::Done;
+using group::Malformed;
+using group::Refused;
 using peering::call_outcome;
 using peering::envelope;
 
@@ -30,14 +33,6 @@
 constexpr std::chrono::seconds kStoreLifetime{20};
 constexpr milliseconds kRetirePatience{700};
 
-envelope Done(std::string payload = "") {
-  return {call_outcome::kDone, "", "", std::move(payload)};
-}
-
-envelope Refused(std::string reason) {
-  return {call_outcome::kRefused, "", std::move(reason), ""};
-}
-
 std::vector<fleet::engine_weights_entry> ListWeights(const weight_book& book) {
   std::vector<fleet::engine_weights_entry> list;
   for (const auto& [incarnation, engine] : book.engines) {
@@ -48,8 +43,6 @@
   return list;
 }
 
-envelope Malformed() { return Refused(core::LastReason().text); }
-
 }  // namespace
 
 leader_service::leader_service(asio::io_context& loop,
--- a/packages/group/leader_calls.cc
+++ b/packages/group/leader_calls.cc
@@ -2,11 +2,23 @@
 
 #include <utility>
 
+#include "core/reason.h"
+
 namespace hickorywood::group {
 
 using peering::call_outcome;
 using peering::envelope;
 
+envelope Done(std::string payload) {
+  return {call_outcome::kDone, "", "", std::move(payload)};
+}
+
+envelope Refused(std::string reason) {
+  return {call_outcome::kRefused, "", std::move(reason), ""};
+}
+
+envelope Malformed() { return Refused(core::LastReason().text); }
+
 envelope NotLeader(const group_host& host) {
   envelope answer;
   answer.outcome = call_outcome::kNotLeader;
--- a/packages/group/leader_calls.h
+++ b/packages/group/leader_calls.h
@@ -11,6 +11,11 @@
 
 namespace hickorywood::group {
 
+peering::envelope Done(std::string payload = "");
+peering::envelope Refused(std::string reason);
+// The call can't be read; the last reason says why.
+peering::envelope Malformed();
+
 // This instance does not lead; says who does as far as known.
 peering::envelope NotLeader(const group_host& host);
 
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -18,6 +18,8 @@
 using core::LogEvent;
 using core::milliseconds;
 using core::time_point;
+using group::Done;
+using group::Malformed;
 using peering::call_outcome;
 using peering::envelope;
 
@@ -28,14 +30,6 @@
 constexpr uint64_t kMostPageBytes = 1000 * 1000;
 constexpr milliseconds kLongestWait{5000};
 
-envelope Done(std::string payload = "") {
-  return {call_outcome::kDone, "", "", std::move(payload)};
-}
-
-envelope Malformed() {
-  return {call_outcome::kRefused, "", core::LastReason().text, ""};
-}
-
 envelope NoSuch(const std::string& what) {
   return {call_outcome::kNotFound, "", "no such " + what, ""};
 }
