A hand-over whose message is lost no longer stops a group for good

Cause: a leader gives its lease up for a successor. When that message was lost, or the successor crashed, the leader stayed leader without a lease for the rest of its term, and its heartbeats kept the others from an election. The schedules of GroupTest.ThreeOfFourReplicasKeepTheirPromises showed it as a group that serves nobody after all is mended. Traced by printing each replica at the end: leader and three followers at the same index, lease left 0. Change: a leader steps down one election timeout after a hand-over that nobody took. Test first: GroupTest.LostHandOverDoesNotStopTheGroup failed before and passes.

The schedules stay as wide as they were and check all promises; only the demand for progress is left out, and only where the simulation saw the second disk go while the first was missing.

--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -80,6 +80,7 @@
   uint64_t term_start_index = 0;
   bool is_lease_given_up =
       false;  // after a hand-over, for the rest of the term
+  time_point handed_over_at{};
   time_point elected_at{};
   std::set<std::string> leaving;  // nodes that shall not be members
   // Follower only: the pieces of a snapshot that is coming in.
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -222,6 +222,20 @@
   return true;
 }
 
+// Whether the leader has to stop claiming to be one.
+bool MustStepDown(const raft_state& state, time_point now) {
+  const milliseconds timeout = state.options.election_timeout;
+  // The successor never took over: its message was lost or it crashed. This
+  // leader can't serve in its term any more, and its heartbeats would keep the
+  // others from an election for good.
+  if (state.is_lease_given_up && now - state.handed_over_at > timeout) {
+    return true;
+  }
+  // Without a quorum for a whole election timeout there may be another leader.
+  return now - state.elected_at > timeout &&
+         now - LeaseStart(state, now) > timeout;
+}
+
 }  // namespace
 
 namespace internal {
@@ -238,11 +252,7 @@
 }
 
 void LeaderTick(raft_state& state, time_point now, raft_output& out) {
-  // Without a quorum for a whole election timeout there may be another leader:
-  // stop claiming it.
-  const bool had_time = now - state.elected_at > state.options.election_timeout;
-  if (had_time &&
-      now - LeaseStart(state, now) > state.options.election_timeout) {
+  if (MustStepDown(state, now)) {
     BecomeFollower(state, state.hard.term, member{}, out);
     state.election_deadline = now + state.options.election_timeout;
     return;
@@ -348,6 +358,7 @@
       continue;
     }
     state.is_lease_given_up = true;
+    state.handed_over_at = now;
     out.messages.push_back(MakeMessage(state, message_kind::kCampaignNow, who));
     return true;
   }
--- a/tests/unit/consensus/group_simulation.h
+++ b/tests/unit/consensus/group_simulation.h
@@ -33,6 +33,11 @@
 
   size_t Committed() const { return committed_.size(); }
   uint64_t DisksLost() const { return disks_lost_; }
+  // Whether a disk was lost while another one was missing: that of a voter, or
+  // of a replica whose admission had begun. From then on the quorum is that of
+  // the larger group, and a group that bears one loss owes no progress after
+  // two. It still must not lose or contradict anything.
+  bool HasLostTwoDisks() const { return has_lost_two_disks_; }
 
   // Single actions, for scripted failures. Settle() runs the group for `time`,
   // delivering all messages.
@@ -52,6 +57,8 @@
   size_t Leader() const;
   // Nodes that vote, as far as committed.
   std::vector<std::string> Voters() const;
+  // The leader at `index` gives way, and its message to the successor is lost.
+  void LoseHandOver(size_t index);
   void SetLeaving(const std::string& node);
 
   // Removes a safeguard, to see that the checks notice.
@@ -72,6 +79,11 @@
     int disks = 0;
   };
 
+  member IdentityOf(size_t index) const;
+  // Whether the voters other than `besides` still have the disks under which
+  // they were admitted.
+  bool HasCurrentDisks(const group_members& members, size_t besides) const;
+  bool HasCurrentDisksEverywhere(size_t besides) const;
   bool MayLoseDisk(size_t index) const;
   void Advance(core::milliseconds step);
   void TickAll();
@@ -94,6 +106,7 @@
   const size_t wanted_voters_;
   uint64_t proposals_ = 0;
   uint64_t disks_lost_ = 0;
+  bool has_lost_two_disks_ = false;
   bool drops_promise_ = false;
   bool lets_lost_disks_vote_ = false;
 };
