The dispatcher gathers what it knows of the engines once a pass, not once a task

For each task that it started it copied, for each engine, the set of all groups that the engine had ever run; the sets never shrank, and each end of a run, commit and change of the view made a pass of its own. Change: one gathering per service, model and oldest version in a pass; whether an engine has read a prompt is looked up in place; passes that come together are one; groups older than 15 s and prompts discarded by a load are forgotten.

--- a/packages/steps/task_choice.cc
+++ b/packages/steps/task_choice.cc
@@ -17,22 +17,21 @@
 // ... and up to which another one is a place to go.
 constexpr double kFast = 1.5;
 
-double ExpectedCost(const engine_load& engine, const std::string& group) {
+double ExpectedCost(const engine_load& engine) {
   double cost = static_cast<double>(engine.running + 1);
   if (!engine.is_trusted) cost += kDistrust;
-  if (engine.groups.count(group) != 0) cost -= kPromptAtHand;
+  if (engine.has_prompt) cost -= kPromptAtHand;
   return cost * engine.slowness;
 }
 
 }  // namespace
 
-std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines,
-                                   const std::string& group) {
+std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines) {
   std::optional<size_t> best;
   double best_cost = 0;
   for (size_t i = 0; i < engines.size(); ++i) {
     if (engines[i].running >= engines[i].slots) continue;
-    const double cost = ExpectedCost(engines[i], group);
+    const double cost = ExpectedCost(engines[i]);
     if (best && cost >= best_cost) continue;
     best = i;
     best_cost = cost;
--- a/packages/steps/task_choice.h
+++ b/packages/steps/task_choice.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -18,16 +17,15 @@
   int64_t running = 0;  // own dispatches that are not over
   // Time between two events against what is usual; 1: as fast.
   double slowness = 1;
-  bool is_trusted = true;        // false: silent towards the control group
-  std::set<std::string> groups;  // whose prompt it has read under these weights
+  bool is_trusted = true;   // false: silent towards the control group
+  bool has_prompt = false;  // it has read the prompt of the task's group
 };
 
-// The engine for a task of `group`: the one that is expected to make its events
-// fastest. The batch of an engine slows each of its streams, so the shortest
-// batch wins; having read the group's prompt counts like one stream less.
-// Empty: all are full.
-std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines,
-                                   const std::string& group);
+// The engine for a task: the one that is expected to make its events fastest.
+// The batch of an engine slows each of its streams, so the shortest batch wins;
+// having read the group's prompt counts like one stream less. Empty: all are
+// full.
+std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines);
 
 // How much slower an engine makes its events than its peers do: its time
 // between events against the median of all that have one. 0 in `gaps_ms`: not
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -43,6 +43,9 @@
 constexpr double kGapWeight = 0.3;
 // Age after which an engine's gap counts for nothing: it is tried again.
 constexpr std::chrono::seconds kGapLifetime{3};
+// Age of the last task after which a group's prompt counts as dropped by its
+// engine: two steps come and go in it, and a group can reappear in the next.
+constexpr std::chrono::seconds kPromptLifetime{15};
 // Later than the lifetime of a task by this, a task without a result is given
 // up: the clocks of two leaders may differ by a little.
 constexpr std::chrono::seconds kLifetimeSlack{3};
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <random>
+#include <tuple>
 #include <utility>
 
 #include "core/events.h"
@@ -57,7 +59,7 @@
 void dispatcher::OnApplied() {
   if (!is_leading_) return;
   SyncSteps();
-  Pump();
+  SchedulePump();
 }
 
 void dispatcher::OnView() {
@@ -70,11 +72,14 @@
   });
   for (const fleet::engine_weights_entry& item : view_.weights) {
     if (known.count(item.incarnation) == 0) continue;
-    weights_at_engine& weights = engines_[item.incarnation].weights[item.model];
+    engine_record& record = engines_[item.incarnation];
+    weights_at_engine& weights = record.weights[item.model];
+    // A load discards what the engine has read.
+    if (item.version > weights.version) ForgetPrompts(record, item.model);
     weights.version = std::max(weights.version, item.version);
     weights.is_loading = item.is_loading;
   }
-  if (is_leading_) Pump();
+  if (is_leading_) SchedulePump();
 }
 
 awaitable<void> dispatcher::KeepWatching() {
@@ -89,6 +94,7 @@
     GiveUpOld();
     EndStalledRuns();
     MoveStragglers();
+    ForgetOldGroups();
     Pump();
   }
 }
@@ -164,9 +170,30 @@
 
 // --- Starting runs.
 
+struct dispatcher::dispatch_pass {
+  size_t starting = 0;
+  // By service, model and oldest version.
+  std::map<std::tuple<std::string, std::string, uint64_t>, engine_pool> pools;
+};
+
+// Once for all that the loop has ready now: the end of a run, a commit and news
+// of an engine often come together.
+void dispatcher::SchedulePump() {
+  if (is_pump_scheduled_) return;
+  is_pump_scheduled_ = true;
+  asio::post(loop_, [this] {
+    is_pump_scheduled_ = false;
+    Pump();
+  });
+}
+
 void dispatcher::Pump() {
   if (!is_leading_ || !group_.IsServing()) return;
-  for (const std::string& id : StepsByAge()) PumpStep(id, steps_.at(id));
+  dispatch_pass pass;
+  pass.starting = Starting();
+  for (const std::string& id : StepsByAge()) {
+    PumpStep(id, steps_.at(id), pass);
+  }
 }
 
 // Runs whose engine has not answered yet.
@@ -176,8 +203,8 @@
                     [](const auto& item) { return !item.second->has_head; }));
 }
 
-void dispatcher::PumpStep(const std::string& id, step_run& where) {
-  size_t starting = Starting();
+void dispatcher::PumpStep(const std::string& id, step_run& where,
+                          dispatch_pass& pass) {
   const auto found = state_.Steps().find(id);
   if (found == state_.Steps().end()) return;
   const steps::step& step = found->second;
@@ -185,46 +212,52 @@
   for (uint32_t i = 0; i < where.tasks.size(); ++i) {
     const task_run& task = where.tasks[i];
     if (task.stage != task_stage::kWaiting || task.not_before > now) continue;
+    // The rest starts as engines answer.
+    if (pass.starting >= kMostStarting) return;
     candidate item;
     item.key = {id, i};
     item.step = &step;
     item.terms = RouteOf(item.key);
     if (item.terms == nullptr) continue;
-    // The rest starts as engines answer.
-    if (starting >= kMostStarting) return;
-    if (!TryStart(item)) return;
-    ++starting;
+    if (!TryStart(item, pass)) return;
+    ++pass.starting;
   }
 }
 
 // False when no engine has room, so that the tasks behind need not be tried.
-bool dispatcher::TryStart(const candidate& item) {
+bool dispatcher::TryStart(const candidate& item, dispatch_pass& pass) {
   static thread_local std::mt19937_64 random{std::random_device()()};
   const double draw = std::uniform_real_distribution<double>(0, 1)(random);
   const std::string service(fleet::DrawService(*item.terms, draw));
   const steps::submission& input = item.step->input;
-  const std::vector<steps::engine_load> loads =
-      LoadsFor(service, input.model, input.minimum_version);
+  const std::tuple key(service, input.model, input.minimum_version);
+  auto pool = pass.pools.find(key);
+  if (pool == pass.pools.end()) {
+    engine_pool fresh =
+        GatherEngines(service, input.model, input.minimum_version);
+    pool = pass.pools.emplace(key, std::move(fresh)).first;
+  }
   const std::string group =
       input.model + "/" + input.tasks[item.key.task].group;
-  const auto choice = steps::ChooseEngine(loads, group);
+  engine_pool& engines = pool->second;
+  for (size_t i = 0; i < engines.loads.size(); ++i) {
+    const engine_record& record = *engines.records[i];
+    engines.loads[i].running = record.running;
+    engines.loads[i].has_prompt = record.groups.count(group) != 0;
+  }
+  const auto choice = steps::ChooseEngine(engines.loads);
   if (!choice) return false;
-  const std::string& incarnation = loads[*choice].incarnation;
-  const auto engine =
-      std::find_if(view_.endpoints.begin(), view_.endpoints.end(),
-                   [&incarnation](const fleet::endpoint& candidate) {
-                     return candidate.incarnation == incarnation;
-                   });
-  engines_[incarnation].groups.insert(group);
-  StartRun(item, *engine);
+  const fleet::endpoint& engine = *engines.endpoints[*choice];
+  engines_[engine.incarnation].groups[group] = clock_.Now();
+  StartRun(item, engine);
   return true;
 }
 
-std::vector<steps::engine_load> dispatcher::LoadsFor(const std::string& service,
-                                                     const std::string& model,
-                                                     uint64_t minimum_version) {
+dispatcher::engine_pool dispatcher::GatherEngines(const std::string& service,
+                                                  const std::string& model,
+                                                  uint64_t minimum_version) {
   const time_point now = clock_.Now();
-  std::vector<steps::engine_load> loads;
+  engine_pool pool;
   std::vector<double> gaps;
   for (const fleet::endpoint& item : view_.endpoints) {
     if (item.service != service ||
@@ -238,17 +271,38 @@
     load.slots = item.slots;
     load.running = record.running;
     load.is_trusted = item.state == fleet::endpoint_state::kReady;
-    load.groups = record.groups;
     const auto weights = record.weights.find(model);
     const bool is_unfit = weights != record.weights.end() &&
                           (weights->second.is_loading ||
                            weights->second.version < minimum_version);
     if (is_unfit || record.avoid_until > now) load.slots = 0;
-    loads.push_back(std::move(load));
+    pool.loads.push_back(std::move(load));
+    pool.records.push_back(&record);
+    pool.endpoints.push_back(&item);
   }
   const std::vector<double> slowness = steps::Slowness(gaps);
-  for (size_t i = 0; i < loads.size(); ++i) loads[i].slowness = slowness[i];
-  return loads;
+  for (size_t i = 0; i < slowness.size(); ++i) {
+    pool.loads[i].slowness = slowness[i];
+  }
+  return pool;
+}
+
+void dispatcher::ForgetPrompts(engine_record& record,
+                               const std::string& model) {
+  std::erase_if(record.groups, [&model](const auto& item) {
+    return item.first.starts_with(model + "/");
+  });
+}
+
+// A prompt that no task has asked for in a while has made room for others, and
+// a day's groups would pile up.
+void dispatcher::ForgetOldGroups() {
+  const time_point now = clock_.Now();
+  for (auto& [incarnation, record] : engines_) {
+    std::erase_if(record.groups, [now](const auto& item) {
+      return now - item.second > kPromptLifetime;
+    });
+  }
 }
 
 void dispatcher::StartRun(const candidate& item,
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -75,7 +75,8 @@
     core::time_point gap_at{};
     core::time_point avoid_until{};
     int failures = 0;  // in a row
-    std::set<std::string> groups;
+    // Groups whose prompt it has read, with the time of the last task.
+    std::map<std::string, core::time_point> groups;
     std::map<std::string, weights_at_engine> weights;  // by model
   };
   enum class run_end {
@@ -107,6 +108,13 @@
     core::milliseconds patience{0};
     net::cancel_signal cancel = net::MakeCancelSignal();
   };
+  // The engines that may run the tasks of a step, and what is known of them.
+  struct engine_pool {
+    std::vector<steps::engine_load> loads;
+    // Beside `loads`; valid as long as neither map nor view changes.
+    std::vector<const engine_record*> records;
+    std::vector<const fleet::endpoint*> endpoints;
+  };
   // One task with its place and terms, as it waits for an engine.
   struct candidate {
     task_key key;
@@ -118,15 +126,20 @@
   boost::asio::awaitable<void> KeepCommitting();
   boost::asio::awaitable<void> KeepProgress();
   add_progress_command CollectProgress();
+  // One pass over the waiting tasks. What it knows of the engines is gathered
+  // once for all of them: gathered for each task, it took most of the leader's
+  // processor time with 48 engines.
+  struct dispatch_pass;
+
   void SyncSteps();
   void StartStep(const std::string& id, const steps::step& where);
+  void SchedulePump();
   void Pump();
   size_t Starting() const;
-  void PumpStep(const std::string& id, step_run& where);
-  bool TryStart(const candidate& item);
-  std::vector<steps::engine_load> LoadsFor(const std::string& service,
-                                           const std::string& model,
-                                           uint64_t minimum_version);
+  void PumpStep(const std::string& id, step_run& where, dispatch_pass& pass);
+  bool TryStart(const candidate& item, dispatch_pass& pass);
+  engine_pool GatherEngines(const std::string& service,
+                            const std::string& model, uint64_t minimum_version);
   void StartRun(const candidate& item, const fleet::endpoint& engine);
   boost::asio::awaitable<run_end> Run(std::shared_ptr<run> self,
                                       net::request input,
@@ -140,6 +153,8 @@
   void NoteGap(const std::string& incarnation, core::milliseconds gap);
   void Finish(const task_key& key, bool is_complete);
   void GiveUpOld();
+  void ForgetOldGroups();
+  static void ForgetPrompts(engine_record& record, const std::string& model);
   void EndStalledRuns();
   void MoveStragglers();
   void CancelRuns(const std::string& step);
@@ -156,6 +171,7 @@
   const fleet::protocol& wire_;
   const fleet::view& view_;
   bool is_leading_ = false;
+  bool is_pump_scheduled_ = false;
   std::map<std::string, step_run> steps_;
   std::map<std::string, engine_record> engines_;  // by incarnation
   std::map<task_key, std::shared_ptr<run>> runs_;
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -152,7 +152,7 @@
 // it one slow engine holds up every group that has a task on it.
 void dispatcher::MoveStragglers() {
   std::vector<std::shared_ptr<run>> moving;
-  std::map<std::string, std::vector<steps::engine_load>> by_step;
+  std::map<std::string, engine_pool> by_step;
   for (const auto& [key, item] : runs_) {
     const bool is_settled =
         clock_.Now() - item->started_at >= kLeastStay && !item->is_moving;
@@ -160,23 +160,21 @@
     if (!is_settled || task == nullptr || task->moves >= kMostMoves) continue;
     const auto step = state_.Steps().find(key.step);
     if (step == state_.Steps().end()) continue;
-    auto loads = by_step.find(key.step);
-    if (loads == by_step.end()) {
-      loads =
-          by_step
-              .emplace(key.step,
-                       LoadsFor(item->engine.service, step->second.input.model,
-                                step->second.input.minimum_version))
-              .first;
+    auto pool = by_step.find(key.step);
+    if (pool == by_step.end()) {
+      engine_pool fresh =
+          GatherEngines(item->engine.service, step->second.input.model,
+                        step->second.input.minimum_version);
+      pool = by_step.emplace(key.step, std::move(fresh)).first;
     }
+    const std::vector<steps::engine_load>& loads = pool->second.loads;
     const std::string& incarnation = item->engine.incarnation;
-    const auto own =
-        std::find_if(loads->second.begin(), loads->second.end(),
-                     [&incarnation](const steps::engine_load& load) {
-                       return load.incarnation == incarnation;
-                     });
-    if (own == loads->second.end()) continue;
-    if (steps::IsWorthMoving(*own, loads->second)) moving.push_back(item);
+    const auto own = std::find_if(loads.begin(), loads.end(),
+                                  [&incarnation](const auto& load) {
+                                    return load.incarnation == incarnation;
+                                  });
+    if (own == loads.end()) continue;
+    if (steps::IsWorthMoving(*own, loads)) moving.push_back(item);
   }
   for (const auto& item : moving) {
     item->is_moving = true;
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -33,15 +33,16 @@
   const bool has_head = co_await open->ReadHead(head, deadline);
   if (!has_head) co_return run_end::kBroken;
   self->has_head = true;
-  if (Starting() < kMostStarting / 2) Pump();
+  SchedulePump();
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
   if (marks.is_not_run) co_return run_end::kNotRun;
   if (head.status == 422) co_return run_end::kImpossible;
   if (head.status != 200 || !marks.is_signed) co_return run_end::kFailed;
   if (marks.weights_version) {
     // Newer than what the view says, where the leader has not heard yet.
-    uint64_t& known =
-        engines_[self->engine.incarnation].weights[self->model].version;
+    engine_record& record = engines_[self->engine.incarnation];
+    uint64_t& known = record.weights[self->model].version;
+    if (*marks.weights_version > known) ForgetPrompts(record, self->model);
     known = std::max(known, *marks.weights_version);
   }
   const task_run* task = FindTask(self->key);
@@ -143,7 +144,7 @@
     case run_end::kMoved:
       break;
   }
-  Pump();
+  SchedulePump();
 }
 
 void dispatcher::NoteEngine(const std::string& incarnation, run_end how) {
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -199,21 +199,21 @@
 TEST(TaskChoiceTest, ShortestBatchWinsAndFullEnginesAreLeftOut) {
   std::vector<engine_load> engines = {Engine("a", 3), Engine("b", 1),
                                       Engine("c", 4)};
-  EXPECT_EQ(ChooseEngine(engines, "g"), 1U);
+  EXPECT_EQ(ChooseEngine(engines), 1U);
   engines = {Engine("a", 4), Engine("b", 5)};
-  EXPECT_FALSE(ChooseEngine(engines, "g"));
+  EXPECT_FALSE(ChooseEngine(engines));
   engines[0].slots = 0;
-  EXPECT_FALSE(ChooseEngine({engines[0]}, "g"));
+  EXPECT_FALSE(ChooseEngine({engines[0]}));
 }
 
 // A step's tasks share a prompt per group: an engine that has read it is worth
 // one stream more in its batch, and no more than that.
 TEST(TaskChoiceTest, PromptAtHandCountsLikeOneStream) {
   std::vector<engine_load> engines = {Engine("a", 1), Engine("b", 1)};
-  engines[1].groups = {"g"};
-  EXPECT_EQ(ChooseEngine(engines, "g"), 1U);
+  engines[1].has_prompt = true;
+  EXPECT_EQ(ChooseEngine(engines), 1U);
   engines[1].running = 3;
-  EXPECT_EQ(ChooseEngine(engines, "g"), 0U);
+  EXPECT_EQ(ChooseEngine(engines), 0U);
 }
 
 // Four engines of nine turn slow at once and are all known as slow; nothing
