--- a/packages/consensus/file_storage.cc
+++ b/packages/consensus/file_storage.cc
@@ -1,5 +1,6 @@
 #include "consensus/file_storage.h"
 
+#include <absl/strings/numbers.h>
 #include <fcntl.h>
 #include <sys/file.h>
 #include <sys/stat.h>
@@ -8,25 +9,15 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <utility>
 
+#include "consensus/log_frames.h"
 #include "core/ids.h"
 #include "core/json.h"
 
 namespace hickorywood::consensus {
 
-// One frame of the log file.
-struct log_frame {
-  uint64_t base_index = 0;  // first frame only
-  uint64_t base_term = 0;
-  uint64_t truncate_from = 0;
-  std::vector<log_entry> entries;
-  hard_state hard;
-};
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(log_frame, base_index,
-                                                base_term, truncate_from,
-                                                entries, hard)
-
 struct identity_record {
   std::string storage_id;
 };
@@ -37,17 +28,19 @@
 using core::reason_code;
 using core::SetLastReason;
 
-constexpr size_t kLengthBytes = 4;
-constexpr size_t kLengthCheckBytes = 4;
-constexpr size_t kChecksumBytes = 8;
-constexpr size_t kChecksumOffset = kLengthBytes + kLengthCheckBytes;
-constexpr size_t kHeaderBytes = kChecksumOffset + kChecksumBytes;
-constexpr size_t kSectorBytes = 512;
 constexpr mode_t kFileMode = 0600;
 constexpr mode_t kFolderMode = 0700;
 constexpr char kIdentityName[] = "identity";
 constexpr char kSnapshotName[] = "snapshot";
+// The log is a row of files: the first of a folder, then this name with a
+// number.
 constexpr char kLogName[] = "log";
+constexpr char kLogPrefix[] = "log-";
+constexpr char kTemporarySuffix[] = ".tmp";
+// Size from which a file of the log is followed by a new one. What a snapshot
+// covers is given up by whole files, without copying: some of them hold the
+// entries that a store must keep for two minutes of a busy day.
+constexpr uint64_t kLogFileBytes = 8 * 1024 * 1024;
 constexpr char kLockName[] = "lock";
 
 bool FailIo(const std::string& action, const std::string& path) {
@@ -61,88 +54,6 @@
   return false;
 }
 
-// The length has a check of its own: a damaged length that points past the end
-// of the file would otherwise look like a torn write, and everything after it
-// would be cut off.
-uint32_t LengthCheck(uint32_t length) {
-  const std::string_view bytes(reinterpret_cast<const char*>(&length),
-                               sizeof(length));
-  return static_cast<uint32_t>(core::Hash64(bytes));
-}
-
-template <typename T>
-std::string EncodeFrame(const T& value) {
-  const nlohmann::json tree = value;
-  const std::vector<uint8_t> payload = nlohmann::json::to_cbor(tree);
-  const auto length = static_cast<uint32_t>(payload.size());
-  const uint32_t length_check = LengthCheck(length);
-  const std::string_view bytes(reinterpret_cast<const char*>(payload.data()),
-                               payload.size());
-  const uint64_t checksum = core::Hash64(bytes);
-  std::string frame(kHeaderBytes, '\0');
-  std::memcpy(frame.data(), &length, kLengthBytes);
-  std::memcpy(frame.data() + kLengthBytes, &length_check, kLengthCheckBytes);
-  std::memcpy(frame.data() + kChecksumOffset, &checksum, kChecksumBytes);
-  frame.append(bytes);
-  return frame;
-}
-
-enum class frame_status { kGood, kEnd, kTorn, kCorrupt };
-
-// Whether the content from some sector of the frame to the end of the file was
-// never written: the file was made longer before the crash, but the bytes did
-// not arrive and read as zeros.
-bool HasUnwrittenTail(const std::string& content, size_t frame_start) {
-  const size_t last_data = content.find_last_not_of('\0');
-  const size_t data_end = last_data == std::string::npos ? 0 : last_data + 1;
-  const size_t next_sector =
-      (std::max(data_end, frame_start) + kSectorBytes - 1) / kSectorBytes *
-      kSectorBytes;
-  return data_end <= frame_start || next_sector < content.size();
-}
-
-// Reads the frame at `offset` and moves past it. A bad frame is torn only when
-// it is the last one and incomplete; a whole frame with a wrong checksum was
-// changed after it had been written, and cutting it would forget a vote or an
-// acknowledged entry.
-frame_status ReadFrame(const std::string& content, size_t& offset,
-                       std::string& payload) {
-  if (offset == content.size()) return frame_status::kEnd;
-  if (content.size() - offset < kHeaderBytes) return frame_status::kTorn;
-  uint32_t length = 0;
-  uint32_t length_check = 0;
-  uint64_t checksum = 0;
-  std::memcpy(&length, content.data() + offset, kLengthBytes);
-  std::memcpy(&length_check, content.data() + offset + kLengthBytes,
-              kLengthCheckBytes);
-  std::memcpy(&checksum, content.data() + offset + kChecksumOffset,
-              kChecksumBytes);
-  if (length_check != LengthCheck(length)) {
-    return HasUnwrittenTail(content, offset) ? frame_status::kTorn
-                                             : frame_status::kCorrupt;
-  }
-  const size_t payload_start = offset + kHeaderBytes;
-  if (content.size() - payload_start < length) return frame_status::kTorn;
-  payload = content.substr(payload_start, length);
-  if (core::Hash64(payload) != checksum) {
-    const bool is_last = payload_start + length == content.size();
-    return is_last && HasUnwrittenTail(content, offset)
-               ? frame_status::kTorn
-               : frame_status::kCorrupt;
-  }
-  offset = payload_start + length;
-  return frame_status::kGood;
-}
-
-template <typename T>
-std::optional<T> DecodePayload(const std::string& payload) {
-  try {
-    return nlohmann::json::from_cbor(payload).get<T>();
-  } catch (const nlohmann::json::exception& error) {
-    return core::Fail(reason_code::kCorrupt, error.what());
-  }
-}
-
 std::optional<std::string> ReadWhole(const std::string& path) {
   const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
   if (fd < 0) {
@@ -258,9 +169,8 @@
 bool file_storage::CreateFolder() {
   const std::string empty_log = EncodeFrame(log_frame{});
   const std::optional<std::string> log = ReadWhole(PathOf(kLogName));
-  const bool is_unused =
-      log ? *log == empty_log
-          : core::LastReason().code == reason_code::kNotFound;
+  const bool has_log = !ListLogFiles().empty();
+  const bool is_unused = log ? *log == empty_log : !has_log;
   if (!is_unused || access(PathOf(kSnapshotName).c_str(), F_OK) == 0) {
     return FailCorrupt("'" + folder_ + "' holds state but no identity");
   }
@@ -285,75 +195,259 @@
   return true;
 }
 
+std::string file_storage::LogPath(uint64_t number) const {
+  return PathOf(number == 0 ? kLogName : kLogPrefix + std::to_string(number));
+}
+
+// The numbers of the log's files, oldest first.
+std::vector<uint64_t> file_storage::ListLogFiles() const {
+  std::vector<uint64_t> numbers;
+  std::error_code failure;
+  for (const auto& item :
+       std::filesystem::directory_iterator(folder_, failure)) {
+    const std::string name = item.path().filename().string();
+    uint64_t number = 0;
+    if (name == kLogName) {
+      numbers.push_back(0);
+    } else if (name.starts_with(kLogPrefix) &&
+               absl::SimpleAtoi(name.substr(std::strlen(kLogPrefix)),
+                                &number)) {
+      numbers.push_back(number);
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
 bool file_storage::LoadLog(stored_state& state) {
-  const std::optional<std::string> content = ReadWhole(PathOf(kLogName));
-  if (!content) {
-    if (core::LastReason().code != reason_code::kNotFound) return false;
+  const std::vector<uint64_t> numbers = ListLogFiles();
+  if (numbers.empty()) {
     return FailCorrupt("the log in '" + folder_ + "' is missing");
   }
   raft_log stored;
-  size_t offset = 0;
-  size_t good_end = 0;
-  std::string payload;
-  frame_status status = frame_status::kGood;
-  while ((status = ReadFrame(*content, offset, payload)) ==
-         frame_status::kGood) {
-    std::optional<log_frame> frame = DecodePayload<log_frame>(payload);
-    if (!frame) return false;
-    if (good_end == 0) {
-      stored.base_index = frame->base_index;
-      stored.base_term = frame->base_term;
+  for (const uint64_t number : numbers) {
+    const bool is_first = number == numbers.front();
+    const bool is_last = number == numbers.back();
+    const auto status = LoadLogFile(number, is_first, stored, state.hard);
+    if (!status) return false;
+    // Each write is synced before the next file begins, so that only the last
+    // one can end in a torn write.
+    if (*status == frame_status::kTorn) {
+      if (!is_last) {
+        return FailCorrupt("'" + LogPath(number) + "' ends in a torn write");
+      }
+      state.was_tail_cut = true;
     }
-    ApplyFrame(std::move(*frame), stored, state.hard);
-    good_end = offset;
-  }
-  if (status == frame_status::kCorrupt ||
-      (good_end == 0 && status != frame_status::kEnd)) {
-    return FailCorrupt("the log in '" + folder_ + "' is damaged at byte " +
-                       std::to_string(offset));
   }
   if (!IsContiguous(stored)) {
     return FailCorrupt("the log in '" + folder_ + "' has a gap");
   }
-  if (status == frame_status::kTorn) {
-    state.was_tail_cut = true;
-    if (truncate(PathOf(kLogName).c_str(), static_cast<off_t>(good_end)) != 0) {
-      return FailIo("cut", PathOf(kLogName));
-    }
-  }
-  // A crash between the two files of WriteSnapshot leaves a newer snapshot
-  // beside an older log.
+  // A crash between the files of WriteSnapshot leaves a newer snapshot beside
+  // an older log.
   const snapshot snap = state.log.snap;
   if (stored.base_index > snap.index) {
     return FailCorrupt("the snapshot in '" + folder_ + "' is missing");
   }
+  last_index_ = LastIndex(stored);
+  last_term_ = LastTerm(stored);
   state.log = std::move(stored);
   ResetTo(state.log, snap);
   return true;
 }
 
+// Takes up the frames of one file of the log and cuts a torn one off its end.
+std::optional<frame_status> file_storage::LoadLogFile(uint64_t number,
+                                                      bool is_first,
+                                                      raft_log& stored,
+                                                      hard_state& hard) {
+  const std::string path = LogPath(number);
+  frame_reader log(path);
+  if (!log.IsOpen()) {
+    FailIo("open", path);
+    return std::nullopt;
+  }
+  uint64_t good_end = 0;
+  uint64_t base = 0;
+  frame_status status = frame_status::kGood;
+  while ((status = log.Next()) == frame_status::kGood) {
+    std::optional<log_frame> frame = DecodePayload<log_frame>(log.Payload());
+    if (!frame) return std::nullopt;
+    if (good_end == 0) {
+      if (!BeginLogFile(*frame, is_first, stored)) return std::nullopt;
+      base = frame->base_index;
+    }
+    NoteTruncation(number, base, frame->truncate_from);
+    NotePlaces(frame->entries, {number, good_end, log.Offset() - good_end});
+    ApplyFrame(std::move(*frame), stored, hard);
+    good_end = log.Offset();
+  }
+  if (status == frame_status::kUnreadable) {
+    FailIo("read", path);
+    return std::nullopt;
+  }
+  // A file that follows another one may be there without its first write.
+  const bool lacks_first = good_end == 0 && status != frame_status::kEnd;
+  if (status == frame_status::kCorrupt || (is_first && lacks_first)) {
+    FailCorrupt("'" + path + "' is damaged at byte " +
+                std::to_string(log.Offset()));
+    return std::nullopt;
+  }
+  if (good_end == 0 && !is_first) {
+    if (unlink(path.c_str()) != 0) {
+      FailIo("remove", path);
+      return std::nullopt;
+    }
+    return status;
+  }
+  if (status == frame_status::kTorn &&
+      truncate(path.c_str(), static_cast<off_t>(good_end)) != 0) {
+    FailIo("cut", path);
+    return std::nullopt;
+  }
+  number_ = number;
+  file_base_ = base;
+  log_size_ = good_end;
+  return status;
+}
+
+// Where a file of the log goes on from. Files that had been removed before a
+// loss of power may be back; they end before the next one begins, and nothing
+// of them counts.
+bool file_storage::BeginLogFile(const log_frame& frame, bool is_first,
+                                raft_log& stored) const {
+  const bool goes_on =
+      !is_first && !frame.is_restart && frame.base_index <= LastIndex(stored);
+  if (!goes_on) {
+    stored = raft_log{};
+    stored.base_index = frame.base_index;
+    stored.base_term = frame.base_term;
+    return true;
+  }
+  if (frame.base_index == LastIndex(stored)) return true;
+  return FailCorrupt("a file of the log in '" + folder_ +
+                     "' begins before the end of the one before");
+}
+
 bool file_storage::OpenLog() {
   if (log_fd_ >= 0) close(log_fd_);
-  log_fd_ = open(PathOf(kLogName).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  return log_fd_ >= 0 || FailIo("open", PathOf(kLogName));
+  log_fd_ = open(LogPath(number_).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  return log_fd_ >= 0 || FailIo("open", LogPath(number_));
+}
+
+// Begins a new file once the present one is full. Its first frame becomes
+// durable with the write that follows; without that write the file is empty or
+// torn, and nothing acknowledged was in it.
+bool file_storage::BeginNextLogFile(const hard_state& hard) {
+  const std::string path = LogPath(number_ + 1);
+  const int fd =
+      open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC,
+           kFileMode);
+  if (fd < 0) return FailIo("create", path);
+  close(log_fd_);
+  log_fd_ = fd;
+  ++number_;
+  log_frame first;
+  first.base_index = last_index_;
+  first.base_term = last_term_;
+  first.hard = hard;
+  const std::string bytes = EncodeFrame(first);
+  if (!WriteAll(log_fd_, bytes)) return FailIo("write", path);
+  log_size_ = bytes.size();
+  file_base_ = last_index_;
+  return SyncFolder(folder_);
 }
 
 bool file_storage::Write(const storage_write& write) {
+  const bool is_full = log_size_ >= kLogFileBytes && is_last_known_;
+  if (is_full && !BeginNextLogFile(write.hard)) return false;
   log_frame frame;
   frame.truncate_from = write.truncate_from;
   frame.entries = write.entries;
   frame.hard = write.hard;
-  if (!WriteAll(log_fd_, EncodeFrame(frame))) {
-    return FailIo("write", PathOf(kLogName));
+  const std::string bytes = EncodeFrame(frame);
+  if (!WriteAll(log_fd_, bytes)) return FailIo("write", LogPath(number_));
+  if (fdatasync(log_fd_) != 0) return FailIo("sync", LogPath(number_));
+  NoteTruncation(number_, file_base_, write.truncate_from);
+  if (write.truncate_from != 0) {
+    places_.erase(places_.lower_bound(write.truncate_from), places_.end());
+  }
+  NotePlaces(write.entries, {number_, log_size_, bytes.size()});
+  log_size_ += bytes.size();
+  NoteLast(write);
+  return true;
+}
+
+// What the log ends with after a write.
+void file_storage::NoteLast(const storage_write& write) {
+  if (!write.entries.empty()) {
+    last_index_ = write.entries.back().index;
+    last_term_ = write.entries.back().term;
+    is_last_known_ = true;
+  } else if (write.truncate_from != 0) {
+    // The term of the entry before is not at hand. The next file begins after
+    // another entry.
+    is_last_known_ = false;
+  }
+}
+
+// Without the files that it takes entries back from, the file of a truncation
+// can't be read.
+void file_storage::NoteTruncation(uint64_t number, uint64_t base,
+                                  uint64_t truncate_from) {
+  if (truncate_from == 0 || truncate_from > base) return;
+  const auto place = places_.find(truncate_from);
+  const uint64_t from = place == places_.end() ? 0 : place->second.file;
+  const auto [known, is_new] = reaches_into_.try_emplace(number, from);
+  if (!is_new) known->second = std::min(known->second, from);
+}
+
+void file_storage::NotePlaces(const std::vector<log_entry>& entries,
+                              frame_place place) {
+  for (const log_entry& entry : entries) places_[entry.index] = place;
+}
+
+std::optional<std::string> file_storage::ReadData(uint64_t index) {
+  const auto place = places_.find(index);
+  if (place == places_.end()) {
+    return core::Fail(reason_code::kNotFound, "entry " + std::to_string(index) +
+                                                  " is not in the log file");
   }
-  if (fdatasync(log_fd_) != 0) return FailIo("sync", PathOf(kLogName));
+  const bool is_held =
+      read_place_.size != 0 && read_place_.offset == place->second.offset;
+  if (!is_held && !ReadFrameOf(place->second)) return std::nullopt;
+  for (const log_entry& entry : read_entries_) {
+    if (entry.index == index) return entry.data;
+  }
+  return core::Fail(reason_code::kCorrupt,
+                    "entry " + std::to_string(index) + " is not in its frame");
+}
+
+bool file_storage::ReadFrameOf(frame_place place) {
+  read_place_ = frame_place{};
+  const std::string path = LogPath(place.file);
+  const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) return FailIo("open", path);
+  std::string bytes;
+  const bool is_read = ReadAt(fd, place.offset, place.size, bytes);
+  close(fd);
+  if (!is_read) return FailIo("read", path);
+  size_t end = 0;
+  std::string payload;
+  if (ReadFrame(bytes, end, payload) != frame_status::kGood) {
+    return FailCorrupt("'" + path + "' is damaged at byte " +
+                       std::to_string(place.offset));
+  }
+  std::optional<log_frame> frame = DecodePayload<log_frame>(payload);
+  if (!frame) return false;
+  read_entries_ = std::move(frame->entries);
+  read_place_ = place;
   return true;
 }
 
 bool file_storage::ReplaceFile(const std::string& name,
                                const std::string& content) {
   const std::string path = PathOf(name);
-  const std::string temporary = path + ".tmp";
+  const std::string temporary = path + kTemporarySuffix;
   const int fd = open(temporary.c_str(),
                       O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (fd < 0) return FailIo("create", temporary);
@@ -367,15 +461,44 @@
   return SyncFolder(folder_);
 }
 
+// Begins a file that takes the place of all before it.
 bool file_storage::StartLog(const raft_log& log, const hard_state& hard) {
   log_frame first;
   first.base_index = log.snap.index;
   first.base_term = log.snap.term;
+  first.is_restart = true;
   first.hard = hard;
   for (const log_entry& entry : log.entries) {
-    if (entry.index > log.snap.index) first.entries.push_back(entry);
+    if (entry.index <= log.snap.index) continue;
+    if (entry.bytes_on_disk > 0) {
+      return FailCorrupt("entry " + std::to_string(entry.index) +
+                         " would be written without its data");
+    }
+    first.entries.push_back(entry);
+  }
+  const std::string bytes = EncodeFrame(first);
+  const uint64_t number = number_ + 1;
+  if (!ReplaceFile(kLogPrefix + std::to_string(number), bytes)) return false;
+  number_ = number;
+  log_size_ = bytes.size();
+  file_base_ = first.base_index;
+  last_index_ = LastIndex(log);
+  last_term_ = LastTerm(log);
+  is_last_known_ = true;
+  reaches_into_.clear();
+  places_.clear();
+  read_place_ = frame_place{};
+  NotePlaces(first.entries, {number, 0, bytes.size()});
+  RemoveLogFilesBefore(number);
+  return true;
+}
+
+// Removed names may come back after a loss of power; they do no harm then, see
+// BeginLogFile().
+void file_storage::RemoveLogFilesBefore(uint64_t number) {
+  for (const uint64_t old : ListLogFiles()) {
+    if (old < number) unlink(LogPath(old).c_str());
   }
-  return ReplaceFile(kLogName, EncodeFrame(first));
 }
 
 bool file_storage::WriteSnapshot(const raft_log& log, const hard_state& hard) {
@@ -383,4 +506,24 @@
          StartLog(log, hard) && OpenLog();
 }
 
+bool file_storage::WriteCompaction(const raft_log& log) {
+  if (!ReplaceFile(kSnapshotName, EncodeFrame(log.snap))) return false;
+  places_.erase(places_.begin(), places_.upper_bound(log.snap.index));
+  read_place_ = frame_place{};
+  RemoveLogFilesBefore(OldestNeededFile());
+  return true;
+}
+
+// The file of the oldest entry after the snapshot, or one that a truncation in
+// a later file reaches into.
+uint64_t file_storage::OldestNeededFile() const {
+  uint64_t oldest = number_;
+  for (const auto& item : places_) oldest = std::min(oldest, item.second.file);
+  for (auto item = reaches_into_.rbegin(); item != reaches_into_.rend();
+       ++item) {
+    if (item->first >= oldest) oldest = std::min(oldest, item->second);
+  }
+  return oldest;
+}
+
 }  // namespace hickorywood::consensus
--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -19,6 +19,11 @@
 // small instances: heartbeats come between two turns.
 constexpr size_t kApplyBytes = 256 * 1024;
 
+// Bytes of applied commands that stay in memory for followers a little behind,
+// some seconds of a busy day. Older ones are read from disk when one of them is
+// to be sent: held all day they took as much memory as the state itself.
+constexpr size_t kHeldBytes = 4 * 1024 * 1024;
+
 bool IsReply(message_kind kind) {
   return kind == message_kind::kPreVoteReply ||
          kind == message_kind::kVoteReply ||
@@ -62,6 +67,7 @@
       machine_(machine) {}
 
 bool group_replica::Load() {
+  const core::time_point start = clock_.Now();
   std::optional<stored_state> stored = storage_.Load();
   if (!stored) {
     if (core::LastReason().code == core::reason_code::kCorrupt) {
@@ -87,12 +93,25 @@
   // What was known as committed is applied before this replica takes part in an
   // election. Applied after one, a day's entries kept a new leader from its
   // heartbeats for longer than its followers wait.
-  raft_output known;
-  HandOutKnown(raft_, known);
-  for (const log_entry& entry : known.committed) ApplyEntry(entry);
+  while (const log_entry* entry = HandOutKnown(raft_)) {
+    ApplyEntry(*entry);
+    FreeApplied();
+  }
+  NoteLoaded(start);
   return true;
 }
 
+void group_replica::NoteLoaded(core::time_point start) const {
+  const auto took =
+      std::chrono::duration_cast<core::milliseconds>(clock_.Now() - start);
+  LogEvent(event_id::kStateLoaded,
+           {{"entries", std::to_string(LastIndex(raft_.log))},
+            {"snapshot", std::to_string(raft_.log.snap.index)},
+            {"applied", std::to_string(applied_)},
+            {"applied_bytes", std::to_string(applied_bytes_)},
+            {"ms", std::to_string(took.count())}});
+}
+
 bool group_replica::Bootstrap(const std::string& group) {
   if (!BootstrapGroup(raft_, group, clock_.Now(), out_)) {
     core::SetLastReason(
@@ -123,6 +142,8 @@
                {{"index", std::to_string(raft_.log.snap.index)}});
       applied_ = raft_.log.snap.index;
       applied_bytes_ = 0;
+      held_.clear();
+      held_bytes_ = 0;
       backlog_.clear();
       machine_.Restore(applied_, raft_.log.snap.data);
       FailWaiting();
@@ -132,6 +153,7 @@
     RouteMessages(out.messages);
     const bool has_applied = ApplySome();
     if (has_applied) {
+      FreeApplied();
       SaveSnapshotIfDue();
       machine_.OnApplied();
     }
@@ -158,11 +180,35 @@
         return output.kind != message_kind::kAppend;
       });
   for (auto append = first_append; append != out.messages.end(); ++append) {
-    sender_.Send(*append);
+    SendWithData(std::move(*append));
   }
   out.messages.erase(first_append, out.messages.end());
 }
 
+// Puts data that is only on disk back into an append.
+void group_replica::SendWithData(message output) {
+  for (log_entry& entry : output.entries) {
+    if (entry.bytes_on_disk == 0) continue;
+    std::optional<std::string> data = storage_.ReadData(entry.index);
+    if (!data) {
+      FailStorage();
+      return;
+    }
+    entry.data = std::move(*data);
+    entry.bytes_on_disk = 0;
+  }
+  sender_.Send(output);
+}
+
+void group_replica::FreeApplied() {
+  while (held_bytes_ > kHeldBytes) {
+    const auto [index, bytes] = held_.front();
+    held_.pop_front();
+    held_bytes_ -= bytes;
+    LeaveOnDisk(raft_.log, index);
+  }
+}
+
 bool group_replica::Persist(raft_output& out) {
   raft_.hard.commit = raft_.commit;
   bool is_durable = true;
@@ -201,6 +247,8 @@
 void group_replica::ApplyEntry(const log_entry& entry) {
   applied_ = entry.index;
   applied_bytes_ += static_cast<int64_t>(entry.data.size());
+  held_.emplace_back(entry.index, entry.data.size());
+  held_bytes_ += entry.data.size();
   if (entry.kind == entry_kind::kMembers) NoteMembers(entry);
   if (entry.kind == entry_kind::kCommand) machine_.Apply(entry);
   const auto waiting = proposals_.find(entry.index);
@@ -233,18 +281,21 @@
       applied_bytes_ >= settings_.snapshot_bytes;
   if (!is_due) return;
   applied_bytes_ = 0;
-  Compact(raft_, applied_, machine_.Save());
-  if (!storage_.WriteSnapshot(raft_.log, raft_.hard)) {
+  saved_state saved = machine_.Save(applied_);
+  if (saved.index <= raft_.log.snap.index) return;
+  Compact(raft_, saved.index, std::move(saved.data));
+  if (!storage_.WriteCompaction(raft_.log)) {
     FailStorage();
     return;
   }
-  LogEvent(event_id::kSnapshotSaved, {{"index", std::to_string(applied_)}});
+  LogEvent(event_id::kSnapshotSaved, {{"index", std::to_string(saved.index)},
+                                      {"applied", std::to_string(applied_)}});
 }
 
 void group_replica::RouteMessages(const std::vector<message>& messages) {
   for (const message& output : messages) {
     if (!IsReply(output.kind)) {
-      sender_.Send(output);
+      SendWithData(output);
       continue;
     }
     const auto found = std::find_if(inbound_.begin(), inbound_.end(),
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -30,6 +30,12 @@
   virtual void Send(const message& output) = 0;
 };
 
+// A state machine's state for a snapshot.
+struct saved_state {
+  uint64_t index = 0;  // up to which it stands for the entries
+  std::string data;
+};
+
 // What a group replicates, and what its owner hears of the group.
 class replicated_machine {
  public:
@@ -41,8 +47,8 @@
   // Replaces the state by the snapshot taken at `index`; empty data: the
   // initial state.
   virtual void Restore(uint64_t index, const std::string& data) = 0;
-  // The state as Restore() takes it.
-  virtual std::string Save() const = 0;
+  // The state as Restore() takes it, as of an index that has been applied.
+  virtual saved_state Save(uint64_t applied) const = 0;
 
   virtual void OnLeadership(bool is_leader) = 0;
   // After a batch of commands was applied and its proposers were answered.
@@ -63,7 +69,7 @@
   int64_t snapshot_every = 10000;  // entries
   // Bytes of commands applied since the latest snapshot after which the next
   // one is taken.
-  int64_t snapshot_bytes = 64LL * 1024 * 1024;
+  int64_t snapshot_bytes = 16LL * 1024 * 1024;
   uint64_t random_seed = 0;
 };
 
@@ -124,7 +130,10 @@
     reply_messages reply;
   };
 
+  void NoteLoaded(core::time_point start) const;
   void SendBeforeSync(raft_output& out);
+  void SendWithData(message output);
+  void FreeApplied();
   bool Persist(raft_output& out);
   bool ApplySome();
   void ApplyEntry(const log_entry& entry);
@@ -147,6 +156,9 @@
   std::deque<log_entry> backlog_;  // committed, not applied
   uint64_t applied_ = 0;
   int64_t applied_bytes_ = 0;  // since the latest snapshot
+  // Applied entries whose data is still in memory, with their sizes.
+  std::deque<std::pair<uint64_t, size_t>> held_;
+  size_t held_bytes_ = 0;
   bool was_leader_ = false;
   size_t voter_count_ = 0;  // as of the latest committed change
 
--- a/packages/consensus/raft.cc
+++ b/packages/consensus/raft.cc
@@ -318,8 +318,10 @@
   DrawElectionDeadline(state, now);
 }
 
-void HandOutKnown(raft_state& state, raft_output& out) {
-  internal::HandOutCommitted(state, out);
+const log_entry* HandOutKnown(raft_state& state) {
+  if (state.handed_out >= state.commit) return nullptr;
+  ++state.handed_out;
+  return &EntryAt(state.log, state.handed_out);
 }
 
 bool BootstrapGroup(raft_state& state, const std::string& group, time_point now,
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -104,8 +104,10 @@
 // disk.
 void StartReplica(raft_state& state, time_point now);
 
-// Hands out the entries that were known as committed before the restart.
-void HandOutKnown(raft_state& state, raft_output& out);
+// The next entry that was known as committed before the restart, to be applied;
+// nullptr: all are handed out. One by one: all at once they stood in memory
+// twice, and a restart needed more of it than the day before.
+const log_entry* HandOutKnown(raft_state& state);
 
 // Makes the empty replica the only voter of a new group. False when it is in a
 // group already.
--- a/packages/consensus/raft_log.cc
+++ b/packages/consensus/raft_log.cc
@@ -31,13 +31,22 @@
   size_t bytes = 0;
   for (uint64_t index = first; index <= LastIndex(log); ++index) {
     const log_entry& entry = EntryAt(log, index);
-    if (!result.empty() && bytes + entry.data.size() > byte_limit) break;
-    bytes += entry.data.size();
+    const size_t size = entry.data.size() + entry.bytes_on_disk;
+    if (!result.empty() && bytes + size > byte_limit) break;
+    bytes += size;
     result.push_back(entry);
   }
   return result;
 }
 
+void LeaveOnDisk(raft_log& log, uint64_t index) {
+  if (index <= log.base_index || index > LastIndex(log)) return;
+  log_entry& entry = log.entries.at(index - log.base_index - 1);
+  if (entry.kind != entry_kind::kCommand || entry.data.empty()) return;
+  entry.bytes_on_disk = entry.data.size();
+  entry.data = std::string();
+}
+
 void TruncateFrom(raft_log& log, uint64_t first) {
   if (first > LastIndex(log)) return;
   if (first <= log.base_index) {
@@ -48,7 +57,11 @@
 }
 
 void CompactTo(raft_log& log, snapshot snap, uint64_t keep) {
-  const uint64_t new_base = snap.index > keep ? snap.index - keep : 0;
+  uint64_t new_base = snap.index > keep ? snap.index - keep : 0;
+  for (const log_entry& entry : log.entries) {
+    if (entry.index > snap.index) break;
+    if (entry.bytes_on_disk > 0) new_base = std::max(new_base, entry.index);
+  }
   while (log.base_index < new_base && !log.entries.empty()) {
     log.base_index = log.entries.front().index;
     log.base_term = log.entries.front().term;
--- a/packages/consensus/raft_log.h
+++ b/packages/consensus/raft_log.h
@@ -34,11 +34,15 @@
 std::vector<log_entry> EntriesFrom(const raft_log& log, uint64_t first,
                                    size_t byte_limit);
 
+// Frees the memory of a command that is on disk and has been applied. Whoever
+// sends the entry reads it from disk again.
+void LeaveOnDisk(raft_log& log, uint64_t index);
+
 // Drops the entries from `first` on.
 void TruncateFrom(raft_log& log, uint64_t first);
 
 // Takes `snap` as the latest snapshot and keeps at most `keep` entries before
-// its index.
+// its index, and none whose data was left to the log file that ends here.
 void CompactTo(raft_log& log, snapshot snap, uint64_t keep);
 
 // Replaces everything by `snap`, but for entries after it when the log agrees
--- a/packages/consensus/storage.h
+++ b/packages/consensus/storage.h
@@ -39,6 +39,12 @@
   virtual std::optional<stored_state> Load() = 0;
   // True once all of `write` is on disk.
   virtual bool Write(const storage_write& write) = 0;
+  // True once the snapshot of this replica's own log is on disk; what it covers
+  // may be given up. The entries after it stay as they are.
+  virtual bool WriteCompaction(const raft_log& log) = 0;
+  // The data of an entry that was written after the latest snapshot. Empty with
+  // the reason when it can't be read.
+  virtual std::optional<std::string> ReadData(uint64_t index) = 0;
   // True once the snapshot is on disk with the entries after it and `hard`;
   // what was before is gone.
   virtual bool WriteSnapshot(const raft_log& log, const hard_state& hard) = 0;
--- a/packages/consensus/types.h
+++ b/packages/consensus/types.h
@@ -44,6 +44,9 @@
   uint64_t term = 0;
   entry_kind kind = entry_kind::kCommand;
   std::string data;  // a command of the state machine, or group_members as JSON
+  // Size of `data` while it is only on disk, see LeaveOnDisk(); otherwise 0. Of
+  // this process only: neither sent nor stored.
+  uint64_t bytes_on_disk = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(log_entry, index, term, kind,
                                                 data)
--- a/packages/control/replica.h
+++ b/packages/control/replica.h
@@ -165,7 +165,9 @@
 
   void Apply(const consensus::log_entry& entry) override;
   void Restore(uint64_t index, const std::string& data) override;
-  std::string Save() const override { return EncodeState(); }
+  consensus::saved_state Save(uint64_t applied) const override {
+    return {applied, EncodeState()};
+  }
   void OnLeadership(bool is_leader) override;
   void OnApplied() override;
   void OnStorageFailure() override { on_storage_failure_(); }
--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -48,6 +48,8 @@
   return true;
 }
 
-std::string control_state::Save() const { return core::EncodeBinary(held_); }
+consensus::saved_state control_state::Save(uint64_t applied) const {
+  return {applied, core::EncodeBinary(held_)};
+}
 
 }  // namespace hickorywood::controller
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -37,7 +37,7 @@
   // founder: nothing changes.
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
-  std::string Save() const override;
+  consensus::saved_state Save(uint64_t applied) const override;
 
   const fleet::configuration& Config() const { return held_.config; }
   const std::string& ConfigText() const { return held_.config_text; }
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -102,6 +102,7 @@
       {event_id::kGroupBootstrapped, kInfo, "consensus", "group bootstrapped"},
       {event_id::kVoterRemoved, kWarning, "consensus",
        "voter with a lost disk removed"},
+      {event_id::kStateLoaded, kInfo, "storage", "state loaded"},
       {event_id::kConfigurationAccepted, kInfo, "configuration", "accepted"},
       {event_id::kConfigurationRefused, kWarning, "configuration", "refused"},
       {event_id::kConfigurationInForce, kInfo, "configuration",
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -35,6 +35,7 @@
   kSnapshotInstalled = 2009,
   kGroupBootstrapped = 2010,
   kVoterRemoved = 2011,
+  kStateLoaded = 2012,
   kConfigurationAccepted = 3001,
   kConfigurationRefused = 3002,
   kConfigurationInForce = 3003,
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -244,8 +244,10 @@
 }
 
 void group_host::Apply(const consensus::log_entry& entry) {
-  const auto input = core::DecodeBinary<hosted_command>(entry.data);
-  if (input) state_.Apply(*input);
+  auto input = core::DecodeBinary<hosted_command>(entry.data);
+  if (!input) return;
+  input->index = entry.index;
+  state_.Apply(*input);
 }
 
 void group_host::Restore(uint64_t /*index*/, const std::string& data) {
@@ -256,7 +258,9 @@
   OnStorageFailure();
 }
 
-std::string group_host::Save() const { return state_.Save(); }
+consensus::saved_state group_host::Save(uint64_t applied) const {
+  return state_.Save(applied);
+}
 
 void group_host::OnLeadership(bool is_leader) {
   if (on_leadership) on_leadership(is_leader);
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -93,7 +93,7 @@
  private:
   void Apply(const consensus::log_entry& entry) override;
   void Restore(uint64_t index, const std::string& data) override;
-  std::string Save() const override;
+  consensus::saved_state Save(uint64_t applied) const override;
   void OnLeadership(bool is_leader) override;
   void OnApplied() override;
   void OnStorageFailure() override;
--- a/packages/group/hosted_state.h
+++ b/packages/group/hosted_state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "consensus/group_replica.h"
 #include "core/json.h"
 
 namespace hickorywood::group {
@@ -15,6 +16,7 @@
   std::string name;
   int64_t now_ms = 0;  // wall clock of the leader that proposed it
   std::string payload;
+  uint64_t index = 0;  // of its log entry; set when it is applied, not encoded
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(hosted_command, name, now_ms,
                                                 payload)
@@ -30,7 +32,8 @@
   // Replaces the state by what Save() gave; empty: the initial state. False
   // with the reason when it can't be read.
   virtual bool Restore(const std::string& data) = 0;
-  virtual std::string Save() const = 0;
+  // The state as of some index up to `applied`, the later the better.
+  virtual consensus::saved_state Save(uint64_t applied) const = 0;
 };
 
 }  // namespace hickorywood::group
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -18,11 +18,13 @@
 
 }  // namespace
 
-bool OpenStep(step_book& book, submission input, int64_t now_ms) {
+bool OpenStep(step_book& book, submission input, int64_t now_ms,
+              uint64_t index) {
   const std::string id = input.id;
   step fresh;
   fresh.input = std::move(input);
   fresh.opened_ms = now_ms;
+  fresh.opened_index = index;
   return book.emplace(id, std::move(fresh)).second;
 }
 
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -53,7 +53,8 @@
 
 struct step {
   submission input;
-  int64_t opened_ms = 0;  // wall clock of the leader that took it
+  int64_t opened_ms = 0;      // wall clock of the leader that took it
+  uint64_t opened_index = 0;  // of the log entry; 0: not known
   bool is_ended = false;
   std::vector<task_result> results;  // by position
   // Text so far of long tasks without a result, by task: a successor of the
@@ -75,9 +76,10 @@
 // Steps by id.
 using step_book = std::map<std::string, step>;
 
-// Opens a step. False when one of that id is open already: then nothing
-// changes.
-bool OpenStep(step_book& book, submission input, int64_t now_ms);
+// Opens a step by the log entry `index`. False when one of that id is open
+// already: then nothing changes.
+bool OpenStep(step_book& book, submission input, int64_t now_ms,
+              uint64_t index);
 
 // Gives the results the next positions. A task that has a position keeps it:
 // results that are no news are passed over. Returns how many were taken.
--- a/packages/store/step_state.cc
+++ b/packages/store/step_state.cc
@@ -1,5 +1,6 @@
 #include "store/step_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/binary.h"
@@ -10,7 +11,8 @@
 void OpenStep(step_state::content& held, const group::hosted_command& input) {
   auto submission = core::DecodeBinary<steps::submission>(input.payload);
   if (submission) {
-    steps::OpenStep(held.steps, std::move(*submission), input.now_ms);
+    steps::OpenStep(held.steps, std::move(*submission), input.now_ms,
+                    input.index);
   }
 }
 
@@ -74,7 +76,19 @@
   return true;
 }
 
-std::string step_state::Save() const { return core::EncodeBinary(held_); }
+consensus::saved_state step_state::Save(uint64_t applied) const {
+  content saved;
+  saved.retired = held_.retired;
+  uint64_t index = applied;
+  for (const auto& [id, where] : held_.steps) {
+    // One that came with a snapshot of the whole state has no entry; until it
+    // is forgotten there is nothing to be given up.
+    const uint64_t before =
+        where.opened_index == 0 ? 0 : where.opened_index - 1;
+    index = std::min(index, before);
+  }
+  return {index, core::EncodeBinary(saved)};
+}
 
 const steps::step* step_state::Find(const std::string& id) const {
   const auto found = held_.steps.find(id);
--- a/packages/store/step_state.h
+++ b/packages/store/step_state.h
@@ -66,7 +66,10 @@
  public:
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
-  std::string Save() const override;
+  // The state before the oldest step that is held. All that came later is
+  // replayed from the log, which holds it anyway: a snapshot with the texts of
+  // two minutes took several times their memory while it was made.
+  consensus::saved_state Save(uint64_t applied) const override;
 
   const steps::step_book& Steps() const { return held_.steps; }
   // nullptr: there is none.
--- a/tests/unit/consensus/file_storage_test.cc
+++ b/tests/unit/consensus/file_storage_test.cc
@@ -164,11 +164,232 @@
     ASSERT_TRUE(storage.WriteSnapshot(state->log, state->hard));
   }
   WriteLog(old_log);
+  // With the new log file, which takes the place of the old one, and without.
+  for (const bool has_new_log : {true, false}) {
+    if (!has_new_log) std::filesystem::remove(folder_ + "/log-1");
+    file_storage storage(folder_);
+    const auto state = storage.Load();
+    ASSERT_TRUE(state) << core::LastReason().text;
+    EXPECT_EQ(state->log.snap.index, 2U);
+    EXPECT_EQ(LastIndex(state->log), 3U);
+  }
+}
+
+// A follower that is far behind asks for entries whose data its leader has left
+// on disk: it gets the bytes that were written, also after the leader's restart
+// and where an entry took the place of one that was never committed.
+TEST_F(FileStorageTest, DataIsReadBackFromTheLog) {
+  WriteThreeEntries();
+  file_storage storage(folder_);
+  ASSERT_TRUE(storage.Load());
+  EXPECT_EQ(storage.ReadData(2), "entry 2");
+  storage_write write;
+  write.truncate_from = 3;
+  write.entries = {{3, 2, entry_kind::kCommand, "entry 3 of term 2"},
+                   {4, 2, entry_kind::kCommand, "entry 4"}};
+  ASSERT_TRUE(storage.Write(write));
+  EXPECT_EQ(storage.ReadData(1), "entry 1");
+  EXPECT_EQ(storage.ReadData(4), "entry 4");
+  EXPECT_EQ(storage.ReadData(3), "entry 3 of term 2");
+  EXPECT_FALSE(storage.ReadData(5));
+}
+
+// A snapshot starts a new log file. What it covers can't be read from the file
+// any more, so no entry without its data may stay in the log.
+TEST_F(FileStorageTest, SnapshotDropsWhatIsOnlyInTheOldFile) {
+  WriteThreeEntries();
+  file_storage storage(folder_);
+  auto state = storage.Load();
+  ASSERT_TRUE(state);
+  LeaveOnDisk(state->log, 1);
+  snapshot snap;
+  snap.index = 2;
+  snap.term = 1;
+  CompactTo(state->log, snap, 100);
+  ASSERT_EQ(state->log.base_index, 1U);
+  EXPECT_EQ(EntryAt(state->log, 2).data, "entry 2");
+  ASSERT_TRUE(storage.WriteSnapshot(state->log, state->hard));
+  EXPECT_EQ(storage.ReadData(3), "entry 3");
+  EXPECT_FALSE(storage.ReadData(1));
+}
+
+// A log of several files: each entry fills a large part of one.
+class LongLogTest : public FileStorageTest {
+ protected:
+  static std::string Data(uint64_t index, uint64_t term) {
+    std::string data(3 * 1024 * 1024, 'x');
+    return data + std::to_string(index) + " of " + std::to_string(term);
+  }
+  static storage_write OneEntry(uint64_t index, uint64_t term) {
+    storage_write write;
+    write.hard.term = term;
+    write.entries.push_back(
+        {index, term, entry_kind::kCommand, Data(index, term)});
+    return write;
+  }
+  // Entries 1 to `last` of term 1.
+  void WriteEntries(uint64_t last) {
+    file_storage storage(folder_);
+    ASSERT_TRUE(storage.Load());
+    for (uint64_t index = 1; index <= last; ++index) {
+      ASSERT_TRUE(storage.Write(OneEntry(index, 1)));
+    }
+  }
+  // Loads the folder, takes a snapshot at `index` and gives up what it covers.
+  void CompactAt(uint64_t index) {
+    file_storage storage(folder_);
+    auto state = storage.Load();
+    ASSERT_TRUE(state) << core::LastReason().text;
+    snapshot snap;
+    snap.group = "g";
+    snap.index = index;
+    snap.term = *TermAt(state->log, index);
+    CompactTo(state->log, snap, 0);
+    ASSERT_TRUE(storage.WriteCompaction(state->log));
+  }
+  bool HasFile(const std::string& name) const {
+    return std::filesystem::exists(folder_ + "/" + name);
+  }
+};
+
+TEST_F(LongLogTest, EntriesOfAllFilesAreReadAgain) {
+  WriteEntries(8);
+  EXPECT_TRUE(HasFile("log-1"));
+  EXPECT_TRUE(HasFile("log-2"));
+  file_storage storage(folder_);
+  const auto state = storage.Load();
+  ASSERT_TRUE(state) << core::LastReason().text;
+  ASSERT_EQ(LastIndex(state->log), 8U);
+  for (uint64_t index = 1; index <= 8; ++index) {
+    EXPECT_EQ(EntryAt(state->log, index).data, Data(index, 1));
+    EXPECT_EQ(storage.ReadData(index), Data(index, 1));
+  }
+}
+
+// The snapshot covers the first file and a part of the second. The first one
+// goes; the rest is as it was, also if the removed name comes back after a loss
+// of power.
+TEST_F(LongLogTest, CoveredFilesAreGivenUp) {
+  WriteEntries(8);
+  std::filesystem::copy_file(folder_ + "/log", folder_ + "/kept");
+  CompactAt(4);
+  EXPECT_FALSE(HasFile("log"));
+  EXPECT_TRUE(HasFile("log-1"));
+  for (const bool is_back : {false, true}) {
+    if (is_back) {
+      std::filesystem::rename(folder_ + "/kept", folder_ + "/log");
+    }
+    file_storage storage(folder_);
+    const auto state = storage.Load();
+    ASSERT_TRUE(state) << core::LastReason().text;
+    EXPECT_EQ(state->log.snap.index, 4U);
+    ASSERT_EQ(LastIndex(state->log), 8U);
+    EXPECT_EQ(EntryAt(state->log, 5).data, Data(5, 1));
+  }
+}
+
+// Files between are back after a loss of power, but not all of them: what is
+// before the gap had been given up.
+TEST_F(LongLogTest, FilesThatComeBackWithAGapDoNotCount) {
+  WriteEntries(11);
+  std::filesystem::copy_file(folder_ + "/log", folder_ + "/kept");
+  CompactAt(8);
+  ASSERT_FALSE(HasFile("log-1"));
+  std::filesystem::rename(folder_ + "/kept", folder_ + "/log");
+  file_storage storage(folder_);
+  const auto state = storage.Load();
+  ASSERT_TRUE(state) << core::LastReason().text;
+  EXPECT_EQ(state->log.snap.index, 8U);
+  EXPECT_EQ(LastIndex(state->log), 11U);
+}
+
+// Killed between the creation of the next file and its first write: the file is
+// empty, or its first frame is torn. Nothing acknowledged was in it.
+TEST_F(LongLogTest, NextFileWithoutItsFirstWrite) {
+  for (const std::string& content : {std::string(), std::string("torn")}) {
+    std::filesystem::remove_all(folder_);
+    WriteEntries(3);
+    ASSERT_FALSE(HasFile("log-1"));
+    std::ofstream(folder_ + "/log-1") << content;
+    for (uint64_t index = 4; index <= 5; ++index) {
+      file_storage storage(folder_);
+      const auto state = storage.Load();
+      ASSERT_TRUE(state) << core::LastReason().text;
+      ASSERT_EQ(LastIndex(state->log), index - 1);
+      ASSERT_TRUE(storage.Write(OneEntry(index, 1)));
+    }
+  }
+}
+
+// A new leader takes back entries that no quorum had, over the border of two
+// files. The older file is kept as long as the newer one counts, since without
+// it the log could not be read; then both go.
+TEST_F(LongLogTest, TruncationOverTheBorderOfTwoFiles) {
+  WriteEntries(4);  // 1 to 3 in the first file, 4 in the second
+  {
+    file_storage storage(folder_);
+    ASSERT_TRUE(storage.Load());
+    storage_write write = OneEntry(3, 2);
+    write.truncate_from = 3;
+    ASSERT_TRUE(storage.Write(write));
+    ASSERT_TRUE(storage.Write(OneEntry(4, 2)));
+    EXPECT_EQ(storage.ReadData(3), Data(3, 2));
+  }
+  CompactAt(2);
+  EXPECT_TRUE(HasFile("log"));
+  {
+    file_storage storage(folder_);
+    const auto state = storage.Load();
+    ASSERT_TRUE(state) << core::LastReason().text;
+    ASSERT_EQ(LastIndex(state->log), 4U);
+    EXPECT_EQ(EntryAt(state->log, 3).data, Data(3, 2));
+    for (uint64_t index = 5; index <= 7; ++index) {
+      ASSERT_TRUE(storage.Write(OneEntry(index, 2)));
+    }
+  }
+  CompactAt(6);
+  EXPECT_FALSE(HasFile("log"));
+  EXPECT_FALSE(HasFile("log-1"));
+  file_storage storage(folder_);
+  const auto state = storage.Load();
+  ASSERT_TRUE(state) << core::LastReason().text;
+  EXPECT_EQ(LastIndex(state->log), 7U);
+}
+
+// A snapshot of the leader takes the place of all files.
+TEST_F(LongLogTest, InstalledSnapshotTakesThePlaceOfAllFiles) {
+  WriteEntries(8);
+  {
+    file_storage storage(folder_);
+    auto state = storage.Load();
+    ASSERT_TRUE(state);
+    snapshot snap;
+    snap.group = "g";
+    snap.index = 20;
+    snap.term = 3;
+    ResetTo(state->log, snap);
+    ASSERT_TRUE(storage.WriteSnapshot(state->log, state->hard));
+    ASSERT_TRUE(storage.Write(OneEntry(21, 3)));
+  }
+  EXPECT_FALSE(HasFile("log"));
   file_storage storage(folder_);
   const auto state = storage.Load();
   ASSERT_TRUE(state) << core::LastReason().text;
-  EXPECT_EQ(state->log.snap.index, 2U);
-  EXPECT_EQ(LastIndex(state->log), 3U);
+  EXPECT_EQ(state->log.snap.index, 20U);
+  EXPECT_EQ(LastIndex(state->log), 21U);
+}
+
+// An entry whose data is on disk only counts with its size: otherwise a whole
+// day would go out as one message.
+TEST(RaftLogTest, EntriesOnDiskCountWithTheirSize) {
+  raft_log log;
+  for (uint64_t index = 1; index <= 4; ++index) {
+    log.entries.push_back(
+        {index, 1, entry_kind::kCommand, std::string(100, 'x')});
+    LeaveOnDisk(log, index);
+  }
+  EXPECT_TRUE(EntryAt(log, 1).data.empty());
+  EXPECT_EQ(EntriesFrom(log, 1, 250).size(), 2U);
 }
 
 }  // namespace
--- a/tests/unit/control/replica_test.cc
+++ b/tests/unit/control/replica_test.cc
@@ -27,6 +27,8 @@
   MOCK_METHOD(bool, WriteSnapshot,
               (const consensus::raft_log&, const consensus::hard_state&),
               (override));
+  MOCK_METHOD(bool, WriteCompaction, (const consensus::raft_log&), (override));
+  MOCK_METHOD(std::optional<std::string>, ReadData, (uint64_t), (override));
 };
 
 class mock_sender : public message_sender {
@@ -43,6 +45,7 @@
     ON_CALL(storage_, Load).WillByDefault(Return(empty));
     ON_CALL(storage_, Write).WillByDefault(Return(true));
     ON_CALL(storage_, WriteSnapshot).WillByDefault(Return(true));
+    ON_CALL(storage_, WriteCompaction).WillByDefault(Return(true));
     replica_settings settings;
     settings.node = "n1";
     settings.site_sizes = {{"north", 1}};
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -33,9 +33,9 @@
 // once, and what is listed of it stays.
 TEST(StepBookTest, RepeatedSubmissionChangesNothing) {
   step_book book;
-  EXPECT_TRUE(OpenStep(book, MakeSubmission("s", 2), 100));
+  EXPECT_TRUE(OpenStep(book, MakeSubmission("s", 2), 100, 1));
   AddResults(book, "s", {Result(1, "text")});
-  EXPECT_FALSE(OpenStep(book, MakeSubmission("s", 5), 200));
+  EXPECT_FALSE(OpenStep(book, MakeSubmission("s", 5), 200, 1));
   EXPECT_EQ(book.at("s").input.tasks.size(), 2U);
   EXPECT_EQ(book.at("s").results.size(), 1U);
 }
@@ -44,7 +44,7 @@
 // keeps the position and the text that came first.
 TEST(StepBookTest, TaskHasOnePosition) {
   step_book book;
-  OpenStep(book, MakeSubmission("s", 2), 0);
+  OpenStep(book, MakeSubmission("s", 2), 0, 1);
   EXPECT_EQ(AddResults(book, "s", {Result(1, "first")}), 1U);
   EXPECT_EQ(AddResults(book, "s", {Result(1, "second"), Result(0, "other")}),
             1U);
@@ -61,7 +61,7 @@
 // a result ends it.
 TEST(StepBookTest, ProgressOfLongTasks) {
   step_book book;
-  OpenStep(book, MakeSubmission("s", 2), 0);
+  OpenStep(book, MakeSubmission("s", 2), 0, 1);
   task_progress first;
   first.task = 1;
   first.text = {2, {"a", "b"}, {3}};
@@ -81,7 +81,7 @@
 
 TEST(StepBookTest, PagesHaveAResultAndABound) {
   step_book book;
-  OpenStep(book, MakeSubmission("s", 3), 0);
+  OpenStep(book, MakeSubmission("s", 3), 0, 1);
   AddResults(
       book, "s",
       {Result(0, std::string(100, 'a')), Result(1, std::string(100, 'b')),
@@ -94,8 +94,8 @@
 
 TEST(StepBookTest, EndedStepsAreKeptForTheirRetention) {
   step_book book;
-  OpenStep(book, MakeSubmission("ended", 1), 100);
-  OpenStep(book, MakeSubmission("open", 1), 100);
+  OpenStep(book, MakeSubmission("ended", 1), 100, 1);
+  OpenStep(book, MakeSubmission("open", 1), 100, 1);
   EndStep(book, "ended");
   ForgetSteps(book, 100, 0);
   EXPECT_EQ(book.size(), 2U);
--- /dev/null
+++ b/tests/unit/store/step_state_test.cc
@@ -0,0 +1,96 @@
+#include "store/step_state.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "core/binary.h"
+
+namespace hickorywood::store {
+namespace {
+
+group::hosted_command Command(uint64_t index, const std::string& name,
+                              std::string payload) {
+  group::hosted_command input;
+  input.name = name;
+  input.index = index;
+  input.now_ms = static_cast<int64_t>(index) * 1000;
+  input.payload = std::move(payload);
+  return input;
+}
+
+group::hosted_command Open(uint64_t index, const std::string& id) {
+  steps::submission input;
+  input.id = id;
+  input.tasks.resize(1);
+  return Command(index, kOpenStepCommand, core::EncodeBinary(input));
+}
+
+group::hosted_command Result(uint64_t index, const std::string& id,
+                             const std::string& output) {
+  steps::task_result result;
+  result.is_complete = true;
+  result.output = output;
+  add_results_command input;
+  input.steps.push_back({id, {result}});
+  return Command(index, kAddResultsCommand, core::EncodeBinary(input));
+}
+
+group::hosted_command End(uint64_t index, const std::string& id) {
+  end_step_command input;
+  input.step = id;
+  return Command(index, kEndStepCommand, core::EncodeBinary(input));
+}
+
+group::hosted_command Forget(uint64_t index, int64_t ended_before_ms) {
+  forget_steps_command input;
+  input.ended_before_ms = ended_before_ms;
+  return Command(index, kForgetStepsCommand, core::EncodeBinary(input));
+}
+
+// A day of steps of which the first are forgotten. The snapshot is small, since
+// it stands before the oldest step that is held; with the entries after it
+// another replica gets the same state, results of forgotten steps included in
+// those entries or not.
+TEST(StepStateTest, SnapshotAndLaterEntriesGiveTheSameState) {
+  retire_command retired;
+  retired.node = "10.0.0.1:7300";
+  const std::vector<group::hosted_command> log = {
+      Open(1, "a"),
+      Command(2, kRetireCommand, core::EncodeBinary(retired)),
+      Open(3, "b"),
+      Result(4, "a", std::string(10000, 'a')),
+      End(5, "a"),
+      Open(6, "c"),
+      Result(7, "b", std::string(10000, 'b')),
+      Forget(8, 2500)};
+  step_state original;
+  for (const group::hosted_command& entry : log) original.Apply(entry);
+  ASSERT_EQ(original.Find("a"), nullptr);
+  const consensus::saved_state saved = original.Save(log.back().index);
+  EXPECT_EQ(saved.index, 2U);
+  EXPECT_LT(saved.data.size(), 200U);
+  step_state copy;
+  ASSERT_TRUE(copy.Restore(saved.data));
+  for (const group::hosted_command& entry : log) {
+    if (entry.index > saved.index) copy.Apply(entry);
+  }
+  EXPECT_EQ(copy.Retired(), original.Retired());
+  ASSERT_EQ(copy.Steps().size(), 2U);
+  EXPECT_EQ(copy.Find("b")->results[0].output, std::string(10000, 'b'));
+  EXPECT_TRUE(copy.Find("c")->results.empty());
+}
+
+// Without steps the snapshot stands where the log ends.
+TEST(StepStateTest, SnapshotOfNoStepsStandsAtTheEnd) {
+  step_state state;
+  state.Apply(Open(1, "a"));
+  EXPECT_EQ(state.Save(4).index, 0U);
+  state.Apply(End(2, "a"));
+  state.Apply(Forget(3, 5000));
+  EXPECT_EQ(state.Save(4).index, 4U);
+}
+
+}  // namespace
+}  // namespace hickorywood::store
