Texts of ended steps stay on disk, a restart replays while it reads, instances that wait get no entries

Cause: with 12 stores and 5 voters all 12 were members, so the leader encoded and sent each entry eleven times; and a store held each text twice (log entry and state), during a restart together with the whole log. Change: outputs of ended steps name their log entry and are read from it for late readers; committed entries are replayed while the log is read; learners are dropped once the group is full and no voter is replaceable. Tests: OutputsOfEndedStepsAreLeftOnDisk, CommittedEntriesAreReplayedWhileTheLogIsRead, InstancesThatWaitAreNoMembers.

--- a/packages/consensus/file_storage.cc
+++ b/packages/consensus/file_storage.cc
@@ -224,11 +224,15 @@
   if (numbers.empty()) {
     return FailCorrupt("the log in '" + folder_ + "' is missing");
   }
+  if (replay_.on_snapshot) {
+    replay_.on_snapshot(state.log.snap);
+    state.replayed = state.log.snap.index;
+  }
   raft_log stored;
   for (const uint64_t number : numbers) {
     const bool is_first = number == numbers.front();
     const bool is_last = number == numbers.back();
-    const auto status = LoadLogFile(number, is_first, stored, state.hard);
+    const auto status = LoadLogFile(number, is_first, stored, state);
     if (!status) return false;
     // Each write is synced before the next file begins, so that only the last
     // one can end in a torn write.
@@ -259,7 +263,7 @@
 std::optional<frame_status> file_storage::LoadLogFile(uint64_t number,
                                                       bool is_first,
                                                       raft_log& stored,
-                                                      hard_state& hard) {
+                                                      stored_state& state) {
   const std::string path = LogPath(number);
   frame_reader log(path);
   if (!log.IsOpen()) {
@@ -278,7 +282,8 @@
     }
     NoteTruncation(number, base, frame->truncate_from);
     NotePlaces(frame->entries, {number, good_end, log.Offset() - good_end});
-    ApplyFrame(std::move(*frame), stored, hard);
+    ApplyFrame(std::move(*frame), stored, state.hard);
+    Replay(state.hard.commit, stored, state);
     good_end = log.Offset();
   }
   if (status == frame_status::kUnreadable) {
@@ -310,6 +315,20 @@
   return status;
 }
 
+// Hands out what is known as committed by now. Such an entry is never taken
+// back, whatever the rest of the log says.
+void file_storage::Replay(uint64_t commit, raft_log& stored,
+                          stored_state& state) const {
+  if (!replay_.on_committed) return;
+  const uint64_t last = std::min(commit, LastIndex(stored));
+  const uint64_t next = std::max(*state.replayed, stored.base_index) + 1;
+  for (uint64_t index = next; index <= last; ++index) {
+    replay_.on_committed(EntryAt(stored, index));
+    LeaveOnDisk(stored, index);
+    state.replayed = index;
+  }
+}
+
 // Where a file of the log goes on from. Files that had been removed before a
 // loss of power may be back; they end before the next one begins, and nothing
 // of them counts.
--- a/packages/consensus/file_storage.h
+++ b/packages/consensus/file_storage.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "consensus/log_frames.h"
@@ -26,6 +27,7 @@
   file_storage(const file_storage&) = delete;
   file_storage& operator=(const file_storage&) = delete;
 
+  void SetReplay(log_replay replay) override { replay_ = std::move(replay); }
   std::optional<stored_state> Load() override;
   bool Write(const storage_write& write) override;
   bool WriteSnapshot(const raft_log& log, const hard_state& hard) override;
@@ -44,10 +46,12 @@
   bool LoadSnapshot(stored_state& state);
   bool LoadLog(stored_state& state);
   std::optional<frame_status> LoadLogFile(uint64_t number, bool is_first,
-                                          raft_log& stored, hard_state& hard);
+                                          raft_log& stored,
+                                          stored_state& state);
   bool BeginLogFile(const log_frame& frame, bool is_first,
                     raft_log& stored) const;
   bool BeginNextLogFile(const hard_state& hard);
+  void Replay(uint64_t commit, raft_log& stored, stored_state& state) const;
   void NoteLast(const storage_write& write);
   void NoteTruncation(uint64_t number, uint64_t base, uint64_t truncate_from);
   void RemoveLogFilesBefore(uint64_t number);
@@ -63,6 +67,7 @@
   std::string PathOf(const std::string& name) const;
 
   const std::string folder_;
+  log_replay replay_;
   int lock_fd_ = -1;
   int log_fd_ = -1;
   // The file of the log that is written to, and its size.
--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -68,6 +68,8 @@
 
 bool group_replica::Load() {
   const core::time_point start = clock_.Now();
+  storage_.SetReplay({[this](const snapshot& snap) { RestoreFrom(snap); },
+                      [this](const log_entry& entry) { ApplyEntry(entry); }});
   std::optional<stored_state> stored = storage_.Load();
   if (!stored) {
     if (core::LastReason().code == core::reason_code::kCorrupt) {
@@ -88,14 +90,17 @@
   raft_.log = std::move(stored->log);
   raft_.random.seed(settings_.random_seed);
   StartReplica(raft_, clock_.Now());
-  applied_ = raft_.log.snap.index;
-  machine_.Restore(applied_, raft_.log.snap.data);
+  if (stored->replayed) {
+    raft_.handed_out = std::max(raft_.handed_out, *stored->replayed);
+  } else {
+    RestoreFrom(raft_.log.snap);
+  }
   // What was known as committed is applied before this replica takes part in an
   // election. Applied after one, a day's entries kept a new leader from its
   // heartbeats for longer than its followers wait.
   while (const log_entry* entry = HandOutKnown(raft_)) {
     ApplyEntry(*entry);
-    FreeApplied();
+    HoldApplied(*entry);
   }
   NoteLoaded(start);
   return true;
@@ -140,12 +145,8 @@
     if (out.snapshot_installed) {
       LogEvent(event_id::kSnapshotInstalled,
                {{"index", std::to_string(raft_.log.snap.index)}});
-      applied_ = raft_.log.snap.index;
-      applied_bytes_ = 0;
-      held_.clear();
-      held_bytes_ = 0;
       backlog_.clear();
-      machine_.Restore(applied_, raft_.log.snap.data);
+      RestoreFrom(raft_.log.snap);
       FailWaiting();
     }
     std::move(out.committed.begin(), out.committed.end(),
@@ -153,7 +154,6 @@
     RouteMessages(out.messages);
     const bool has_applied = ApplySome();
     if (has_applied) {
-      FreeApplied();
       SaveSnapshotIfDue();
       machine_.OnApplied();
     }
@@ -200,7 +200,27 @@
   sender_.Send(output);
 }
 
-void group_replica::FreeApplied() {
+void group_replica::RestoreFrom(const snapshot& snap) {
+  applied_ = snap.index;
+  applied_bytes_ = 0;
+  held_.clear();
+  held_bytes_ = 0;
+  machine_.Restore(snap.index, snap.data);
+}
+
+std::optional<std::string> group_replica::ReadData(uint64_t index) {
+  const raft_log& log = raft_.log;
+  if (index > log.base_index && index <= LastIndex(log)) {
+    const log_entry& entry = EntryAt(log, index);
+    if (entry.bytes_on_disk == 0) return entry.data;
+  }
+  return storage_.ReadData(index);
+}
+
+// Notes an applied entry and frees the oldest data beyond the bound.
+void group_replica::HoldApplied(const log_entry& entry) {
+  held_.emplace_back(entry.index, entry.data.size());
+  held_bytes_ += entry.data.size();
   while (held_bytes_ > kHeldBytes) {
     const auto [index, bytes] = held_.front();
     held_.pop_front();
@@ -239,6 +259,7 @@
     backlog_.pop_front();
     bytes += entry.data.size();
     ApplyEntry(entry);
+    HoldApplied(entry);
     has_applied = true;
   }
   return has_applied;
@@ -247,8 +268,6 @@
 void group_replica::ApplyEntry(const log_entry& entry) {
   applied_ = entry.index;
   applied_bytes_ += static_cast<int64_t>(entry.data.size());
-  held_.emplace_back(entry.index, entry.data.size());
-  held_bytes_ += entry.data.size();
   if (entry.kind == entry_kind::kMembers) NoteMembers(entry);
   if (entry.kind == entry_kind::kCommand) machine_.Apply(entry);
   const auto waiting = proposals_.find(entry.index);
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -106,6 +107,10 @@
     raft_.leaving = std::move(nodes);
   }
 
+  // The data of a committed entry after the latest snapshot. Empty with the
+  // reason when it can't be read.
+  std::optional<std::string> ReadData(uint64_t index);
+
   // Gives leadership away before a planned stop. False when there is nobody to
   // take it.
   bool HandOver();
@@ -133,7 +138,8 @@
   void NoteLoaded(core::time_point start) const;
   void SendBeforeSync(raft_output& out);
   void SendWithData(message output);
-  void FreeApplied();
+  void RestoreFrom(const snapshot& snap);
+  void HoldApplied(const log_entry& entry);
   bool Persist(raft_output& out);
   bool ApplySome();
   void ApplyEntry(const log_entry& entry);
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -185,13 +185,19 @@
 }
 
 // Drops a voter beyond those that the group wants, leaving or silent, and
-// learners that are leaving.
+// learners that are leaving or that no place is in sight for: the leader would
+// send all entries to instances that wait for nothing. With twelve stores and
+// five voters this was more than half of what it sent.
 void DropSpare(raft_state& state, time_point now, raft_output& out) {
   if (state.options.wanted_voters == 0 || !MayChangeMembers(state)) return;
   group_members members = ActiveMembers(state.log);
+  const bool needs_none =
+      members.voters.size() == state.options.wanted_voters &&
+      !ReplaceableVoter(state, members, now).has_value();
   const size_t learners =
-      std::erase_if(members.learners, [&state](const member& who) {
-        return state.leaving.count(who.node) != 0;
+      std::erase_if(members.learners, [&](const member& who) {
+        return state.leaving.count(who.node) != 0 ||
+               (needs_none && !HasOtherIdentity(members, who));
       });
   std::optional<member> victim;
   if (members.voters.size() > state.options.wanted_voters) {
--- a/packages/consensus/raft_log.cc
+++ b/packages/consensus/raft_log.cc
@@ -44,7 +44,8 @@
   log_entry& entry = log.entries.at(index - log.base_index - 1);
   if (entry.kind != entry_kind::kCommand || entry.data.empty()) return;
   entry.bytes_on_disk = entry.data.size();
-  entry.data = std::string();
+  // An assignment would keep the memory.
+  std::string().swap(entry.data);
 }
 
 void TruncateFrom(raft_log& log, uint64_t first) {
--- a/packages/consensus/storage.h
+++ b/packages/consensus/storage.h
@@ -2,6 +2,7 @@
 #define HICKORYWOOD_CONSENSUS_STORAGE_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,6 +19,15 @@
   raft_log log;
   bool is_new = false;        // the folder was empty: a new member
   bool was_tail_cut = false;  // a write that a crash interrupted was dropped
+  // Last index that was replayed; empty: nothing was, the snapshot included.
+  std::optional<uint64_t> replayed;
+};
+
+// Takes what a folder holds while it is read.
+struct log_replay {
+  std::function<void(const snapshot&)> on_snapshot;
+  // An entry after the snapshot that is known as committed, in order.
+  std::function<void(const log_entry&)> on_committed;
 };
 
 // One durable step of a replica.
@@ -34,6 +44,10 @@
  public:
   virtual ~log_storage() = default;
 
+  // Called before Load(), which then hands the snapshot and the committed
+  // entries to `replay` and leaves the data of those on disk: a restart that
+  // has the whole log in memory first needs more of it than the days before.
+  virtual void SetReplay(log_replay replay) = 0;
   // Empty with kCorrupt when the folder's content is damaged, kIo when it can't
   // be read.
   virtual std::optional<stored_state> Load() = 0;
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -153,6 +153,8 @@
       {event_id::kTaskGivenUp, kWarning, "rollout", "task given up"},
       {event_id::kResultsNotCommitted, kWarning, "rollout",
        "results not committed"},
+      {event_id::kResultsNotRead, kError, "rollout",
+       "results can't be read from disk"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -73,6 +73,7 @@
   kTaskRunEnded = 6008,
   kTaskGivenUp = 6009,
   kResultsNotCommitted = 6010,
+  kResultsNotRead = 6011,
 };
 
 struct event_info {
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -216,6 +216,12 @@
   co_return result;
 }
 
+std::optional<hosted_command> group_host::ReadCommand(uint64_t index) {
+  const std::optional<std::string> data = replica_.ReadData(index);
+  if (!data) return std::nullopt;
+  return core::DecodeBinary<hosted_command>(*data);
+}
+
 bool group_host::IsSpread() const {
   return Voters().size() >= settings_.spread_voters;
 }
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,6 +65,10 @@
   boost::asio::awaitable<commit_result> Commit(std::string name,
                                                std::string payload);
 
+  // The command of a log entry after the latest snapshot, read from disk if
+  // need be. Empty with the reason when it can't be read.
+  std::optional<hosted_command> ReadCommand(uint64_t index);
+
   // Whether this replica may act as the leader now. Ask again right before each
   // outside effect: a frozen process wakes up late.
   bool IsServing() const { return replica_.IsServing(); }
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -16,6 +16,13 @@
   item.path.clear();
 }
 
+void LeaveOnDisk(task_result& item) {
+  if (item.index == 0 || item.output.empty()) return;
+  item.bytes_on_disk = item.output.size();
+  // An assignment would keep the memory.
+  std::string().swap(item.output);
+}
+
 }  // namespace
 
 bool OpenStep(step_book& book, submission input, int64_t now_ms,
@@ -35,7 +42,7 @@
 }
 
 size_t AddResults(step_book& book, const std::string& id,
-                  std::vector<task_result> results) {
+                  std::vector<task_result> results, uint64_t index) {
   const auto found = book.find(id);
   if (found == book.end()) return 0;
   step& where = found->second;
@@ -45,6 +52,8 @@
     if (!is_known || HasResult(where, item.task)) continue;
     where.progress.erase(item.task);
     DropInput(where.input.tasks[item.task]);
+    item.index = index;
+    if (where.is_ended) LeaveOnDisk(item);
     where.results.push_back(std::move(item));
     ++taken;
   }
@@ -79,6 +88,7 @@
   where.is_ended = true;
   where.progress.clear();
   for (task& item : where.input.tasks) DropInput(item);
+  for (task_result& item : where.results) LeaveOnDisk(item);
   return true;
 }
 
@@ -96,7 +106,7 @@
   size_t bytes = 0;
   while (page.next < where.results.size()) {
     const task_result& item = where.results[page.next];
-    bytes += item.output.size();
+    bytes += item.output.size() + item.bytes_on_disk;
     if (!page.results.empty() && bytes > page_bytes) break;
     page.results.push_back(item);
     page.ids.push_back(where.input.tasks[item.task].id);
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -47,6 +47,10 @@
   bool is_complete = false;        // false: given up
   std::string output;              // data of all events, one a line
   std::vector<uint64_t> versions;  // that generated an event of the output
+  // Where the result stands in the log, and the size of the output while it is
+  // only there. Of this process only, not encoded; 0: not known.
+  uint64_t index = 0;
+  uint64_t bytes_on_disk = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_result, task, is_complete,
                                                 output, versions)
@@ -81,17 +85,20 @@
 bool OpenStep(step_book& book, submission input, int64_t now_ms,
               uint64_t index);
 
-// Gives the results the next positions. A task that has a position keeps it:
-// results that are no news are passed over. Returns how many were taken.
+// Gives the results of the log entry `index` the next positions. A task that
+// has a position keeps it: results that are no news are passed over. Returns
+// how many were taken.
 size_t AddResults(step_book& book, const std::string& id,
-                  std::vector<task_result> results);
+                  std::vector<task_result> results, uint64_t index);
 
 // Adds text to tasks that have no result. What does not fit to what is known is
 // passed over.
 void AddProgress(step_book& book, const std::string& id,
                  std::vector<task_progress> progress);
 
-// False when there is no such step.
+// Ends a step. Outputs whose log entry is known are left on disk from then on:
+// the trainer has read what it wants, and the texts of two minutes are most of
+// what a store holds. False when there is no such step.
 bool EndStep(step_book& book, const std::string& id);
 
 // Drops the steps that were opened before `limit_ms` and are ended or older
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <map>
+#include <optional>
 #include <utility>
 
 #include "core/binary.h"
@@ -34,6 +36,21 @@
   return {call_outcome::kNotFound, "", "no such " + what, ""};
 }
 
+// Outputs of `step` in an encoded add_results_command, by task.
+std::optional<std::map<uint32_t, std::string>> OutputsOf(
+    const std::string& step, const std::string& payload) {
+  auto command = core::DecodeBinary<add_results_command>(payload);
+  if (!command) return std::nullopt;
+  std::map<uint32_t, std::string> outputs;
+  for (step_results& results : command->steps) {
+    if (results.step != step) continue;
+    for (steps::task_result& item : results.results) {
+      outputs.try_emplace(item.task, std::move(item.output));
+    }
+  }
+  return outputs;
+}
+
 }  // namespace
 
 step_service::step_service(asio::io_context& loop,
@@ -104,13 +121,46 @@
     const bool has_news = where->results.size() > input->after;
     if (has_news || has_all || clock_.Now() >= until) {
       const uint64_t bytes = std::min(input->page_bytes, kMostPageBytes);
-      co_return Done(
-          core::EncodeBinary(steps::ReadPage(*where, input->after, bytes)));
+      steps::result_page page = steps::ReadPage(*where, input->after, bytes);
+      if (!FillOutputs(input->step, page)) {
+        LogEvent(event_id::kResultsNotRead,
+                 {{"step", input->step}, {"reason", core::LastReason().text}});
+        co_return envelope{call_outcome::kUnavailable, "",
+                           "results can't be read from disk", ""};
+      }
+      co_return Done(core::EncodeBinary(page));
     }
     co_await changed_.WaitUntil(until);
   }
 }
 
+// Reads the outputs that are only on disk. Results of one entry follow each
+// other, so that each entry is read once.
+bool step_service::FillOutputs(const std::string& step,
+                               steps::result_page& page) {
+  uint64_t index = 0;
+  std::map<uint32_t, std::string> outputs;  // of that entry, by task
+  for (steps::task_result& item : page.results) {
+    if (item.bytes_on_disk == 0) continue;
+    if (item.index != index) {
+      const auto command = group_.ReadCommand(item.index);
+      if (!command) return false;
+      auto found = OutputsOf(step, command->payload);
+      if (!found) return false;
+      outputs = std::move(*found);
+      index = item.index;
+    }
+    item.output = outputs[item.task];
+    if (item.output.size() != item.bytes_on_disk) {
+      core::SetLastReason(
+          core::reason_code::kCorrupt,
+          "entry " + std::to_string(index) + " does not hold the output");
+      return false;
+    }
+  }
+  return true;
+}
+
 awaitable<envelope> step_service::ReadTask(std::string payload) {
   const auto input = core::DecodeBinary<peering::read_task_request>(payload);
   if (!input) co_return Malformed();
--- a/packages/store/step_service.h
+++ b/packages/store/step_service.h
@@ -43,6 +43,7 @@
   using answer = boost::asio::awaitable<peering::envelope>;
 
   answer OpenStep(std::string payload);
+  bool FillOutputs(const std::string& step, steps::result_page& page);
   answer ReadResults(std::string payload);
   answer ReadTask(std::string payload);
   answer EndStep(std::string payload);
--- a/packages/store/step_state.cc
+++ b/packages/store/step_state.cc
@@ -16,11 +16,13 @@
   }
 }
 
-void AddResults(step_state::content& held, const std::string& payload) {
-  auto input = core::DecodeBinary<add_results_command>(payload);
+void AddResults(step_state::content& held,
+                const group::hosted_command& command) {
+  auto input = core::DecodeBinary<add_results_command>(command.payload);
   if (!input) return;
   for (step_results& item : input->steps) {
-    steps::AddResults(held.steps, item.step, std::move(item.results));
+    steps::AddResults(held.steps, item.step, std::move(item.results),
+                      command.index);
   }
 }
 
@@ -55,7 +57,7 @@
   if (input.name == kOpenStepCommand) {
     OpenStep(held_, input);
   } else if (input.name == kAddResultsCommand) {
-    AddResults(held_, input.payload);
+    AddResults(held_, input);
   } else if (input.name == kAddProgressCommand) {
     AddProgress(held_, input.payload);
   } else if (input.name == kEndStepCommand) {
--- a/tests/unit/consensus/file_storage_test.cc
+++ b/tests/unit/consensus/file_storage_test.cc
@@ -266,6 +266,34 @@
   }
 }
 
+// A restart hands out what is known as committed while it reads, and holds the
+// data of nothing but the rest.
+TEST_F(LongLogTest, CommittedEntriesAreReplayedWhileTheLogIsRead) {
+  {
+    file_storage storage(folder_);
+    ASSERT_TRUE(storage.Load());
+    for (uint64_t index = 1; index <= 7; ++index) {
+      storage_write write = OneEntry(index, 1);
+      write.hard.commit = index - 2 <= 7 ? index - 2 : 0;
+      ASSERT_TRUE(storage.Write(write));
+    }
+  }
+  std::vector<uint64_t> replayed;
+  file_storage storage(folder_);
+  storage.SetReplay({[](const snapshot& snap) { EXPECT_EQ(snap.index, 0U); },
+                     [&replayed](const log_entry& entry) {
+                       EXPECT_EQ(entry.data, Data(entry.index, 1));
+                       replayed.push_back(entry.index);
+                     }});
+  const auto state = storage.Load();
+  ASSERT_TRUE(state) << core::LastReason().text;
+  EXPECT_EQ(replayed, (std::vector<uint64_t>{1, 2, 3, 4, 5}));
+  EXPECT_EQ(state->replayed, 5U);
+  EXPECT_TRUE(EntryAt(state->log, 5).data.empty());
+  EXPECT_EQ(EntryAt(state->log, 6).data, Data(6, 1));
+  EXPECT_EQ(storage.ReadData(5), Data(5, 1));
+}
+
 // The snapshot covers the first file and a part of the second. The first one
 // goes; the rest is as it was, also if the removed name comes back after a loss
 // of power.
@@ -388,7 +416,7 @@
         {index, 1, entry_kind::kCommand, std::string(100, 'x')});
     LeaveOnDisk(log, index);
   }
-  EXPECT_TRUE(EntryAt(log, 1).data.empty());
+  EXPECT_LT(EntryAt(log, 1).data.capacity(), 100U);
   EXPECT_EQ(EntriesFrom(log, 1, 250).size(), 2U);
 }
 
--- a/tests/unit/consensus/group_simulation.h
+++ b/tests/unit/consensus/group_simulation.h
@@ -59,6 +59,8 @@
   std::vector<std::string> Voters() const;
   // The leader at `index` gives way, and its message to the successor is lost.
   void LoseHandOver(size_t index);
+  // Members that only receive entries, as far as committed.
+  size_t Learners() const { return CommittedMembers().learners.size(); }
   void SetLeaving(const std::string& node);
 
   // Removes a safeguard, to see that the checks notice.
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -103,6 +103,25 @@
   }
 }
 
+// Seven instances, three voters wanted. Those that wait get no entries, or the
+// leader would send everything to all of them; the next loss still brings one
+// of them in.
+TEST(GroupTest, InstancesThatWaitAreNoMembers) {
+  group_simulation group(7, 25, 3);
+  group.Settle(milliseconds(8000));
+  EXPECT_EQ(group.Voters().size(), 3U);
+  EXPECT_EQ(group.Learners(), 0U);
+  const std::vector<std::string> before = group.Voters();
+  const size_t victim = std::stoul(before[0].substr(1));
+  group.Crash(victim);
+  group.Settle(milliseconds(8000));
+  EXPECT_EQ(group.Voters().size(), 3U);
+  EXPECT_NE(group.Voters(), before);
+  group.Start(victim);
+  EXPECT_TRUE(group.HealsAndCommits());
+  EXPECT_EQ(group.Violation(), "");
+}
+
 // A store is to be emptied: the one that waits becomes a voter in its place,
 // and the emptied one is not taken in again.
 TEST(GroupTest, LeavingVoterIsReplaced) {
--- a/tests/unit/control/replica_test.cc
+++ b/tests/unit/control/replica_test.cc
@@ -27,6 +27,7 @@
   MOCK_METHOD(bool, WriteSnapshot,
               (const consensus::raft_log&, const consensus::hard_state&),
               (override));
+  MOCK_METHOD(void, SetReplay, (consensus::log_replay), (override));
   MOCK_METHOD(bool, WriteCompaction, (const consensus::raft_log&), (override));
   MOCK_METHOD(std::optional<std::string>, ReadData, (uint64_t), (override));
 };
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -34,7 +34,7 @@
 TEST(StepBookTest, RepeatedSubmissionChangesNothing) {
   step_book book;
   EXPECT_TRUE(OpenStep(book, MakeSubmission("s", 2), 100, 1));
-  AddResults(book, "s", {Result(1, "text")});
+  AddResults(book, "s", {Result(1, "text")}, 0);
   EXPECT_FALSE(OpenStep(book, MakeSubmission("s", 5), 200, 1));
   EXPECT_EQ(book.at("s").input.tasks.size(), 2U);
   EXPECT_EQ(book.at("s").results.size(), 1U);
@@ -45,10 +45,10 @@
 TEST(StepBookTest, TaskHasOnePosition) {
   step_book book;
   OpenStep(book, MakeSubmission("s", 2), 0, 1);
-  EXPECT_EQ(AddResults(book, "s", {Result(1, "first")}), 1U);
-  EXPECT_EQ(AddResults(book, "s", {Result(1, "second"), Result(0, "other")}),
+  EXPECT_EQ(AddResults(book, "s", {Result(1, "first")}, 0), 1U);
+  EXPECT_EQ(AddResults(book, "s", {Result(1, "second"), Result(0, "other")}, 0),
             1U);
-  EXPECT_EQ(AddResults(book, "s", {Result(7, "none such")}), 0U);
+  EXPECT_EQ(AddResults(book, "s", {Result(7, "none such")}, 0), 0U);
   const result_page page = ReadPage(book.at("s"), 0, 1000);
   ASSERT_EQ(page.results.size(), 2U);
   EXPECT_EQ(page.results[0].output, "first");
@@ -74,7 +74,7 @@
   EXPECT_EQ(JoinText(known), "a\nb\nc");
   EXPECT_EQ(known.events, 3U);
   EXPECT_EQ(known.versions, std::vector<uint64_t>({3, 4}));
-  AddResults(book, "s", {Result(1, "a")});
+  AddResults(book, "s", {Result(1, "a")}, 0);
   AddProgress(book, "s", {first});
   EXPECT_TRUE(book.at("s").progress.empty());
 }
@@ -85,7 +85,8 @@
   AddResults(
       book, "s",
       {Result(0, std::string(100, 'a')), Result(1, std::string(100, 'b')),
-       Result(2, std::string(100, 'c'))});
+       Result(2, std::string(100, 'c'))},
+      0);
   EXPECT_EQ(ReadPage(book.at("s"), 0, 10).results.size(), 1U);
   EXPECT_EQ(ReadPage(book.at("s"), 0, 250).results.size(), 2U);
   EXPECT_EQ(ReadPage(book.at("s"), 1, 1000).next, 3U);
--- a/tests/unit/store/step_state_test.cc
+++ b/tests/unit/store/step_state_test.cc
@@ -82,6 +82,25 @@
   EXPECT_TRUE(copy.Find("c")->results.empty());
 }
 
+// Once a step has ended its outputs are left in the log: a result names its
+// entry, a page counts it with its size, and a late result does the same.
+TEST(StepStateTest, OutputsOfEndedStepsAreLeftOnDisk) {
+  step_state state;
+  state.Apply(Open(1, "a"));
+  state.Apply(Result(4, "a", std::string(10000, 'a')));
+  EXPECT_EQ(state.Find("a")->results[0].output.size(), 10000U);
+  state.Apply(End(5, "a"));
+  const steps::task_result& result = state.Find("a")->results[0];
+  EXPECT_LT(result.output.capacity(), 100U);
+  EXPECT_EQ(result.bytes_on_disk, 10000U);
+  EXPECT_EQ(result.index, 4U);
+  state.Apply(Open(6, "b"));
+  state.Apply(End(7, "b"));
+  state.Apply(Result(8, "b", "late"));
+  EXPECT_EQ(state.Find("b")->results[0].index, 8U);
+  EXPECT_TRUE(state.Find("b")->results[0].output.empty());
+}
+
 // Without steps the snapshot stands where the log ends.
 TEST(StepStateTest, SnapshotOfNoStepsStandsAtTheEnd) {
   step_state state;
