Stores keep the newest outputs in memory within a third of it; learners: one at hand, others wait

Change: a budget (memory_mb, from the sheet by the template) for outputs of ended steps, newest kept; pages from disk of 150 KB; a full group keeps one spare learner, a silent one gives way to another.

--- a/packages/consensus/raft.cc
+++ b/packages/consensus/raft.cc
@@ -381,7 +381,7 @@
       ReceiveCampaignNow(state, now, input, out);
       return;
     case message_kind::kJoin:
-      internal::ReceiveJoin(state, now, input, out);
+      internal::ReceiveJoin(state, input, out);
       return;
   }
 }
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -44,6 +44,10 @@
   // it an instance that asks is taken in only for a voter that is leaving or
   // silent.
   size_t wanted_voters = 0;
+  // Learners that a group with all its voters keeps at hand, so that a lost
+  // voter's place is taken by one that has the log already. Every further one
+  // costs the leader as much as a voter.
+  size_t spare_learners = 1;
   // Silence after which a voter may be replaced by an instance that asks. A
   // replaced instance must be a voter before the next loss may come.
   milliseconds replace_after{2000};
@@ -57,6 +61,7 @@
   time_point sent_at{};
   time_point
       confirmed_at{};  // sending time of the latest message that it answered
+  time_point first_sent_at{};
   uint64_t snapshot_offset = 0;
   uint64_t snapshot_index = 0;  // of the snapshot being sent; 0: none
 };
@@ -153,8 +158,7 @@
                         raft_output& out);
 void ReceiveSnapshotReply(raft_state& state, time_point now,
                           const message& input, raft_output& out);
-void ReceiveJoin(raft_state& state, time_point now, const message& input,
-                 raft_output& out);
+void ReceiveJoin(raft_state& state, const message& input, raft_output& out);
 void HandOutCommitted(raft_state& state, raft_output& out);
 void AppendEntry(raft_state& state, const log_entry& entry, raft_output& out);
 
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -99,6 +99,7 @@
             follower_progress& progress, raft_output& out) {
   progress.is_in_flight = true;
   progress.sent_at = now;
+  if (progress.first_sent_at == time_point{}) progress.first_sent_at = now;
   const std::optional<uint64_t> log_term = TermAt(state.log, progress.next - 1);
   const bool is_held = log_term && progress.next > state.log.base_index;
   if (!is_held) {
@@ -184,20 +185,36 @@
   }
 }
 
+// Learners beyond the places that are free and the spare ones. All instances
+// ask when a place is free; taken in at once they were sent the whole log at
+// the same time, and the leader had no processor time left for its heartbeats.
+bool TakesLearners(const raft_state& state, const group_members& members) {
+  const size_t wanted = state.options.wanted_voters;
+  const size_t voters = members.voters.size();
+  const size_t places = wanted > voters ? wanted - voters : 0;
+  return wanted == 0 ||
+         members.learners.size() < places + state.options.spare_learners;
+}
+
+bool IsSilent(const raft_state& state, const member& learner, time_point now) {
+  const auto found = state.followers.find(learner);
+  if (found == state.followers.end()) return false;
+  const follower_progress& progress = found->second;
+  return progress.first_sent_at != time_point{} &&
+         now - std::max(progress.confirmed_at, progress.first_sent_at) >=
+             state.options.replace_after;
+}
+
 // Drops a voter beyond those that the group wants, leaving or silent, and
-// learners that are leaving or that no place is in sight for: the leader would
-// send all entries to instances that wait for nothing. With twelve stores and
-// five voters this was more than half of what it sent.
+// learners that are leaving, or silent where another one could take the place.
 void DropSpare(raft_state& state, time_point now, raft_output& out) {
   if (state.options.wanted_voters == 0 || !MayChangeMembers(state)) return;
   group_members members = ActiveMembers(state.log);
-  const bool needs_none =
-      members.voters.size() == state.options.wanted_voters &&
-      !ReplaceableVoter(state, members, now).has_value();
+  const bool is_crowded = !TakesLearners(state, members);
   const size_t learners =
       std::erase_if(members.learners, [&](const member& who) {
         return state.leaving.count(who.node) != 0 ||
-               (needs_none && !HasOtherIdentity(members, who));
+               (is_crowded && IsSilent(state, who, now));
       });
   std::optional<member> victim;
   if (members.voters.size() > state.options.wanted_voters) {
@@ -310,15 +327,13 @@
   SendTo(state, now, input.from, progress, out);
 }
 
-void ReceiveJoin(raft_state& state, time_point now, const message& input,
-                 raft_output& out) {
+void ReceiveJoin(raft_state& state, const message& input, raft_output& out) {
   if (state.role != raft_role::kLeader || !MayChangeMembers(state)) return;
   const group_members members = ActiveMembers(state.log);
   if (IsVoter(members, input.from) || IsLearner(members, input.from)) return;
   if (state.leaving.count(input.from.node) != 0) return;
-  const bool is_wanted = HasOtherIdentity(members, input.from) ||
-                         !IsFull(state, members) ||
-                         ReplaceableVoter(state, members, now).has_value();
+  const bool is_wanted =
+      HasOtherIdentity(members, input.from) || TakesLearners(state, members);
   if (!is_wanted) return;
   AppendAsLeader(state, entry_kind::kMembers,
                  core::Encode(WithLearner(members, input.from)), out);
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -106,6 +106,9 @@
        "closed."},
       {"losses.instances", type::kInteger, "1", 0, 10,
        "Instances with a disk that may be lost at once."},
+      {"memory_mb", type::kInteger, "256", 16, 1024 * 1024,
+       "Memory that the process may use, MB. A store keeps a third of it for "
+       "the outputs of ended steps."},
   };
   return *kSchema;
 }
@@ -150,6 +153,7 @@
   settings.drain_grace = read.Duration("drain.grace");
   settings.drain_notice = read.Duration("drain.notice");
   settings.tolerated_losses = read.Integer("losses.instances");
+  settings.memory_mb = read.Integer("memory_mb");
   CheckRole(settings, file, findings);
   if (!findings.empty()) return std::nullopt;
   return settings;
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -39,6 +39,14 @@
   std::chrono::milliseconds drain_notice{0};
   // Instances with a disk that may be lost at once.
   int64_t tolerated_losses = 1;
+  int64_t memory_mb = 256;  // that the process may use
+
+  // Bytes of outputs of ended steps that a store keeps in memory; older ones
+  // are read from disk. A third: as much again is needed while they are read
+  // and written, and the rest is the open steps, the runs and the connections.
+  size_t OutputBudget() const {
+    return static_cast<size_t>(memory_mb) * 1024 * 1024 / 3;
+  }
 
   // Replicas of a data group: a majority is left after the losses.
   size_t DataVoters() const {
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -53,7 +53,6 @@
     where.progress.erase(item.task);
     DropInput(where.input.tasks[item.task]);
     item.index = index;
-    if (where.is_ended) LeaveOnDisk(item);
     where.results.push_back(std::move(item));
     ++taken;
   }
@@ -88,10 +87,26 @@
   where.is_ended = true;
   where.progress.clear();
   for (task& item : where.input.tasks) DropInput(item);
-  for (task_result& item : where.results) LeaveOnDisk(item);
   return true;
 }
 
+void LeaveOldOutputs(step_book& book, size_t budget) {
+  std::vector<step*> ended;
+  for (auto& item : book) {
+    if (item.second.is_ended) ended.push_back(&item.second);
+  }
+  std::sort(ended.begin(), ended.end(),
+            [](const step* left, const step* right) {
+              return left->opened_index > right->opened_index;
+            });
+  size_t bytes = 0;
+  for (step* where : ended) {
+    for (const task_result& item : where->results) bytes += item.output.size();
+    if (bytes <= budget) continue;
+    for (task_result& item : where->results) LeaveOnDisk(item);
+  }
+}
+
 void ForgetSteps(step_book& book, int64_t limit_ms, int64_t oldest_ms) {
   std::erase_if(book, [&](const auto& item) {
     const step& where = item.second;
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -96,11 +96,14 @@
 void AddProgress(step_book& book, const std::string& id,
                  std::vector<task_progress> progress);
 
-// Ends a step. Outputs whose log entry is known are left on disk from then on:
-// the trainer has read what it wants, and the texts of two minutes are most of
-// what a store holds. False when there is no such step.
+// False when there is no such step.
 bool EndStep(step_book& book, const std::string& id);
 
+// Leaves outputs of ended steps on disk beyond `budget` bytes, those of the
+// newest steps last: their trainers have read what they want, and the texts of
+// two minutes are most of what a store holds.
+void LeaveOldOutputs(step_book& book, size_t budget);
+
 // Drops the steps that were opened before `limit_ms` and are ended or older
 // than `oldest_ms`.
 void ForgetSteps(step_book& book, int64_t limit_ms, int64_t oldest_ms);
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -30,6 +30,9 @@
 constexpr std::chrono::seconds kForgetPeriod{10};
 // Most output in one page of results; the rest comes with the next.
 constexpr uint64_t kMostPageBytes = 1000 * 1000;
+// ... and of one that is read from disk: an entry holds results of several
+// steps, so that a few times this is decoded, some 50 ms of a small instance.
+constexpr uint64_t kMostDiskBytes = 150 * 1000;
 constexpr milliseconds kLongestWait{5000};
 
 envelope NoSuch(const std::string& what) {
@@ -120,7 +123,10 @@
         where->is_ended || where->results.size() == where->input.tasks.size();
     const bool has_news = where->results.size() > input->after;
     if (has_news || has_all || clock_.Now() >= until) {
-      const uint64_t bytes = std::min(input->page_bytes, kMostPageBytes);
+      const bool is_on_disk = input->after < where->results.size() &&
+                              where->results[input->after].bytes_on_disk > 0;
+      const uint64_t bytes = std::min(
+          input->page_bytes, is_on_disk ? kMostDiskBytes : kMostPageBytes);
       steps::result_page page = steps::ReadPage(*where, input->after, bytes);
       if (!FillOutputs(input->step, page)) {
         LogEvent(event_id::kResultsNotRead,
--- a/packages/store/step_state.cc
+++ b/packages/store/step_state.cc
@@ -62,6 +62,7 @@
     AddProgress(held_, input.payload);
   } else if (input.name == kEndStepCommand) {
     EndStep(held_, input.payload);
+    steps::LeaveOldOutputs(held_.steps, output_budget_);
   } else if (input.name == kForgetStepsCommand) {
     ForgetSteps(held_, input.payload);
   } else if (input.name == kRetireCommand) {
--- a/packages/store/step_state.h
+++ b/packages/store/step_state.h
@@ -64,6 +64,9 @@
 
 class step_state : public group::hosted_state {
  public:
+  // `output_budget`: bytes of outputs of ended steps that stay in memory.
+  explicit step_state(size_t output_budget) : output_budget_(output_budget) {}
+
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
   // The state before the oldest step that is held. All that came later is
@@ -83,6 +86,7 @@
   };
 
  private:
+  const size_t output_budget_;
   content held_;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step_state::content, steps,
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -54,6 +54,7 @@
       : loop(io),
         settings(node),
         pool(io),
+        state(node.OutputBudget()),
         group(io, runtime,
               group::MakeGroupSettings(node, kGroupName, node.DataVoters()),
               pool, state),
--- a/tests/unit/consensus/group_simulation.cc
+++ b/tests/unit/consensus/group_simulation.cc
@@ -360,6 +360,14 @@
   return nodes;
 }
 
+std::vector<std::string> group_simulation::LearnerNames() const {
+  std::vector<std::string> nodes;
+  for (const member& learner : CommittedMembers().learners) {
+    nodes.push_back(learner.node);
+  }
+  return nodes;
+}
+
 void group_simulation::SetLeaving(const std::string& node) {
   for (replica& item : replicas_) item.state.leaving = {node};
 }
--- a/tests/unit/consensus/group_simulation.h
+++ b/tests/unit/consensus/group_simulation.h
@@ -61,6 +61,7 @@
   void LoseHandOver(size_t index);
   // Members that only receive entries, as far as committed.
   size_t Learners() const { return CommittedMembers().learners.size(); }
+  std::vector<std::string> LearnerNames() const;
   void SetLeaving(const std::string& node);
 
   // Removes a safeguard, to see that the checks notice.
