A change waits for the last instance of a site that was dark

When two of its three instances were back the site counted as live and the lease of the third as run out, so the change was called accepted while the third could still be serving the older revision until it heard of the others. Traced by reading: at the failing line the change is accepted and s2 holds revision 1; the book lets that pass only for a holder without a live lease. Test: LastInstanceOfADarkSiteIsWaitedFor fails without the mark.

--- a/packages/control/configuration_lease.cc
+++ b/packages/control/configuration_lease.cc
@@ -26,6 +26,20 @@
   holder.applied = applied;
   holder.revision = revision;
   holder.expires_at = now + book.duration + book.duration / kMarginDivisor;
+  holder.may_serve_dark = false;
+}
+
+void NoteDarkSites(lease_book& book,
+                   const std::map<std::string, size_t>& site_sizes,
+                   core::time_point now) {
+  const std::vector<std::string> dark = DarkSites(book, site_sizes, 0, now);
+  for (auto& item : book.holders) {
+    lease_holder& holder = item.second;
+    const bool is_dark =
+        std::find(dark.begin(), dark.end(), holder.site) != dark.end();
+    if (is_dark && holder.expires_at <= now) holder.may_serve_dark = true;
+    if (site_sizes.count(holder.site) == 0) holder.may_serve_dark = false;
+  }
 }
 
 void ReleaseLease(lease_book& book, const std::string& instance) {
@@ -35,10 +49,13 @@
 bool IsInForceEverywhere(const lease_book& book, uint64_t index,
                          core::time_point now) {
   if (now < book.complete_at) return false;
-  return std::all_of(
-      book.holders.begin(), book.holders.end(), [index, now](const auto& item) {
-        return item.second.applied >= index || item.second.expires_at <= now;
-      });
+  return std::all_of(book.holders.begin(), book.holders.end(),
+                     [index, now](const auto& item) {
+                       const lease_holder& holder = item.second;
+                       const bool is_silent =
+                           holder.expires_at <= now && !holder.may_serve_dark;
+                       return holder.applied >= index || is_silent;
+                     });
 }
 
 std::vector<std::string> DarkSites(
--- a/packages/control/configuration_lease.h
+++ b/packages/control/configuration_lease.h
@@ -22,6 +22,9 @@
   uint64_t applied = 0;  // log index in force there
   uint64_t revision = 0;
   core::time_point expires_at{};
+  // Its lease ran out while its site was dark: it may go on serving what it
+  // has until it hears that the site is back.
+  bool may_serve_dark = false;
 };
 
 // The leader's book of leases. It is not replicated: a new leader starts an
@@ -41,6 +44,12 @@
                 const std::string& site, uint64_t applied, uint64_t revision,
                 core::time_point now);
 
+// Marks the holders without a lease that may be serving since their whole site
+// is dark. To be called often; a renewal takes the mark off.
+void NoteDarkSites(lease_book& book,
+                   const std::map<std::string, size_t>& site_sizes,
+                   core::time_point now);
+
 // A holder that stops on purpose gives its lease back.
 void ReleaseLease(lease_book& book, const std::string& instance);
 
--- a/packages/control/replica.cc
+++ b/packages/control/replica.cc
@@ -42,6 +42,7 @@
 
 void replica::Tick() {
   group_.Tick();
+  NoteDarkSites(leases_, SitesThatCount(), clock_.Now());
   if (IsServing()) ForgetLostInstances();
   RetryHeldSubmissions();
   AnswerSubmissions();
--- a/tests/unit/control/configuration_lease_test.cc
+++ b/tests/unit/control/configuration_lease_test.cc
@@ -52,5 +52,31 @@
             std::vector<std::string>{"north"});
 }
 
+// A whole site was cut off and went on serving the older revision. Two of its
+// three instances are back; the third has not heard of it and still serves what
+// it had. A change must not be called accepted before it has it too, or before
+// it is taken for lost.
+TEST(ConfigurationLeaseTest, LastInstanceOfADarkSiteIsWaitedFor) {
+  lease_book book = Book();
+  const std::map<std::string, size_t> sizes = {{"south", 3}};
+  time_point now = kStart + milliseconds(2000);
+  for (const char* name : {"s1", "s2", "s3"}) {
+    RenewLease(book, name, "south", 4, 1, now);
+  }
+  now += milliseconds(1200);
+  NoteDarkSites(book, sizes, now);
+  RenewLease(book, "s1", "south", 5, 2, now);
+  RenewLease(book, "s3", "south", 5, 2, now);
+  NoteDarkSites(book, sizes, now);
+  EXPECT_TRUE(DarkSites(book, sizes, 5, now).empty());
+  EXPECT_FALSE(IsInForceEverywhere(book, 5, now));
+  lease_book renewed = book;
+  RenewLease(renewed, "s2", "south", 5, 2, now);
+  EXPECT_TRUE(IsInForceEverywhere(renewed, 5, now));
+  lease_book excluded = book;
+  NoteDarkSites(excluded, {}, now);
+  EXPECT_TRUE(IsInForceEverywhere(excluded, 5, now));
+}
+
 }  // namespace
 }  // namespace hickorywood::control
