Metrics of entries, control instances and stores, taken from the numbered events

Ruled out: counters of their own beside the events (two sources that can differ, and a series per route is not bounded). Change: an observer on LogEvent feeds a prometheus-cpp registry: events by number, durations of those that carry ms.

--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -40,6 +40,11 @@
   return format;
 }
 
+event_observer& CurrentObserver() {
+  static auto* const kObserver = new event_observer;
+  return *kObserver;
+}
+
 const char* LevelWord(event_level level) {
   switch (level) {
     case event_level::kInfo:
@@ -90,6 +95,8 @@
       {event_id::kDrainLimitPassed, kWarning, "process", "drain limit passed"},
       {event_id::kSettingsReloaded, kInfo, "process", "settings reloaded"},
       {event_id::kLogLinesDropped, kWarning, "process", "log lines dropped"},
+      {event_id::kMetricsNotServed, kWarning, "process",
+       "metrics are not served"},
       {event_id::kLogTailCut, kWarning, "storage", "torn tail of the log cut"},
       {event_id::kLogCorrupt, kError, "storage", "log is corrupt"},
       {event_id::kStorageFailed, kError, "storage", "write failed"},
@@ -161,9 +168,14 @@
 
 void SetLogFormat(log_format format) { CurrentFormat() = format; }
 
+void SetEventObserver(event_observer observer) {
+  CurrentObserver() = std::move(observer);
+}
+
 void LogEvent(event_id id, std::initializer_list<event_field> fields) {
   const event_info* info = FindEvent(id);
   if (info == nullptr) return;
+  if (CurrentObserver()) CurrentObserver()(*info, fields);
   if (CurrentFormat() == log_format::kJson) {
     WriteJsonLine(*info, fields);
     return;
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -4,6 +4,7 @@
 // Numbered log events. The number, not the text, is what alerts match on:
 // docs/events.md is the catalogue, and a test keeps the two equal.
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <utility>
@@ -24,6 +25,7 @@
   kDrainLimitPassed = 1008,
   kSettingsReloaded = 1009,
   kLogLinesDropped = 1010,
+  kMetricsNotServed = 1011,
   kLogTailCut = 2001,
   kLogCorrupt = 2002,
   kStorageFailed = 2003,
@@ -98,6 +100,13 @@
 // Set once, before the first event.
 void SetLogFormat(log_format format);
 
+// Sees each event with its fields, whatever becomes of its line.
+using event_observer =
+    std::function<void(const event_info&, std::initializer_list<event_field>)>;
+
+// Set once, before the first event.
+void SetEventObserver(event_observer observer);
+
 void LogEvent(event_id id, std::initializer_list<event_field> fields);
 
 }  // namespace hickorywood::core
--- a/packages/hickoryd/node_main.cc
+++ b/packages/hickoryd/node_main.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <cstdio>
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -20,7 +21,10 @@
 #include "core/log_sink.h"
 #include "core/reason.h"
 #include "entry/entry_instance.h"
+#include "hickoryd/event_metrics.h"
 #include "net/event.h"
+#include "net/listener.h"
+#include "net/message.h"
 #include "platform/protocol.h"
 #include "settings/node_settings.h"
 #include "store/store_instance.h"
@@ -36,6 +40,9 @@
 
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
+constexpr char kMetricsPath[] = "/metrics";
+// Collectors that ask at once; each is one connection.
+constexpr size_t kMetricsConnections = 8;
 // Log lines are written together, so that a busy process makes few writes.
 constexpr milliseconds kLogDelay{50};
 // How often the settings file is looked at: its writer need not send a signal,
@@ -72,6 +79,8 @@
 
  private:
   bool StartRole();
+  void StartMetrics();
+  awaitable<void> ServeMetrics(net::exchange& call) const;
   awaitable<void> KeepTakingSignals();
   awaitable<void> KeepWatchingSettings();
   void Reload(const char* cause);
@@ -86,6 +95,8 @@
   std::unique_ptr<entry::entry_instance> entry_;
   std::unique_ptr<controller::controller> controller_;
   std::unique_ptr<store::store_instance> store_;
+  event_metrics metrics_;
+  std::unique_ptr<net::listener> metrics_listener_;
   bool is_stopping_ = false;
 };
 
@@ -105,8 +116,40 @@
   return controller_->Start();
 }
 
+// An instance whose metrics can't be served does its work all the same.
+void node::StartMetrics() {
+  if (settings_.metrics_address.empty()) return;
+  core::SetEventObserver(
+      [this](const core::event_info& info,
+             std::initializer_list<core::event_field> fields) {
+        metrics_.Note(info, fields);
+      });
+  net::listener_options options;
+  options.address = settings_.metrics_address;
+  options.limits = [] { return net::caller_limits{}; };
+  options.max_connections = kMetricsConnections;
+  metrics_listener_ = std::make_unique<net::listener>(
+      loop_, options,
+      [this](net::exchange& call) { return ServeMetrics(call); });
+  if (metrics_listener_->Start()) return;
+  LogEvent(event_id::kMetricsNotServed, {{"address", settings_.metrics_address},
+                                         {"reason", core::LastReason().text}});
+}
+
+awaitable<void> node::ServeMetrics(net::exchange& call) const {
+  net::response answer;
+  const bool is_known = net::PathOf(call.Request().target) == kMetricsPath;
+  answer.status = is_known ? 200 : 404;
+  if (is_known) {
+    answer.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+    answer.body = metrics_.Text();
+  }
+  co_await call.Reply(std::move(answer));
+}
+
 int node::Run() {
   core::log_sink::Standard().OnFirstLine([this] { WriteLogSoon(); });
+  StartMetrics();
   if (!StartRole()) {
     LogEvent(event_id::kChildGaveUp, {{"reason", core::LastReason().text}});
     core::log_sink::Standard().Flush();
