Data of two log files at the same offset is not mixed up

Cause: the frame that was read last was known by its offset only; with a log of several files two frames can have the same one. A leader that read entry 4 and then entry 7 would have taken the entry for damaged and ended. Found by reading the change again. Change: the number of the file is compared too. Test: LongLogTest.SameOffsetInTwoFilesIsNotTheSameEntry failed first.

--- a/packages/consensus/file_storage.cc
+++ b/packages/consensus/file_storage.cc
@@ -431,8 +431,9 @@
     return core::Fail(reason_code::kNotFound, "entry " + std::to_string(index) +
                                                   " is not in the log file");
   }
-  const bool is_held =
-      read_place_.size != 0 && read_place_.offset == place->second.offset;
+  const bool is_held = read_place_.size != 0 &&
+                       read_place_.file == place->second.file &&
+                       read_place_.offset == place->second.offset;
   if (!is_held && !ReadFrameOf(place->second)) return std::nullopt;
   for (const log_entry& entry : read_entries_) {
     if (entry.index == index) return entry.data;
--- a/tests/unit/consensus/file_storage_test.cc
+++ b/tests/unit/consensus/file_storage_test.cc
@@ -266,6 +266,17 @@
   }
 }
 
+// A follower asks for entries that stand at the same offset of two files, one
+// after the other: the frame that was read last must not pass for the other.
+TEST_F(LongLogTest, SameOffsetInTwoFilesIsNotTheSameEntry) {
+  WriteEntries(8);
+  file_storage storage(folder_);
+  ASSERT_TRUE(storage.Load());
+  for (const uint64_t index : {4, 7, 4, 1, 7}) {
+    EXPECT_EQ(storage.ReadData(index), Data(index, 1)) << index;
+  }
+}
+
 // A restart hands out what is known as committed while it reads, and holds the
 // data of nothing but the rest.
 TEST_F(LongLogTest, CommittedEntriesAreReplayedWhileTheLogIsRead) {
