--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -104,6 +104,9 @@
   awaitable<void> Serve(net::exchange& call) {
     const net::request& input = call.Request();
     if (follower.View().config.version == 0) {
+      LogEvent(event_id::kRequestRefused, {{"request", wire.RequestId(input)},
+                                           {"reason", "no configuration yet"},
+                                           {"configuration", "0"}});
       co_await call.Reply(wire.EncodeFailure(
           503, "this instance has no configuration yet", kRetryAfter));
       co_return;
