--- a/tests/integration/recovery_test.cc
+++ b/tests/integration/recovery_test.cc
@@ -13,6 +13,17 @@
 namespace hickorywood::testing {
 namespace {
 
+// The file of the log that is written to: "log" in a new folder, "log-N" after
+// a snapshot came from the leader or a file was full.
+std::string NewestLogFile(const std::string& folder) {
+  std::string newest = folder + "/log";
+  for (int number = 1;; ++number) {
+    const std::string next = folder + "/log-" + std::to_string(number);
+    if (!std::filesystem::exists(next)) return newest;
+    newest = next;
+  }
+}
+
 using nlohmann::json;
 
 std::string ReadFile(const std::string& path) {
@@ -108,7 +119,7 @@
   for (int64_t i = 1; i <= 20; ++i) ASSERT_TRUE(Publish(fleet, "n1", i));
   const std::string victim = fleet.Leader() == "n3" ? "n2" : "n3";
   fleet.KillNode(victim);
-  const std::string path = fleet.DataFolder(victim) + "/log";
+  const std::string path = NewestLogFile(fleet.DataFolder(victim));
   std::string content = ReadFile(path);
   content[content.size() / 2] =
       static_cast<char>(content[content.size() / 2] ^ 1);
@@ -134,7 +145,7 @@
   for (int64_t i = 1; i <= 5; ++i) ASSERT_TRUE(Publish(fleet, "n1", i));
   const std::string victim = fleet.Leader() == "n3" ? "n2" : "n3";
   fleet.KillNode(victim);
-  const std::string path = fleet.DataFolder(victim) + "/log";
+  const std::string path = NewestLogFile(fleet.DataFolder(victim));
   std::filesystem::resize_file(path, std::filesystem::file_size(path) - 3);
   fleet.StartNode(victim);
   EXPECT_TRUE(WaitUntil([&] {
