--- a/tests/integration/recovery_test.cc
+++ b/tests/integration/recovery_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -13,19 +15,21 @@
 namespace hickorywood::testing {
 namespace {
 
+using nlohmann::json;
+
 // The file of the log that is written to: "log" in a new folder, "log-N" after
 // a snapshot came from the leader or a file was full.
 std::string NewestLogFile(const std::string& folder) {
-  std::string newest = folder + "/log";
-  for (int number = 1;; ++number) {
-    const std::string next = folder + "/log-" + std::to_string(number);
-    if (!std::filesystem::exists(next)) return newest;
-    newest = next;
+  const std::string prefix = "log-";
+  int64_t newest = 0;
+  for (const auto& item : std::filesystem::directory_iterator(folder)) {
+    const std::string name = item.path().filename().string();
+    if (!name.starts_with(prefix)) continue;
+    newest = std::max<int64_t>(newest, std::stoll(name.substr(prefix.size())));
   }
+  return folder + "/" + (newest == 0 ? "log" : prefix + std::to_string(newest));
 }
 
-using nlohmann::json;
-
 std::string ReadFile(const std::string& path) {
   std::ifstream stream(path, std::ios::binary);
   std::ostringstream text;
