Reward calls: a text is listed with the mark of the endpoint that scored it

Ruled out: a second copy of the choice of endpoints and of the sending at the stores; both are in packages/routing now (endpoint_choice moved, request_sender taken out of the relay), used by entries and stores. Text committed before each call (one more commit a task for the few that a lost leader finds in between): text and score go in one commit, and only a text that waits 400 ms for its score is committed without it. Change: steps/reward_choice orders the calls (groups that lack the least first), routing/adaptive_limit bounds them to half of the places of their service and less when endpoints refuse, store/reward_caller sends them. A task is given up after as many answers of 500 as the route has attempts. Event HK6012. Tests: unit tests of each, a deployment with three kills of stores in the middle of slow reward calls.

--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -162,6 +162,7 @@
        "results not committed"},
       {event_id::kResultsNotRead, kError, "rollout",
        "results can't be read from disk"},
+      {event_id::kRewardCallEnded, kInfo, "rollout", "reward call ended"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -76,6 +76,7 @@
   kTaskGivenUp = 6009,
   kResultsNotCommitted = 6010,
   kResultsNotRead = 6011,
+  kRewardCallEnded = 6012,
 };
 
 struct event_info {
--- a/packages/fleet/protocol.h
+++ b/packages/fleet/protocol.h
@@ -127,10 +127,12 @@
 struct answer_marks {
   std::string request_id;   // the request that it belongs to
   bool is_not_run = false;  // the endpoint says that it did not run the request
-  bool is_signed = false;   // it bears the endpoint's mark
+  std::string signature;    // the endpoint's mark; empty: it bears none
   std::optional<load_hint> load;
   std::optional<uint64_t> weights_version;
   std::optional<std::chrono::seconds> idle_limit;
+
+  bool IsSigned() const { return !signature.empty(); }
 };
 
 class protocol {
@@ -167,6 +169,9 @@
   virtual net::request EncodeTask(const steps::submission& step,
                                   const steps::task& task,
                                   const dispatch_terms& terms) const = 0;
+  // A reward request as a caller would send it.
+  virtual net::request EncodeReward(
+      const steps::reward_request& reward) const = 0;
   virtual answer_marks DecodeMarks(const net::response& answer) const = 0;
   // The version of weights that an event's lines name, where they name one.
   virtual std::optional<uint64_t> EventVersion(
--- a/packages/entry/endpoint_choice.cc
+++ b/packages/routing/endpoint_choice.cc
@@ -1,8 +1,8 @@
-#include "entry/endpoint_choice.h"
+#include "routing/endpoint_choice.h"
 
 #include <algorithm>
 
-namespace hickorywood::entry {
+namespace hickorywood::routing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -150,4 +150,4 @@
   });
 }
 
-}  // namespace hickorywood::entry
+}  // namespace hickorywood::routing
--- a/packages/entry/endpoint_choice.h
+++ b/packages/routing/endpoint_choice.h
@@ -1,5 +1,5 @@
-#ifndef HICKORYWOOD_ENTRY_ENDPOINT_CHOICE_H_
-#define HICKORYWOOD_ENTRY_ENDPOINT_CHOICE_H_
+#ifndef HICKORYWOOD_ROUTING_ENDPOINT_CHOICE_H_
+#define HICKORYWOOD_ROUTING_ENDPOINT_CHOICE_H_
 
 // Which endpoint of a service takes a plain request. Decisions over what one
 // entry knows: its own count of outstanding requests, which is exact, and the
@@ -17,7 +17,7 @@
 #include "fleet/endpoint_registry.h"
 #include "fleet/protocol.h"
 
-namespace hickorywood::entry {
+namespace hickorywood::routing {
 
 struct endpoint_record {
   int64_t outstanding = 0;  // own requests
@@ -65,6 +65,6 @@
 void KeepOnly(endpoint_book& book,
               const std::vector<fleet::endpoint>& endpoints);
 
-}  // namespace hickorywood::entry
+}  // namespace hickorywood::routing
 
-#endif  // HICKORYWOOD_ENTRY_ENDPOINT_CHOICE_H_
+#endif  // HICKORYWOOD_ROUTING_ENDPOINT_CHOICE_H_
--- /dev/null
+++ b/packages/routing/request_sender.cc
@@ -0,0 +1,236 @@
+#include "routing/request_sender.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/events.h"
+#include "net/event.h"
+#include "net/spawn.h"
+
+namespace hickorywood::routing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+using core::time_point;
+
+// Share of a route's objective after which a second copy of an idempotent
+// request is sent. Few answers take that long when all is well, and enough of
+// the objective is left for the copy.
+constexpr double kHedgeShare = 0.5;
+constexpr milliseconds kShortestHedge{20};
+// Where a route names no objective.
+constexpr milliseconds kDefaultHedge{500};
+
+milliseconds Since(time_point start, time_point now) {
+  return std::chrono::duration_cast<milliseconds>(now - start);
+}
+
+milliseconds HedgeDelay(const fleet::route& where) {
+  if (where.objective_ms <= 0) return kDefaultHedge;
+  const milliseconds delay(static_cast<int64_t>(
+      kHedgeShare * static_cast<double>(where.objective_ms)));
+  return std::max(delay, kShortestHedge);
+}
+
+}  // namespace
+
+double DrawShare() {
+  static thread_local std::mt19937_64 random{std::random_device()()};
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+// How one attempt ended.
+struct request_sender::attempt_result {
+  bool is_cancelled = false;
+  bool may_have_run = false;
+  bool is_usable = false;  // the endpoint's own whole answer
+  net::response answer;
+};
+
+// The attempts of one request.
+struct request_sender::race {
+  send_terms terms;
+  std::string service;
+  time_point hedge_at{};
+  std::set<std::string> tried;
+  std::vector<attempt_result> results;  // not looked at yet
+  std::vector<net::cancel_signal> cancels;
+  int running = 0;
+  int may_have_run = 0;  // ended attempts
+  int refusals = 0;
+  int failed_answers = 0;
+  std::optional<net::response> best;  // usable answer so far
+  std::string problem;
+  net::event changed;
+
+  void CancelAll() {
+    for (const net::cancel_signal& signal : cancels) net::Cancel(signal);
+  }
+};
+
+request_sender::request_sender(asio::io_context& loop,
+                               const core::runtime_clock& clock,
+                               net::connection_pool& pool,
+                               const fleet::protocol& wire,
+                               const fleet::view& view, std::string own_zone)
+    : loop_(loop),
+      clock_(clock),
+      pool_(pool),
+      wire_(wire),
+      view_(view),
+      own_zone_(std::move(own_zone)) {}
+
+void request_sender::OnEndpoints() { KeepOnly(book_, view_.endpoints); }
+
+bool request_sender::MayStart(const race& state) const {
+  if (clock_.Now() >= state.terms.deadline) return false;
+  if (state.refusals > kMostRefusals) return false;
+  const int count = state.running + state.may_have_run;
+  if (count >= state.terms.where.max_attempts) return false;
+  const bool may_repeat =
+      state.terms.where.kind == fleet::route_kind::kIdempotent;
+  return may_repeat || count == 0;
+}
+
+awaitable<send_outcome> request_sender::Send(const net::request& input,
+                                             const send_terms& terms) {
+  const auto state = std::make_shared<race>();
+  // Ends the attempts with this frame: at an answer, at the deadline, or when
+  // the caller is gone.
+  struct canceller {
+    std::shared_ptr<race> owner;
+    ~canceller() { owner->CancelAll(); }
+  };
+  const canceller guard{state};
+  state->terms = terms;
+  state->service = std::string(fleet::DrawService(terms.where, DrawShare()));
+  for (;;) {
+    const bool is_time = state->running == 0 || clock_.Now() >= state->hedge_at;
+    if (is_time && MayStart(*state)) StartAttempt(state, input);
+    if (state->running == 0) break;
+    const bool may_hedge = MayStart(*state) && clock_.Now() < state->hedge_at;
+    co_await state->changed.WaitUntil(
+        may_hedge ? std::min(terms.deadline, state->hedge_at) : terms.deadline);
+    TakeResults(*state);
+    const bool is_over = state->best && state->best->status < 500;
+    if (is_over || clock_.Now() >= terms.deadline) break;
+  }
+  send_outcome outcome;
+  outcome.answer = std::move(state->best);
+  outcome.service = state->service;
+  outcome.may_have_run = state->may_have_run > 0 || state->running > 0;
+  outcome.is_late = clock_.Now() >= terms.deadline;
+  outcome.failed_answers = state->failed_answers;
+  outcome.refusals = state->refusals;
+  outcome.endpoints = state->tried.size();
+  outcome.problem = state->problem;
+  co_return outcome;
+}
+
+bool request_sender::StartAttempt(const std::shared_ptr<race>& state,
+                                  const net::request& input) {
+  choice_input choice;
+  choice.endpoints = &view_.endpoints;
+  choice.service = state->service;
+  choice.own_zone = own_zone_;
+  choice.excluded = &state->tried;
+  choice.now = clock_.Now();
+  const fleet::endpoint* target = ChooseEndpoint(book_, choice);
+  if (target == nullptr) {
+    state->problem = "no endpoint is left to try";
+    state->hedge_at = time_point::max();
+    return false;
+  }
+  state->tried.insert(target->incarnation);
+  state->hedge_at = clock_.Now() + HedgeDelay(state->terms.where);
+  ++state->running;
+  state->cancels.push_back(net::MakeCancelSignal());
+  const std::string incarnation = target->incarnation;
+  fleet::dispatch_terms terms;
+  terms.time_left = Since(clock_.Now(), state->terms.deadline);
+  terms.incarnation = incarnation;
+  NoteSent(book_, incarnation);
+  net::SpawnCancellable(
+      loop_, Attempt(state, *target, wire_.EncodeDispatch(input, terms)),
+      state->cancels.back(),
+      [this, state, incarnation](const std::exception_ptr& failure,
+                                 attempt_result result) {
+        NoteOver(book_, incarnation);
+        result.is_cancelled = result.is_cancelled || failure != nullptr;
+        --state->running;
+        state->results.push_back(std::move(result));
+        state->changed.Notify();
+      });
+  return true;
+}
+
+awaitable<request_sender::attempt_result> request_sender::Attempt(
+    std::shared_ptr<race> state, fleet::endpoint target, net::request output) {
+  const time_point started = clock_.Now();
+  net::call_options options;
+  options.connect_deadline =
+      std::min(state->terms.deadline, started + kConnectTimeout);
+  options.deadline = state->terms.deadline;
+  // A reused connection can turn out dead after the request was written, and
+  // then nobody knows whether it ran.
+  options.needs_fresh =
+      state->terms.where.kind != fleet::route_kind::kIdempotent;
+  options.expected = wire_.RequestIdHeader(state->terms.id);
+  net::call_result call =
+      co_await net::Call(pool_, target.address, output, options);
+  const time_point now = clock_.Now();
+  attempt_result result;
+  const fleet::answer_marks marks = wire_.DecodeMarks(call.answer);
+  const bool is_whole = call.how == net::progress::kAnswered;
+  const bool is_success = call.answer.status / 100 == 2;
+  if (is_whole && marks.is_not_run) {
+    NoteFull(book_, target.incarnation, now);
+  } else if (is_whole && (marks.IsSigned() || !is_success)) {
+    result.may_have_run = true;
+    result.is_usable = marks.IsSigned();
+    NoteAnswer(book_, target.incarnation, Since(started, now), marks.load, now);
+  } else {
+    result.may_have_run = call.how != net::progress::kNotSent;
+    NoteFailure(book_, target.incarnation, now);
+  }
+  if (!result.is_usable) {
+    LogEvent(event_id::kAttemptFailed,
+             {{"request", state->terms.id},
+              {"endpoint", target.incarnation},
+              {"status", std::to_string(call.answer.status)},
+              {"may_have_run", result.may_have_run ? "true" : "false"},
+              {"reason", call.error},
+              {"ms", std::to_string(Since(started, now).count())}});
+  }
+  result.answer = std::move(call.answer);
+  co_return result;
+}
+
+void request_sender::TakeResults(race& state) {
+  std::vector<attempt_result> results = std::move(state.results);
+  state.results.clear();
+  for (attempt_result& result : results) {
+    if (result.is_cancelled) continue;
+    if (result.may_have_run) {
+      ++state.may_have_run;
+    } else {
+      ++state.refusals;
+    }
+    if (!result.is_usable) continue;
+    if (result.answer.status == 500) ++state.failed_answers;
+    // The endpoint's own failure is handed on only when nothing better comes.
+    const bool is_better = !state.best || result.answer.status < 500;
+    if (!is_better) continue;
+    result.answer.headers = net::EndToEnd(result.answer.headers);
+    state.best = std::move(result.answer);
+  }
+}
+
+}  // namespace hickorywood::routing
--- a/packages/steps/event_text.h
+++ b/packages/steps/event_text.h
@@ -28,9 +28,10 @@
   uint64_t events = 0;             // taken so far; also the id of the last one
   std::vector<std::string> data;   // of each event
   std::vector<uint64_t> versions;  // that made an event, in order of first use
+  bool is_whole = false;           // its last event is there
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(generated_text, events, data,
-                                                versions)
+                                                versions, is_whole)
 
 // Reads the version that a field names, or nothing.
 using version_reader = std::function<std::optional<uint64_t>(
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -14,6 +14,7 @@
   item.body.shrink_to_fit();
   item.headers.clear();
   item.path.clear();
+  item.reward = reward_request{};
 }
 
 void LeaveOnDisk(task_result& item) {
@@ -75,6 +76,7 @@
     if (known.events != item.after) continue;
     known.events = item.text.events;
     known.versions = std::move(item.text.versions);
+    known.is_whole = item.text.is_whole;
     std::move(item.text.data.begin(), item.text.data.end(),
               std::back_inserter(known.data));
   }
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -15,6 +15,17 @@
 
 namespace hickorywood::steps {
 
+// A plain request whose answer scores the text of a task. It is sent once the
+// text is whole, and may be repeated.
+struct reward_request {
+  std::string id;  // of the request; empty: the task has none
+  std::string host;
+  std::string path;
+  std::string body;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(reward_request, id, host, path,
+                                                body)
+
 // One generation of a step.
 struct task {
   std::string id;  // of the request that runs it
@@ -23,9 +34,12 @@
   std::string body;
   std::string group;   // tasks of one group share their prompt
   int64_t tokens = 0;  // of the prompt and the longest output together
+  reward_request reward;
+
+  bool HasReward() const { return !reward.id.empty(); }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task, id, path, headers, body,
-                                                group, tokens)
+                                                group, tokens, reward)
 
 // What a trainer submits.
 struct submission {
@@ -47,13 +61,16 @@
   bool is_complete = false;        // false: given up
   std::string output;              // data of all events, one a line
   std::vector<uint64_t> versions;  // that generated an event of the output
+  // The mark of the endpoint that scored exactly this output; empty: the task
+  // has no reward request, or was given up.
+  std::string score;
   // Where the result stands in the log, and the size of the output while it is
   // only there. Of this process only, not encoded; 0: not known.
   uint64_t index = 0;
   uint64_t bytes_on_disk = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_result, task, is_complete,
-                                                output, versions)
+                                                output, versions, score)
 
 struct step {
   submission input;
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -39,6 +39,11 @@
 // from which that is worth its bytes: most tasks are over before.
 constexpr milliseconds kProgressPeriod{800};
 constexpr uint64_t kWorthKeeping = 16;
+// A whole text that waits for its score this long is committed without it, so
+// that a lost leader does not cost the generation. A reward call takes some
+// 80 ms when all is well; committing each text before it would double the
+// commits for the few that a lost leader finds in between.
+constexpr milliseconds kLongScoring{400};
 // Share of a new sample in the smoothed gap between events.
 constexpr double kGapWeight = 0.3;
 // Age after which an engine's gap counts for nothing: it is tried again.
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -29,15 +29,25 @@
 
 dispatcher::dispatcher(asio::io_context& loop, const core::runtime_clock& clock,
                        group::group_host& group, const step_state& state,
-                       net::connection_pool& pool, const fleet::protocol& wire,
-                       const fleet::view& view)
+                       net::connection_pool& pool,
+                       routing::request_sender& sender,
+                       const fleet::protocol& wire, const fleet::view& view)
     : loop_(loop),
       clock_(clock),
       group_(group),
       state_(state),
       pool_(pool),
       wire_(wire),
-      view_(view) {}
+      view_(view),
+      rewards_(loop, clock, sender, wire, view) {
+  rewards_.on_end = [this](const task_key& key, reward_end how,
+                           const std::string& score) {
+    OnScored(key, how, score);
+  };
+  rewards_.open_in_group = [this](const task_key& key) {
+    return OpenInGroup(key);
+  };
+}
 
 void dispatcher::Start() {
   asio::co_spawn(loop_, KeepWatching(), asio::detached);
@@ -49,6 +59,7 @@
   is_leading_ = is_leader;
   if (!is_leader) {
     CancelAll();
+    rewards_.DropAll();
     steps_.clear();
     outbox_.clear();
     return;
@@ -109,11 +120,14 @@
     if (is_open && !is_known) StartStep(id, where);
     if (!is_open && is_known) {
       CancelRuns(id);
+      rewards_.DropStep(id);
       steps_.erase(id);
     }
   }
   std::erase_if(steps_, [this](const auto& item) {
-    return state_.Steps().count(item.first) == 0;
+    const bool is_forgotten = state_.Steps().count(item.first) == 0;
+    if (is_forgotten) rewards_.DropStep(item.first);
+    return is_forgotten;
   });
 }
 
@@ -129,8 +143,13 @@
   for (const auto& [task, text] : where.progress) {
     fresh.tasks[task].text = text;
     fresh.tasks[task].committed_events = text.events;
+    fresh.tasks[task].is_whole_committed = text.is_whole;
   }
   fresh.open_tasks = where.input.tasks.size() - where.results.size();
+  for (uint32_t i = 0; i < fresh.tasks.size(); ++i) {
+    if (fresh.tasks[i].stage == task_stage::kDone) continue;
+    ++fresh.open_by_group[where.input.tasks[i].group];
+  }
   LogEvent(event_id::kStepStarted,
            {{"step", id},
             {"number", std::to_string(where.input.number)},
@@ -139,6 +158,10 @@
             {"tasks", Text(where.input.tasks.size())},
             {"open", Text(fresh.open_tasks)},
             {"age_ms", std::to_string(age.count())}});
+  for (const auto& [task, text] : where.progress) {
+    const bool is_open = fresh.tasks[task].stage == task_stage::kWaiting;
+    if (is_open && text.is_whole) TakeWholeText({id, task});
+  }
   wake_.Notify();
 }
 
@@ -194,6 +217,7 @@
   for (const std::string& id : StepsByAge()) {
     PumpStep(id, steps_.at(id), pass);
   }
+  rewards_.Pump();
 }
 
 // Runs whose engine has not answered yet.
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -27,7 +27,9 @@
 #include "net/spawn.h"
 #include "steps/event_text.h"
 #include "steps/task_choice.h"
+#include "store/reward_caller.h"
 #include "store/step_state.h"
+#include "store/task_key.h"
 
 namespace hickorywood::store {
 
@@ -35,8 +37,8 @@
  public:
   dispatcher(boost::asio::io_context& loop, const core::runtime_clock& clock,
              group::group_host& group, const step_state& state,
-             net::connection_pool& pool, const fleet::protocol& wire,
-             const fleet::view& view);
+             net::connection_pool& pool, routing::request_sender& sender,
+             const fleet::protocol& wire, const fleet::view& view);
 
   void Start();
   // This instance starts or stops leading. When it stops, all runs are
@@ -48,7 +50,12 @@
   void OnView();
 
  private:
-  enum class task_stage { kWaiting, kRunning, kDone };
+  enum class task_stage {
+    kWaiting,
+    kRunning,
+    kScoring,  // its text is whole and wants its score
+    kDone,
+  };
 
   // Where a task stands, in this leader's memory.
   struct task_run {
@@ -58,11 +65,14 @@
     core::time_point not_before{};
     int moves = 0;                  // off slow engines
     uint64_t committed_events = 0;  // of the text, kept by the data group
+    bool is_whole_committed = false;
+    core::time_point whole_at{};
   };
   struct step_run {
     std::vector<task_run> tasks;
     core::time_point opened_at{};
     size_t open_tasks = 0;  // that have no result yet
+    std::map<std::string, size_t> open_by_group;
   };
   struct weights_at_engine {
     uint64_t version = 0;
@@ -88,13 +98,6 @@
     kUnusable,    // made under weights that the step does not allow
     kMoved,       // given up here to go on elsewhere
   };
-  struct task_key {
-    std::string step;
-    uint32_t task = 0;
-    bool operator<(const task_key& other) const {
-      return step != other.step ? step < other.step : task < other.task;
-    }
-  };
   struct run {
     task_key key;
     fleet::endpoint engine;
@@ -126,6 +129,7 @@
   boost::asio::awaitable<void> KeepCommitting();
   boost::asio::awaitable<void> KeepProgress();
   add_progress_command CollectProgress();
+  bool IsWorthCommitting(const task_run& task) const;
   // One pass over the waiting tasks. What it knows of the engines is gathered
   // once for all of them: gathered for each task, it took most of the leader's
   // processor time with 48 engines.
@@ -151,7 +155,11 @@
   void EndRun(const std::shared_ptr<run>& ended, run_end how);
   void NoteEngine(const std::string& incarnation, run_end how);
   void NoteGap(const std::string& incarnation, core::milliseconds gap);
-  void Finish(const task_key& key, bool is_complete);
+  // The text of a task is whole: it is scored, or finished.
+  void TakeWholeText(const task_key& key);
+  void OnScored(const task_key& key, reward_end how, const std::string& score);
+  size_t OpenInGroup(const task_key& key);
+  void Finish(const task_key& key, bool is_complete, std::string score = "");
   void GiveUpOld();
   void ForgetOldGroups();
   static void ForgetPrompts(engine_record& record, const std::string& model);
@@ -178,6 +186,7 @@
   std::vector<step_results> outbox_;
   net::event outbox_filled_;
   net::event wake_;
+  reward_caller rewards_;
 };
 
 }  // namespace hickorywood::store
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -24,13 +24,50 @@
 
 // --- Results.
 
-void dispatcher::Finish(const task_key& key, bool is_complete) {
+// A reward request is sent only from here on, after the last event of the text
+// that will be listed: a score of anything less would be another text's.
+void dispatcher::TakeWholeText(const task_key& key) {
+  task_run* const task = FindTask(key);
+  const steps::step* step = state_.Find(key.step);
+  if (task == nullptr || step == nullptr) return;
+  const steps::task& spec = step->input.tasks.at(key.task);
+  task->text.is_whole = true;
+  if (!spec.HasReward()) {
+    Finish(key, true);
+    return;
+  }
+  task->stage = task_stage::kScoring;
+  task->whole_at = clock_.Now();
+  rewards_.Add({key, spec.reward, steps_.at(key.step).opened_at});
+  SchedulePump();
+}
+
+void dispatcher::OnScored(const task_key& key, reward_end how,
+                          const std::string& score) {
+  Finish(key, how == reward_end::kScored, score);
+  SchedulePump();
+}
+
+size_t dispatcher::OpenInGroup(const task_key& key) {
+  const steps::step* step = state_.Find(key.step);
+  const auto found = steps_.find(key.step);
+  if (step == nullptr || found == steps_.end()) return 0;
+  return found->second.open_by_group[step->input.tasks.at(key.task).group];
+}
+
+void dispatcher::Finish(const task_key& key, bool is_complete,
+                        std::string score) {
   task_run* const task = FindTask(key);
   if (task == nullptr || task->stage == task_stage::kDone) return;
   task->stage = task_stage::kDone;
+  rewards_.Drop(key);
+  if (const steps::step* step = state_.Find(key.step)) {
+    --steps_.at(key.step).open_by_group[step->input.tasks.at(key.task).group];
+  }
   steps::task_result result;
   result.task = key.task;
   result.is_complete = is_complete;
+  result.score = std::move(score);
   if (is_complete) {
     result.output = steps::JoinText(task->text);
     result.versions = task->text.versions;
@@ -70,30 +107,42 @@
   }
 }
 
-// What the running tasks have gained since it was last committed, where that is
-// worth a commit.
-add_progress_command dispatcher::CollectProgress() {
-  std::map<std::string, step_progress> by_step;
-  for (const auto& [key, item] : runs_) {
-    task_run* const task = FindTask(key);
-    if (task == nullptr) continue;
-    const uint64_t from = task->committed_events;
-    if (task->text.events < from + kWorthKeeping) continue;
-    steps::task_progress gained;
-    gained.task = key.task;
-    gained.after = from;
-    gained.text.events = task->text.events;
-    gained.text.versions = task->text.versions;
-    gained.text.data.assign(
-        task->text.data.begin() + static_cast<ptrdiff_t>(from),
-        task->text.data.end());
-    task->committed_events = task->text.events;
-    by_step[key.step].tasks.push_back(std::move(gained));
+// A running task's text, once it has gained enough; a whole text, once it has
+// waited for its score. Most scores come sooner, and their texts are committed
+// with them: one commit a task.
+bool dispatcher::IsWorthCommitting(const task_run& task) const {
+  if (task.stage == task_stage::kRunning) {
+    return task.text.events >= task.committed_events + kWorthKeeping;
   }
+  return task.stage == task_stage::kScoring && !task.is_whole_committed &&
+         clock_.Now() - task.whole_at >= kLongScoring;
+}
+
+// What the tasks have gained since it was last committed, where that is worth a
+// commit.
+add_progress_command dispatcher::CollectProgress() {
   add_progress_command command;
-  for (auto& [step, progress] : by_step) {
-    progress.step = step;
-    command.steps.push_back(std::move(progress));
+  for (auto& [id, where] : steps_) {
+    step_progress progress;
+    progress.step = id;
+    for (uint32_t i = 0; i < where.tasks.size(); ++i) {
+      task_run& task = where.tasks[i];
+      if (!IsWorthCommitting(task)) continue;
+      const uint64_t from = task.committed_events;
+      steps::task_progress gained;
+      gained.task = i;
+      gained.after = from;
+      gained.text.events = task.text.events;
+      gained.text.versions = task.text.versions;
+      gained.text.is_whole = task.text.is_whole;
+      gained.text.data.assign(
+          task.text.data.begin() + static_cast<ptrdiff_t>(from),
+          task.text.data.end());
+      task.committed_events = task.text.events;
+      task.is_whole_committed = task.text.is_whole;
+      progress.tasks.push_back(std::move(gained));
+    }
+    if (!progress.tasks.empty()) command.steps.push_back(std::move(progress));
   }
   return command;
 }
@@ -104,7 +153,8 @@
 awaitable<void> dispatcher::KeepProgress() {
   for (;;) {
     co_await net::Sleep(kProgressPeriod);
-    if (!is_leading_ || runs_.empty() || !group_.IsServing()) continue;
+    const bool has_work = !runs_.empty() || !rewards_.IsIdle();
+    if (!is_leading_ || !has_work || !group_.IsServing()) continue;
     const add_progress_command command = CollectProgress();
     if (command.steps.empty()) continue;
     co_await group_.Commit(kAddProgressCommand, core::EncodeBinary(command));
@@ -195,6 +245,7 @@
 }
 
 void dispatcher::CancelAll() {
+  rewards_.Suspend();
   std::map<task_key, std::shared_ptr<run>> ending = std::move(runs_);
   runs_.clear();
   for (const auto& item : ending) {
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -37,7 +37,7 @@
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
   if (marks.is_not_run) co_return run_end::kNotRun;
   if (head.status == 422) co_return run_end::kImpossible;
-  if (head.status != 200 || !marks.is_signed) co_return run_end::kFailed;
+  if (head.status != 200 || !marks.IsSigned()) co_return run_end::kFailed;
   if (marks.weights_version) {
     // Newer than what the view says, where the leader has not heard yet.
     engine_record& record = engines_[self->engine.incarnation];
@@ -119,7 +119,7 @@
                                      {"ms", std::to_string(took.count())}});
   switch (how) {
     case run_end::kComplete:
-      Finish(ended->key, true);
+      TakeWholeText(ended->key);
       break;
     case run_end::kImpossible:
       Finish(ended->key, false);
--- /dev/null
+++ b/packages/store/reward_caller.cc
@@ -0,0 +1,187 @@
+#include "store/reward_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/events.h"
+#include "steps/reward_choice.h"
+#include "store/dispatch_limits.h"
+
+namespace hickorywood::store {
+namespace {
+
+using core::event_id;
+using core::LogEvent;
+using core::time_point;
+
+// Where a route says nothing of the time that its requests may take.
+constexpr milliseconds kDefaultTime{2000};
+
+bool IsScored(const routing::send_outcome& outcome) {
+  return outcome.answer && outcome.answer->status / 100 == 2;
+}
+
+}  // namespace
+
+reward_caller::reward_caller(boost::asio::io_context& loop,
+                             const core::runtime_clock& clock,
+                             routing::request_sender& sender,
+                             const fleet::protocol& wire,
+                             const fleet::view& view)
+    : loop_(loop), clock_(clock), sender_(sender), wire_(wire), view_(view) {}
+
+void reward_caller::Add(reward_job job) {
+  const auto fresh = std::make_shared<job_state>();
+  const task_key key = job.key;
+  fresh->job = std::move(job);
+  jobs_[key] = fresh;
+}
+
+void reward_caller::Pump() {
+  const time_point now = clock_.Now();
+  std::vector<steps::waiting_reward> waiting;
+  std::vector<std::shared_ptr<job_state>> owners;
+  for (const auto& [key, job] : jobs_) {
+    if (job->is_sent || job->not_before > now) continue;
+    steps::waiting_reward item;
+    item.open_in_group = open_in_group(key);
+    item.opened_at = job->job.opened_at;
+    item.task = key.task;
+    waiting.push_back(item);
+    owners.push_back(job);
+  }
+  for (const size_t index : steps::OrderRewards(waiting)) {
+    const fleet::route* where = RouteOf(owners[index]->job);
+    if (where != nullptr && HasRoom(*where)) Start(owners[index], *where);
+  }
+}
+
+// The route under the configuration in force now; nullptr: there is none.
+const fleet::route* reward_caller::RouteOf(const reward_job& job) const {
+  return fleet::FindRoute(view_.config, job.request.host, job.request.path);
+}
+
+int64_t reward_caller::SlotsOf(const fleet::route& where) const {
+  int64_t slots = 0;
+  for (const fleet::endpoint& item : view_.endpoints) {
+    const bool is_open = item.state != fleet::endpoint_state::kDraining;
+    const bool is_of_route =
+        std::any_of(where.services.begin(), where.services.end(),
+                    [&item](const fleet::weighted_service& service) {
+                      return service.service == item.service;
+                    });
+    if (is_open && is_of_route) slots += item.slots;
+  }
+  return slots;
+}
+
+bool reward_caller::HasRoom(const fleet::route& where) {
+  const route_state& state = routes_[where.name];
+  return state.running < routing::AllowedNow(state.limit, SlotsOf(where));
+}
+
+void reward_caller::Start(const std::shared_ptr<job_state>& job,
+                          fleet::route where) {
+  // A reward request may be repeated whatever else its route carries.
+  where.kind = fleet::route_kind::kIdempotent;
+  const time_point started = clock_.Now();
+  const milliseconds time =
+      where.timeout_ms > 0 ? milliseconds(where.timeout_ms) : kDefaultTime;
+  routing::send_terms terms;
+  terms.where = where;
+  terms.id = job->job.request.id;
+  terms.deadline = started + time;
+  job->is_sent = true;
+  job->cancel = net::MakeCancelSignal();
+  ++routes_[where.name].running;
+  const auto send = [](routing::request_sender& sender, net::request input,
+                       routing::send_terms agreed)
+      -> boost::asio::awaitable<routing::send_outcome> {
+    co_return co_await sender.Send(input, agreed);
+  };
+  net::SpawnCancellable(
+      loop_, send(sender_, wire_.EncodeReward(job->job.request), terms),
+      job->cancel,
+      [this, job, where, started, cancel = job->cancel](
+          const std::exception_ptr& failure,
+          const routing::send_outcome& outcome) {
+        --routes_[where.name].running;
+        const auto held = jobs_.find(job->job.key);
+        const bool is_current =
+            held != jobs_.end() && held->second == job && job->cancel == cancel;
+        if (!failure && is_current) End(job, where, started, outcome);
+      });
+}
+
+void reward_caller::End(const std::shared_ptr<job_state>& job,
+                        const fleet::route& where, time_point started,
+                        const routing::send_outcome& outcome) {
+  const time_point now = clock_.Now();
+  const bool is_scored = IsScored(outcome);
+  routing::adaptive_limit& limit = routes_[where.name].limit;
+  if (outcome.refusals > 0) {
+    routing::NoteRefused(limit, SlotsOf(where), now);
+  } else if (outcome.answer) {
+    routing::NoteServed(limit, SlotsOf(where));
+  }
+  job->failures += outcome.failed_answers;
+  const bool is_given_up = !is_scored && job->failures >= where.max_attempts;
+  const auto took = std::chrono::duration_cast<milliseconds>(now - started);
+  const int status = outcome.answer ? outcome.answer->status : 0;
+  LogEvent(event_id::kRewardCallEnded,
+           {{"step", job->job.key.step},
+            {"task", std::to_string(job->job.key.task)},
+            {"request", job->job.request.id},
+            {"route", where.name},
+            {"status", std::to_string(status)},
+            {"endpoints", std::to_string(outcome.endpoints)},
+            {"refusals", std::to_string(outcome.refusals)},
+            {"failures", std::to_string(job->failures)},
+            {"problem", outcome.problem},
+            {"ms", std::to_string(took.count())}});
+  job->is_sent = false;
+  job->not_before = now + kRetryPause;
+  if (!is_scored && !is_given_up) return;
+  const task_key key = job->job.key;
+  jobs_.erase(key);
+  if (is_scored) {
+    on_end(key, reward_end::kScored,
+           wire_.DecodeMarks(*outcome.answer).signature);
+  } else {
+    on_end(key, reward_end::kGivenUp, "");
+  }
+}
+
+void reward_caller::CancelSend(job_state& job) {
+  if (!job.is_sent) return;
+  job.is_sent = false;
+  const net::cancel_signal cancel = std::exchange(job.cancel, nullptr);
+  net::Cancel(cancel);
+}
+
+void reward_caller::Drop(const task_key& key) {
+  const auto found = jobs_.find(key);
+  if (found == jobs_.end()) return;
+  const std::shared_ptr<job_state> job = found->second;
+  jobs_.erase(found);
+  CancelSend(*job);
+}
+
+void reward_caller::DropStep(const std::string& step) {
+  std::vector<task_key> ended;
+  for (const auto& item : jobs_) {
+    if (item.first.step == step) ended.push_back(item.first);
+  }
+  for (const task_key& key : ended) Drop(key);
+}
+
+void reward_caller::DropAll() {
+  Suspend();
+  jobs_.clear();
+}
+
+void reward_caller::Suspend() {
+  for (const auto& item : jobs_) CancelSend(*item.second);
+}
+
+}  // namespace hickorywood::store
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -61,7 +61,9 @@
         caller(pool, node.seeds),
         follower(caller, FollowerOptions(node)),
         service(io, runtime, group, state, ServiceOptions(node)),
-        dispatch(io, runtime, group, state, pool, wire, follower.View()),
+        sender(io, runtime, pool, wire, follower.View(), node.zone),
+        dispatch(io, runtime, group, state, pool, sender, wire,
+                 follower.View()),
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
     group.on_leadership = [this](bool is_leader) {
@@ -84,6 +86,7 @@
     const bool is_founder =
         settings.is_first_start && view.data_founder == settings.peers_address;
     if (is_founder) group.Found();
+    sender.OnEndpoints();
     dispatch.OnView();
   }
 
@@ -116,6 +119,7 @@
   peering::leader_caller caller;
   peering::view_follower follower;
   step_service service;
+  routing::request_sender sender;
   dispatcher dispatch;
   net::listener peers;
 };
--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -87,6 +87,37 @@
   EXPECT_EQ(fleet.Endpoints().RunsOf(deployment::TaskId("broken", 0)), 2);
 }
 
+// Texts are whole and their reward requests take long. Meanwhile each store is
+// killed and started again, the data leader among them. Every result carries
+// the mark of a scorer that was asked after the last event of its text, and one
+// whose scorers fail as often as allowed is given up.
+TEST(DeploymentTest, ScoresOutliveEveryStore) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  constexpr int kTasks = 12;
+  fleet.Endpoints().SetWorkTime(std::chrono::milliseconds(400));
+  const std::string failing = deployment::RewardId("scored", 3);
+  fleet.Endpoints().FailPlain(failing, 1000);
+  ASSERT_TRUE(fleet.Submit("e1", "scored", kTasks, true));
+  for (const std::string& store : fleet.Stores()) {
+    fleet.KillNode(store);
+    fleet.StartNode(store);
+    ASSERT_TRUE(fleet.Submit("e2", "after-" + store, 1));
+    ExpectWhole(fleet.WaitForResults("e1", "after-" + store, 1),
+                "after-" + store, 1);
+  }
+  const json results = fleet.WaitForResults("e2", "scored", kTasks);
+  ASSERT_EQ(results.size(), static_cast<size_t>(kTasks));
+  for (const json& result : results) {
+    const std::string id = result["id"];
+    const bool is_given_up = id == deployment::TaskId("scored", 3);
+    EXPECT_EQ(result["state"], is_given_up ? "terminated" : "completed") << id;
+    EXPECT_EQ(result.value("score", ""), is_given_up ? "" : "signed") << id;
+  }
+  EXPECT_EQ(fleet.Endpoints().EarlyRewards(), 0);
+  EXPECT_GE(fleet.Endpoints().RunsOf(failing), 2);
+}
+
 // The control instances are killed one after the other, and all at once. What
 // an operator was told is in force stays in force: it is read back, and a
 // dropped route is gone at every entry.
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -1,5 +1,6 @@
 #include "support/deployment.h"
 
+#include <absl/strings/escaping.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -234,8 +235,12 @@
   return step + "-t" + std::to_string(task);
 }
 
+std::string deployment::RewardId(const std::string& step, int task) {
+  return TaskId(step, task) + "-reward";
+}
+
 bool deployment::Submit(const std::string& entry, const std::string& step,
-                        int tasks) {
+                        int tasks, bool with_rewards) {
   json body = {{"step", 0},
                {"model", "m"},
                {"min_version", 1},
@@ -249,6 +254,13 @@
                                 {"body", "eA=="},
                                 {"tokens", 10},
                                 {"group", id}});
+    if (!with_rewards) continue;
+    std::string encoded;
+    absl::Base64Escape(id, &encoded);
+    body["requests"].back()["scorer"] = {{"id", RewardId(step, i)},
+                                         {"host", "h"},
+                                         {"path", "/p/reward"},
+                                         {"body", encoded}};
   }
   return WaitUntil([&] {
     return web_.Post(Address(entry, callers_port_), "/s/" + step, body,
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -49,12 +49,14 @@
   std::future<transport::http_response> PlainLater(
       const std::string& entry, const std::string& request_id);
   // Submits a step of `tasks` tasks until it is accepted.
-  bool Submit(const std::string& entry, const std::string& step, int tasks);
+  bool Submit(const std::string& entry, const std::string& step, int tasks,
+              bool with_rewards = false);
   // All results of a step as one entry lists them, once there are `count`.
   nlohmann::json WaitForResults(const std::string& entry,
                                 const std::string& step, size_t count);
 
   static std::string TaskId(const std::string& step, int task);
+  static std::string RewardId(const std::string& step, int task);
   const std::vector<std::string>& Stores() const { return stores_; }
   const std::vector<std::string>& Controls() const { return controls_; }
   stand_in_endpoints& Endpoints() { return endpoints_; }
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -15,6 +15,8 @@
 using nlohmann::json;
 
 constexpr char kSignature[] = "X-Response-Stamp";
+// Path of requests whose body names the task that they score.
+constexpr char kRewardPath[] = "/p/reward";
 
 net::response SignedAnswer(const net::request& input, int status,
                            std::string body) {
@@ -112,6 +114,16 @@
   break_after_ = events;
 }
 
+void stand_in_endpoints::FailPlain(const std::string& request_id, int times) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  failures_left_[request_id] = times;
+}
+
+int stand_in_endpoints::EarlyRewards() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return early_rewards_;
+}
+
 int stand_in_endpoints::RunsOf(const std::string& request_id) {
   const std::lock_guard<std::mutex> lock(mutex_);
   return runs_[request_id];
@@ -168,9 +180,17 @@
 awaitable<void> stand_in_endpoints::ServePlain(
     std::shared_ptr<endpoint> /*self*/, net::exchange& call) {
   const net::request& input = call.Request();
-  NoteRun(std::string(net::Find(input.headers, "X-Request-Id")));
+  const std::string id(net::Find(input.headers, "X-Request-Id"));
+  NoteRun(id);
+  int status = 200;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const bool is_reward = input.target.starts_with(kRewardPath);
+    if (is_reward && whole_texts_.count(input.body) == 0) ++early_rewards_;
+    if (failures_left_[id]-- > 0) status = 500;
+  }
   co_await net::Sleep(work_time_);
-  net::response answer = SignedAnswer(input, 200, "echo " + input.body);
+  net::response answer = SignedAnswer(input, status, "echo " + input.body);
   co_await call.Reply(std::move(answer));
 }
 
@@ -196,6 +216,10 @@
                         "\ndata: " + EventData(id, event) + "\n\n";
     co_await call.WriteStream(std::move(frame));
   }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    whole_texts_.insert(id);
+  }
   co_await call.EndStream();
 }
 
--- a/tests/support/stand_in_endpoints.h
+++ b/tests/support/stand_in_endpoints.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,9 +40,15 @@
   // Each stream breaks off once, after this many events.
   void BreakStreamsAfter(int events);
 
+  // The next plain requests of these ids get a failed answer, so often each.
+  void FailPlain(const std::string& request_id, int times);
+
   // How often a request of this id was run.
   int RunsOf(const std::string& request_id);
 
+  // Reward requests whose body names a task that no stream had ended yet.
+  int EarlyRewards();
+
   static constexpr int kEvents = 20;  // of each stream
   // The whole output of a task, as trainers read it.
   static std::string OutputOf(const std::string& request_id);
@@ -62,6 +69,9 @@
   std::map<std::string, std::shared_ptr<endpoint>> endpoints_;
   std::map<std::string, int> runs_;
   std::map<std::string, bool> was_broken_;
+  std::map<std::string, int> failures_left_;  // by request
+  std::set<std::string> whole_texts_;         // by task
+  int early_rewards_ = 0;
   std::chrono::milliseconds work_time_{1};
   std::chrono::milliseconds event_time_{2};
   int break_after_ = 0;
--- a/tests/unit/platform/protocol_test.cc
+++ b/tests/unit/platform/protocol_test.cc
@@ -193,6 +193,59 @@
   EXPECT_EQ(net::Find(run.headers, "Last-Event-Id"), "5");
 }
 
+TEST_F(ProtocolTest, RewardOfATask) {
+  net::request input = Post("/s/7c41", R"({"requests":[{"id":"t1",
+    "path":"/s/3/91","scorer":{"id":"r1","host":"h2","path":"/r/5",
+    "body":"3q2+7w=="}},{"id":"t2","path":"/s/3/92"}]})");
+  input.headers = {{"Host", "h"}, {"X-Request-Id", "lot-1"}};
+  const auto step = wire_->DecodeSubmission(input);
+  ASSERT_TRUE(step);
+  ASSERT_TRUE(step->tasks[0].HasReward());
+  EXPECT_FALSE(step->tasks[1].HasReward());
+  const net::request call = wire_->EncodeReward(step->tasks[0].reward);
+  EXPECT_EQ(call.method, "POST");
+  EXPECT_EQ(call.target, "/r/5");
+  EXPECT_EQ(net::Find(call.headers, "Host"), "h2");
+  EXPECT_EQ(net::Find(call.headers, "X-Request-Id"), "r1");
+  EXPECT_EQ(call.body, "\xDE\xAD\xBE\xEF");
+}
+
+// A reward request that can't be read in full must not be left out: the task
+// would be listed without its score. The whole submission is refused.
+TEST_F(ProtocolTest, BadRewards) {
+  const nlohmann::json good = nlohmann::json::parse(
+      R"({"id":"r1","host":"h","path":"/r/5","body":"3q2+7w=="})");
+  const auto decode = [this](const nlohmann::json& reward) {
+    net::request input =
+        Post("/s/1",
+             nlohmann::json(
+                 {{"requests",
+                   nlohmann::json::array(
+                       {{{"id", "t"}, {"path", "/p"}, {"scorer", reward}}})}})
+                 .dump());
+    input.headers = {{"X-Request-Id", "lot-1"}};
+    return wire_->DecodeSubmission(input).has_value();
+  };
+  EXPECT_TRUE(decode(good));
+  EXPECT_FALSE(decode(7));
+  EXPECT_FALSE(decode(nlohmann::json::array()));
+  // Null is how some writers leave a field out.
+  EXPECT_TRUE(decode(nullptr));
+  for (const char* name : {"id", "host", "path"}) {
+    for (const nlohmann::json& bad : {nlohmann::json(5), nlohmann::json("")}) {
+      nlohmann::json reward = good;
+      reward[name] = bad;
+      EXPECT_FALSE(decode(reward)) << name << " " << bad;
+    }
+    nlohmann::json reward = good;
+    reward.erase(name);
+    EXPECT_FALSE(decode(reward)) << name;
+  }
+  nlohmann::json reward = good;
+  reward["body"] = "*";
+  EXPECT_FALSE(decode(reward));
+}
+
 TEST_F(ProtocolTest, BadSubmissions) {
   const auto decode = [this](const std::string& body) {
     net::request input = Post("/s/1", body);
@@ -239,6 +292,7 @@
   done.is_complete = true;
   done.output = "a\nb";
   done.versions = {6, 7};
+  done.score = "mark";
   page.results = {done, steps::task_result{}};
   const auto tree = nlohmann::json::parse(wire_->EncodeResults(page).body);
   EXPECT_EQ(tree["total"], 3);
@@ -247,7 +301,9 @@
   EXPECT_EQ(tree["results"][0]["state"], "completed");
   EXPECT_EQ(tree["results"][0]["output"], "a\nb");
   EXPECT_EQ(tree["results"][0]["versions"], nlohmann::json({6, 7}));
+  EXPECT_EQ(tree["results"][0]["score"], "mark");
   EXPECT_EQ(tree["results"][1]["state"], "terminated");
+  EXPECT_FALSE(tree["results"][1].contains("score"));
 }
 
 // A caller's request goes on unchanged but for the headers of the connection
@@ -286,7 +342,7 @@
                     {"X-Weight-Versions", "7"},
                     {"Keep-Alive", "timeout=5, max=9"}};
   fleet::answer_marks marks = wire_->DecodeMarks(answer);
-  EXPECT_TRUE(marks.is_signed);
+  EXPECT_TRUE(marks.IsSigned());
   EXPECT_FALSE(marks.is_not_run);
   EXPECT_EQ(marks.load->running, 3);
   EXPECT_EQ(marks.load->waiting, 1);
--- a/tests/unit/entry/endpoint_choice_test.cc
+++ b/tests/unit/routing/endpoint_choice_test.cc
@@ -1,10 +1,10 @@
-#include "entry/endpoint_choice.h"
+#include "routing/endpoint_choice.h"
 
 #include <gtest/gtest.h>
 
 #include <string>
 
-namespace hickorywood::entry {
+namespace hickorywood::routing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -99,4 +99,4 @@
 }
 
 }  // namespace
-}  // namespace hickorywood::entry
+}  // namespace hickorywood::routing
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "steps/event_text.h"
+#include "steps/reward_choice.h"
 #include "steps/step.h"
 #include "steps/task_choice.h"
 
@@ -56,6 +57,47 @@
   EXPECT_EQ(page.ids[1], "s-0");
 }
 
+// The leader is lost while whole texts wait for their scores. The successor
+// knows that they are whole, so that it asks for the score and does not run the
+// task again. Once a task has its result, or its step is ended, nothing of the
+// reward request is kept.
+TEST(StepBookTest, WholeTextIsKnownUntilItsScoreIsThere) {
+  step_book book;
+  submission input = MakeSubmission("s", 2);
+  for (task& item : input.tasks) item.reward = {"r", "h", "/r/", "body"};
+  OpenStep(book, input, 0, 1);
+  generated_text text;
+  text.events = 2;
+  text.data = {"a", "b"};
+  AddProgress(book, "s", {{0, 0, text}});
+  EXPECT_FALSE(book.at("s").progress.at(0).is_whole);
+  generated_text rest;
+  rest.events = 2;
+  rest.is_whole = true;
+  AddProgress(book, "s", {{0, 2, rest}});
+  EXPECT_TRUE(book.at("s").progress.at(0).is_whole);
+  EXPECT_EQ(book.at("s").progress.at(0).data, text.data);
+  task_result scored = Result(0, "a\nb");
+  scored.score = "mark";
+  AddResults(book, "s", {scored}, 2);
+  EXPECT_EQ(ReadPage(book.at("s"), 0, 1000).results[0].score, "mark");
+  EXPECT_FALSE(book.at("s").input.tasks[0].HasReward());
+  EXPECT_TRUE(book.at("s").input.tasks[1].HasReward());
+  EndStep(book, "s");
+  EXPECT_FALSE(book.at("s").input.tasks[1].HasReward());
+}
+
+// Trainers wait for whole groups: the call whose group lacks the least is
+// first, then the older step, then the order of the step.
+TEST(RewardChoiceTest, CompletesGroupsFirst) {
+  const core::time_point old{std::chrono::seconds(1)};
+  const core::time_point young{std::chrono::seconds(2)};
+  const std::vector<waiting_reward> waiting = {
+      {3, old, 0}, {1, young, 7}, {1, young, 2}, {1, old, 9}};
+  EXPECT_EQ(OrderRewards(waiting), (std::vector<size_t>{3, 2, 1, 0}));
+  EXPECT_TRUE(OrderRewards({}).empty());
+}
+
 // The leader of a step is lost in the middle of a long text. What was committed
 // of it is there for the successor; pieces that do not fit are passed over, and
 // a result ends it.
