An endpoint is known by its name and its start; foreign heartbeats name nobody

Cause: an endpoint may start again under the name that it had, with its counts anew. All that was kept went by the name: its first heartbeats were taken for old ones, its weights, load, prompts and failures for the old start's. Heartbeats with fields left out, an unknown state or service, or an address that is none were taken as they came. Ruled out: the start as a header of requests (the wire has only the name), so runs at an older start are ended when the newer one is listed, and reports of another start are not used. Required fields, states and addresses are checked; a service that the configuration doesn't have is answered 400 (HK4011).

--- a/packages/controller/control_api.cc
+++ b/packages/controller/control_api.cc
@@ -59,7 +59,7 @@
   }
   if (auto* leave = std::get_if<fleet::leave_call>(&call)) {
     co_return co_await Forward(peering::kLeaveMethod,
-                               peering::EncodeName(leave->incarnation));
+                               core::EncodeBinary(leave->input));
   }
   if (auto* put = std::get_if<fleet::put_configuration_call>(&call)) {
     peering::configuration_text payload;
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -186,20 +186,39 @@
 
 // --- Endpoints.
 
+// Before the first configuration nobody can tell: it says which there are.
+bool leader_service::IsKnownService(const std::string& name) const {
+  const fleet::configuration& config = state_.Config();
+  return config.version == 0 ||
+         std::any_of(
+             config.services.begin(), config.services.end(),
+             [&name](const fleet::service& item) { return item.name == name; });
+}
+
 awaitable<envelope> leader_service::TakeHeartbeat(std::string payload) {
   const auto input = core::DecodeBinary<fleet::heartbeat>(payload);
   if (!input) co_return Malformed();
-  const bool is_new = registry_.endpoints.count(input->incarnation) == 0;
+  const std::string incarnation =
+      fleet::IncarnationOf(input->name, input->started_ms);
+  const bool is_new = registry_.endpoints.count(incarnation) == 0;
+  if (is_new && !IsKnownService(input->service)) {
+    const std::string reason = "no service is called '" + input->service + "'";
+    LogEvent(event_id::kHeartbeatRefused,
+             {{"endpoint", incarnation}, {"reason", reason}});
+    co_return Refused(reason);
+  }
   const bool is_changed = fleet::TakeHeartbeat(registry_, *input, clock_.Now());
   bool is_newer = false;
+  // News of a start that is not the newest says nothing of this one's weights.
+  const bool is_listed = registry_.endpoints.count(incarnation) != 0;
   for (const fleet::model_version& item : input->models) {
-    is_newer |=
-        NoteVersion(weights_, input->incarnation, item.model, item.version);
+    if (!is_listed) break;
+    is_newer |= NoteVersion(weights_, incarnation, item.model, item.version);
   }
   if (is_newer) NoteWeightsChanged();
   if (is_changed) {
     LogEvent(is_new ? event_id::kEndpointJoined : event_id::kEndpointChanged,
-             {{"endpoint", input->incarnation},
+             {{"endpoint", incarnation},
               {"service", input->service},
               {"address", input->address},
               {"zone", input->zone},
@@ -211,10 +230,12 @@
 }
 
 awaitable<envelope> leader_service::TakeLeave(std::string payload) {
-  const auto input = core::DecodeBinary<peering::named_item>(payload);
+  const auto input = core::DecodeBinary<fleet::departure>(payload);
   if (!input) co_return Malformed();
-  if (fleet::TakeLeave(registry_, input->name, clock_.Now())) {
-    LogEvent(event_id::kEndpointLeft, {{"endpoint", input->name}});
+  if (fleet::TakeLeave(registry_, *input, clock_.Now())) {
+    LogEvent(
+        event_id::kEndpointLeft,
+        {{"endpoint", fleet::IncarnationOf(input->name, input->started_ms)}});
     NoteEndpointsChanged();
   }
   co_return Done();
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -64,6 +64,7 @@
   bool HasNews(const fleet::view_request& input) const;
   boost::asio::awaitable<void> KeepHouse();
   void NoteEndpointsChanged();
+  bool IsKnownService(const std::string& name) const;
   fleet::view_version Version() const;
   fleet::view_update MakeUpdate(const fleet::view_request& input) const;
   peering::envelope NotLeader() const;
--- a/packages/controller/weight_keeper.cc
+++ b/packages/controller/weight_keeper.cc
@@ -129,13 +129,12 @@
 }
 
 void weight_keeper::StartLoad(const planned_load& load) {
-  const std::string address =
-      registry_.endpoints.at(load.incarnation).item.address;
+  const fleet::endpoint target = registry_.endpoints.at(load.incarnation).item;
   under_way_.insert(load.incarnation);
   book_.engines[load.incarnation].loading = load.target.model;
   if (on_change) on_change();
   asio::co_spawn(
-      loop_, Load(load, address),
+      loop_, Load(load, target),
       [this, load, started = clock_.Now()](const std::exception_ptr& failure,
                                            load_end end) {
         const auto took =
@@ -162,8 +161,8 @@
 }
 
 awaitable<weight_keeper::load_end> weight_keeper::Load(planned_load load,
-                                                       std::string address) {
-  const auto before = co_await Report(load, address);
+                                                       fleet::endpoint target) {
+  const auto before = co_await Report(target);
   if (!before) co_return load_end::kUnreachable;
   NoteReport(load, *before);
   const bool is_done =
@@ -171,7 +170,7 @@
       load.target.version;
   if (is_done) co_return load_end::kDone;
   if (before->is_busy || !MayOrder()) co_return load_end::kRetryLater;
-  const auto outcome = co_await Order(load, address, before->order_sequence);
+  const auto outcome = co_await Order(load, target, before->order_sequence);
   if (outcome == fleet::order_outcome::kFenced) co_return load_end::kFenced;
   const bool is_taken = !outcome ||
                         *outcome == fleet::order_outcome::kStarted ||
@@ -180,7 +179,7 @@
   const time_point started = clock_.Now();
   co_await net::Sleep(load_time_);
   while (clock_.Now() - started < kLoadLimit && group_.IsServing()) {
-    const auto after = co_await Report(load, address);
+    const auto after = co_await Report(target);
     if (after) {
       NoteReport(load, *after);
       if (VersionAt(book_, load.incarnation, load.target.model).value_or(0) >=
@@ -200,22 +199,28 @@
 }
 
 awaitable<std::optional<fleet::endpoint_report>> weight_keeper::Report(
-    const planned_load& load, const std::string& address) {
+    const fleet::endpoint& target) {
   net::call_options options;
   options.connect_deadline = clock_.Now() + kCallTimeout;
   options.deadline = options.connect_deadline;
-  const net::request input = wire_.EncodeReportCall(load.incarnation);
+  const net::request input = wire_.EncodeReportCall(target.name);
   const net::call_result result =
-      co_await net::Call(pool_, address, input, options);
+      co_await net::Call(pool_, target.address, input, options);
   if (result.how != net::progress::kAnswered) co_return std::nullopt;
-  co_return wire_.DecodeReport(result.answer);
+  auto report = wire_.DecodeReport(result.answer);
+  // The engine has started again under its name: what it reports is of another
+  // start, which has its own place in the book.
+  const bool is_other =
+      report && report->started_ms && *report->started_ms != target.started_ms;
+  if (is_other) co_return std::nullopt;
+  co_return report;
 }
 
 awaitable<std::optional<fleet::order_outcome>> weight_keeper::Order(
-    const planned_load& load, const std::string& address,
+    const planned_load& load, const fleet::endpoint& target,
     uint64_t expected_sequence) {
   fleet::load_order order;
-  order.incarnation = load.incarnation;
+  order.endpoint = target.name;
   order.target = load.target;
   order.mode = fleet::swap_mode::kRetain;
   order.holder = options_.holder;
@@ -226,7 +231,7 @@
   options.deadline = options.connect_deadline;
   const net::request input = wire_.EncodeOrder(order);
   const net::call_result result =
-      co_await net::Call(pool_, address, input, options);
+      co_await net::Call(pool_, target.address, input, options);
   std::optional<fleet::order_outcome> outcome;
   if (result.how == net::progress::kAnswered) {
     outcome = wire_.DecodeOrderAnswer(result.answer.status);
--- a/packages/controller/weight_keeper.h
+++ b/packages/controller/weight_keeper.h
@@ -56,11 +56,12 @@
   boost::asio::awaitable<void> KeepPlanning();
   void PlanService(const fleet::service& service);
   void StartLoad(const planned_load& load);
-  boost::asio::awaitable<load_end> Load(planned_load load, std::string address);
+  boost::asio::awaitable<load_end> Load(planned_load load,
+                                        fleet::endpoint target);
   boost::asio::awaitable<std::optional<fleet::endpoint_report>> Report(
-      const planned_load& load, const std::string& address);
+      const fleet::endpoint& target);
   boost::asio::awaitable<std::optional<fleet::order_outcome>> Order(
-      const planned_load& load, const std::string& address,
+      const planned_load& load, const fleet::endpoint& target,
       uint64_t expected_sequence);
   bool MayOrder() const;
   void NotePublications();
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -143,6 +143,7 @@
       {event_id::kRetirementAsked, kInfo, "membership",
        "a store is to be emptied"},
       {event_id::kWeightsLoaded, kInfo, "orders", "load of weights ended"},
+      {event_id::kHeartbeatRefused, kInfo, "membership", "heartbeat refused"},
       {event_id::kRequestRefused, kInfo, "routing", "request refused"},
       {event_id::kRequestFailed, kWarning, "routing", "request failed"},
       {event_id::kEndpointEjected, kWarning, "routing", "endpoint ejected"},
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -59,6 +59,7 @@
   kStoreJoined = 4008,
   kRetirementAsked = 4009,
   kWeightsLoaded = 4010,
+  kHeartbeatRefused = 4011,
   kRequestRefused = 5001,
   kRequestFailed = 5002,
   kEndpointEjected = 5003,
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -113,7 +113,7 @@
     }
     fleet::dispatch_terms terms;
     terms.time_left = Since(clock_.Now(), deadline);
-    terms.incarnation = target.incarnation;
+    terms.endpoint = target.name;
     net::response head;
     const net::request output = wire_.EncodeDispatch(input, terms);
     bool is_open = co_await open->Write(output, deadline);
--- a/packages/fleet/endpoint_registry.cc
+++ b/packages/fleet/endpoint_registry.cc
@@ -6,9 +6,15 @@
 namespace hickorywood::fleet {
 namespace {
 
+std::string IncarnationOf(const heartbeat& input) {
+  return fleet::IncarnationOf(input.name, input.started_ms);
+}
+
 endpoint ToEndpoint(const heartbeat& input) {
   endpoint item;
-  item.incarnation = input.incarnation;
+  item.incarnation = IncarnationOf(input);
+  item.name = input.name;
+  item.started_ms = input.started_ms;
   item.service = input.service;
   item.address = input.address;
   item.zone = input.zone;
@@ -22,7 +28,7 @@
 // Delayed heartbeats of a process that is gone come in once; a process that
 // lives and was replaced by mistake goes on with rising sequence.
 bool IsBack(endpoint_registry& registry, const heartbeat& input) {
-  const auto found = registry.superseded.find(input.incarnation);
+  const auto found = registry.superseded.find(IncarnationOf(input));
   if (found == registry.superseded.end()) return true;
   const bool has_gone_on = input.sequence > found->second + 1;
   if (!has_gone_on) return false;
@@ -30,12 +36,40 @@
   return true;
 }
 
-// An address belongs to the incarnation that announced it last.
-void TakeAddress(endpoint_registry& registry, const heartbeat& input) {
+// Whether a heartbeat is of the newest start of its name, and keeps count of
+// the starts.
+bool IsNewestStart(endpoint_registry& registry, const heartbeat& input,
+                   core::time_point now) {
+  known_start& known = registry.starts[input.name];
+  if (input.started_ms >= known.started_ms) {
+    known = {input.started_ms, now};
+    return true;
+  }
+  if (now - known.heard_at < registry.options.silent_after) return false;
+  const bool goes_on = known.doubted_ms == input.started_ms &&
+                       input.sequence > known.doubted_sequence;
+  if (!goes_on) {
+    known.doubted_ms = input.started_ms;
+    known.doubted_since = now;
+  }
+  known.doubted_sequence = input.sequence;
+  // What was held up on the way comes in within moments; a process that lives
+  // goes on.
+  if (now - known.doubted_since < registry.options.silent_after) return false;
+  known = {input.started_ms, now};
+  return true;
+}
+
+// An address belongs to the incarnation that announced it last, and a name to
+// its newest start.
+void TakePlace(endpoint_registry& registry, const heartbeat& input) {
+  const std::string incarnation = IncarnationOf(input);
   auto& endpoints = registry.endpoints;
   for (auto item = endpoints.begin(); item != endpoints.end();) {
-    const bool is_other = item->first != input.incarnation &&
-                          item->second.item.address == input.address;
+    const endpoint& held = item->second.item;
+    const bool is_other =
+        item->first != incarnation &&
+        (held.address == input.address || held.name == input.name);
     if (!is_other) {
       ++item;
       continue;
@@ -47,6 +81,11 @@
 
 }  // namespace
 
+std::string IncarnationOf(const std::string& name, int64_t started_ms) {
+  return started_ms == 0 ? name : name + "@" + std::to_string(started_ms);
+}
+
+// The name and the start follow from the incarnation.
 bool operator==(const endpoint& left, const endpoint& right) {
   const auto fields = [](const endpoint& item) {
     return std::tie(item.incarnation, item.service, item.address, item.zone,
@@ -57,15 +96,17 @@
 
 bool TakeHeartbeat(endpoint_registry& registry, const heartbeat& input,
                    core::time_point now) {
-  if (registry.departed.count(input.incarnation) != 0) return false;
-  const auto known = registry.endpoints.find(input.incarnation);
+  const std::string incarnation = IncarnationOf(input);
+  if (registry.departed.count(incarnation) != 0) return false;
+  if (!IsNewestStart(registry, input, now)) return false;
+  const auto known = registry.endpoints.find(incarnation);
   if (known != registry.endpoints.end()) {
     if (input.sequence <= known->second.sequence) return false;
   } else if (!IsBack(registry, input)) {
     return false;
   }
-  TakeAddress(registry, input);
-  registered_endpoint& entry = registry.endpoints[input.incarnation];
+  TakePlace(registry, input);
+  registered_endpoint& entry = registry.endpoints[incarnation];
   endpoint fresh = ToEndpoint(input);
   // An endpoint that said it is leaving does not come back under the same id.
   if (entry.item.state == endpoint_state::kDraining) {
@@ -76,8 +117,15 @@
   return is_changed;
 }
 
-bool TakeLeave(endpoint_registry& registry, const std::string& incarnation,
+bool TakeLeave(endpoint_registry& registry, const departure& input,
                core::time_point now) {
+  // One that does not say when it started speaks for the newest start.
+  const auto known = registry.starts.find(input.name);
+  const bool speaks_for_newest =
+      input.started_ms == 0 && known != registry.starts.end();
+  const std::string incarnation =
+      IncarnationOf(input.name, speaks_for_newest ? known->second.started_ms
+                                                  : input.started_ms);
   registry.departed[incarnation] = now;
   registry.superseded.erase(incarnation);
   return registry.endpoints.erase(incarnation) != 0;
@@ -105,6 +153,9 @@
   std::erase_if(registry.departed, [&](const auto& item) {
     return now - item.second >= options.remember_departed;
   });
+  std::erase_if(registry.starts, [&](const auto& item) {
+    return now - item.second.heard_at >= options.remember_departed;
+  });
   return is_changed;
 }
 
@@ -115,6 +166,7 @@
     registered_endpoint& entry = registry.endpoints[item.incarnation];
     entry.item = item;
     entry.heard_at = now;
+    registry.starts[item.name] = {item.started_ms, now};
   }
 }
 
--- a/packages/fleet/endpoint_registry.h
+++ b/packages/fleet/endpoint_registry.h
@@ -21,10 +21,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(model_version, model, version)
 
-// What an endpoint says of itself. Each start of an endpoint is a new
-// incarnation with a new id.
+// Names one start of an endpoint, for all that is kept of it. An endpoint may
+// start again under its name, and then holds and knows nothing of before.
+// `started_ms` is the Unix time of the start by the endpoint's own clock; 0: it
+// does not say, and each start has a name of its own.
+std::string IncarnationOf(const std::string& name, int64_t started_ms);
+
+// What an endpoint says of itself.
 struct heartbeat {
-  std::string incarnation;
+  std::string name;
+  int64_t started_ms = 0;
   std::string service;
   std::string address;  // "IP:PORT"
   std::string zone;
@@ -34,11 +40,18 @@
   uint64_t sequence = 0;   // rises with each heartbeat
   std::vector<model_version> models;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(heartbeat, incarnation, service,
-                                                address, zone, slots,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(heartbeat, name, started_ms,
+                                                service, address, zone, slots,
                                                 is_draining, warming_ms,
                                                 sequence, models)
 
+// An endpoint says that it is going.
+struct departure {
+  std::string name;
+  int64_t started_ms = 0;  // 0: it does not say
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(departure, name, started_ms)
+
 enum class endpoint_state {
   kReady,
   kDraining,  // takes no new work
@@ -50,15 +63,18 @@
                               {endpoint_state::kSilent, "silent"}})
 
 struct endpoint {
-  std::string incarnation;
+  std::string incarnation;  // of one start, see IncarnationOf()
+  std::string name;         // what it answers to
+  int64_t started_ms = 0;
   std::string service;
   std::string address;
   std::string zone;
   int64_t slots = 0;
   endpoint_state state = endpoint_state::kReady;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(endpoint, incarnation, service,
-                                                address, zone, slots, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(endpoint, incarnation, name,
+                                                started_ms, service, address,
+                                                zone, slots, state)
 
 bool operator==(const endpoint& left, const endpoint& right);
 
@@ -80,23 +96,36 @@
   std::vector<model_version> models;
 };
 
+// The newest start of a name, and one with an older time that goes on talking.
+struct known_start {
+  int64_t started_ms = 0;
+  core::time_point heard_at{};
+  int64_t doubted_ms = 0;  // 0: none
+  core::time_point doubted_since{};
+  uint64_t doubted_sequence = 0;
+};
+
 struct endpoint_registry {
   registry_options options;
   std::map<std::string, registered_endpoint> endpoints;  // by incarnation
   std::map<std::string, core::time_point> departed;      // by incarnation
   // Incarnations whose address another one took, with their latest sequence.
   std::map<std::string, uint64_t> superseded;
+  std::map<std::string, known_start> starts;  // by name
 };
 
 // Takes a heartbeat. True when the list of endpoints changed by it. Heartbeats
 // that are older than one taken before, or of an incarnation that is gone,
-// change nothing.
+// change nothing. So do those of an older start than the newest known of their
+// name: they were under way when it started again. Only when the newest has
+// been silent, and the older one has gone on with rising sequence for as long,
+// it is taken: then its clock was set back before it started.
 bool TakeHeartbeat(endpoint_registry& registry, const heartbeat& input,
                    core::time_point now);
 
-// Takes the word of an incarnation that it is going. True when the list
-// changed.
-bool TakeLeave(endpoint_registry& registry, const std::string& incarnation,
+// Takes the word of an endpoint that it is going; that of an older start takes
+// out no newer one. True when the list changed.
+bool TakeLeave(endpoint_registry& registry, const departure& input,
                core::time_point now);
 
 // Marks and forgets endpoints that fell silent. True when the list changed.
--- a/packages/fleet/protocol.h
+++ b/packages/fleet/protocol.h
@@ -25,7 +25,7 @@
   heartbeat input;
 };
 struct leave_call {
-  std::string incarnation;
+  departure input;
 };
 struct put_configuration_call {
   configuration config;
@@ -84,7 +84,7 @@
 
 // Tells an endpoint to load a version of a model's weights.
 struct load_order {
-  std::string incarnation;  // the only one that may take it
+  std::string endpoint;  // name of the only one that may take it
   model_version target;
   swap_mode mode = swap_mode::kRetain;
   std::string holder;                         // who orders
@@ -98,11 +98,12 @@
   kBusy,       // another order is under way, or the sequence differs
   kFenced,     // a higher token was seen
   kRefused,    // it can't be carried out
-  kElsewhere,  // another incarnation has the address
+  kElsewhere,  // another endpoint has the address
 };
 
 // What an endpoint reports of itself; some hundred milliseconds old.
 struct endpoint_report {
+  std::optional<int64_t> started_ms;  // of the start that reports
   std::vector<model_version> models;
   bool is_busy = false;         // an order is being carried out
   uint64_t order_sequence = 0;  // orders taken so far
@@ -118,7 +119,7 @@
 // What a request to an endpoint carries beside what its caller sent.
 struct dispatch_terms {
   std::chrono::milliseconds time_left{0};
-  std::string incarnation;             // any other one refuses the request
+  std::string endpoint;                // any other one refuses the request
   std::optional<uint64_t> last_event;  // resume after this event
   std::optional<int64_t> priority;     // 0 is first
 };
@@ -183,8 +184,7 @@
 
   virtual net::request EncodeOrder(const load_order& order) const = 0;
   virtual order_outcome DecodeOrderAnswer(int status) const = 0;
-  virtual net::request EncodeReportCall(
-      const std::string& incarnation) const = 0;
+  virtual net::request EncodeReportCall(const std::string& endpoint) const = 0;
   virtual std::optional<endpoint_report> DecodeReport(
       const net::response& answer) const = 0;
 };
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -87,7 +87,18 @@
       view_(view),
       own_zone_(std::move(own_zone)) {}
 
-void request_sender::OnEndpoints() { KeepOnly(book_, view_.endpoints); }
+void request_sender::OnEndpoints() {
+  KeepOnly(book_, view_.endpoints);
+  // Connections to a start that is over are dead, or lead to its successor.
+  std::map<std::string, std::string> addresses;
+  for (const fleet::endpoint& item : view_.endpoints) {
+    addresses[item.incarnation] = item.address;
+  }
+  for (const auto& [incarnation, address] : addresses_) {
+    if (addresses.count(incarnation) == 0) pool_.Forget(address);
+  }
+  addresses_ = std::move(addresses);
+}
 
 bool request_sender::MayStart(const race& state) const {
   if (clock_.Now() >= state.terms.deadline) return false;
@@ -155,7 +166,7 @@
   const std::string incarnation = target->incarnation;
   fleet::dispatch_terms terms;
   terms.time_left = Since(clock_.Now(), state->terms.deadline);
-  terms.incarnation = incarnation;
+  terms.endpoint = target->name;
   NoteSent(book_, incarnation);
   net::SpawnCancellable(
       loop_, Attempt(state, *target, wire_.EncodeDispatch(input, terms)),
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -89,6 +90,7 @@
   const fleet::view& view_;
   const std::string own_zone_;
   endpoint_book book_;
+  std::map<std::string, std::string> addresses_;  // by incarnation
 };
 
 // A number from 0 to 1, for the draw of a route's service.
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -90,9 +90,25 @@
     weights.version = std::max(weights.version, item.version);
     weights.is_loading = item.is_loading;
   }
+  EndRunsOfOlderStarts();
   if (is_leading_) SchedulePump();
 }
 
+// An engine that started again under its name runs nothing of before. What is
+// open to it may hang for as long as a silent connection does; its tasks go on
+// elsewhere at once. One that is merely gone from the list may still be
+// finishing its runs.
+void dispatcher::EndRunsOfOlderStarts() {
+  std::map<std::string, std::string> newest;  // incarnation by name
+  for (const fleet::endpoint& item : view_.endpoints) {
+    newest[item.name] = item.incarnation;
+  }
+  EndRuns([&newest](const run& item) {
+    const auto found = newest.find(item.engine.name);
+    return found != newest.end() && found->second != item.engine.incarnation;
+  });
+}
+
 awaitable<void> dispatcher::KeepWatching() {
   for (;;) {
     co_await wake_.WaitUntil(
@@ -336,7 +352,7 @@
   ++engines_[engine.incarnation].running;
   fleet::dispatch_terms terms;
   terms.time_left = kTaskTime;
-  terms.incarnation = engine.incarnation;
+  terms.endpoint = engine.name;
   if (task.text.events > 0) terms.last_event = task.text.events;
   const steps::submission& step = item.step->input;
   const steps::task& spec = step.tasks[item.key.task];
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -164,6 +165,8 @@
   void ForgetOldGroups();
   static void ForgetPrompts(engine_record& record, const std::string& model);
   void EndStalledRuns();
+  void EndRunsOfOlderStarts();
+  void EndRuns(const std::function<bool(const run&)>& is_lost);
   void MoveStragglers();
   void CancelRuns(const std::string& step);
   void CancelAll();
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -186,13 +186,18 @@
 // place of a timer for each read: a stream has a read for every 30 ms.
 void dispatcher::EndStalledRuns() {
   const time_point now = clock_.Now();
-  std::vector<std::shared_ptr<run>> stalled;
+  EndRuns(
+      [now](const run& item) { return now - item.heard_at > item.patience; });
+}
+
+// Ends the runs that nothing more will come of.
+void dispatcher::EndRuns(const std::function<bool(const run&)>& is_lost) {
+  std::vector<std::shared_ptr<run>> ending;
   for (const auto& item : runs_) {
-    const run& candidate = *item.second;
-    const bool is_silent = now - candidate.heard_at > candidate.patience;
-    if (is_silent && !candidate.is_stalled) stalled.push_back(item.second);
+    const bool is_new = !item.second->is_stalled;
+    if (is_new && is_lost(*item.second)) ending.push_back(item.second);
   }
-  for (const auto& item : stalled) {
+  for (const auto& item : ending) {
     item->is_stalled = true;
     net::Cancel(item->cancel);
   }
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -94,6 +94,8 @@
                {"zone", "z"},
                {"slots", 8},
                {"state", "ready"},
+               {"version", "v1"},
+               {"cold_left_ms", 0},
                {"models", models},
                {"seq", ++self.sequence}})
       .dump();
--- a/tests/unit/fleet/endpoint_registry_test.cc
+++ b/tests/unit/fleet/endpoint_registry_test.cc
@@ -12,10 +12,10 @@
 
 const core::time_point kStart = core::time_point(seconds(1000));
 
-heartbeat Beat(const std::string& incarnation, uint64_t sequence,
+heartbeat Beat(const std::string& name, uint64_t sequence,
                const std::string& address = "10.0.0.1:80") {
   heartbeat input;
-  input.incarnation = incarnation;
+  input.name = name;
   input.service = "engines";
   input.address = address;
   input.slots = 4;
@@ -49,7 +49,7 @@
 TEST(EndpointRegistryTest, LateHeartbeatDoesNotBringALeaverBack) {
   endpoint_registry registry;
   TakeHeartbeat(registry, Beat("a", 1), kStart);
-  EXPECT_TRUE(TakeLeave(registry, "a", kStart));
+  EXPECT_TRUE(TakeLeave(registry, {"a"}, kStart));
   EXPECT_FALSE(TakeHeartbeat(registry, Beat("a", 2), kStart + seconds(3)));
   EXPECT_TRUE(registry.endpoints.empty());
 }
@@ -106,5 +106,118 @@
   EXPECT_EQ(after.endpoints.at("a").item.state, endpoint_state::kDraining);
 }
 
+// --- Starts of one endpoint under its name.
+
+heartbeat BeatOfStart(int64_t started_ms, uint64_t sequence) {
+  heartbeat input = Beat("a", sequence);
+  input.started_ms = started_ms;
+  return input;
+}
+
+std::string Listed(const endpoint_registry& registry) {
+  const std::vector<endpoint> list = ListEndpoints(registry);
+  return list.size() == 1 ? list[0].incarnation : "";
+}
+
+// An endpoint crashes and starts again under its name; its count of heartbeats
+// starts anew. It is another incarnation, so that nothing kept of the old one
+// is taken for the new one's, and it is known from its first heartbeat on.
+TEST(EndpointRegistryTest, RestartUnderTheSameNameIsAnotherIncarnation) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, BeatOfStart(1000, 40), kStart);
+  EXPECT_TRUE(
+      TakeHeartbeat(registry, BeatOfStart(2000, 1), kStart + seconds(1)));
+  EXPECT_EQ(Listed(registry), IncarnationOf("a", 2000));
+  EXPECT_EQ(registry.endpoints.begin()->second.item.name, "a");
+}
+
+// The endpoint was draining, or had left, when it was started again. The new
+// start is ready: what the old one said does not hold for it.
+TEST(EndpointRegistryTest, RestartEndsDrainingAndLeaving) {
+  endpoint_registry registry;
+  heartbeat draining = BeatOfStart(1000, 1);
+  draining.is_draining = true;
+  TakeHeartbeat(registry, draining, kStart);
+  TakeHeartbeat(registry, BeatOfStart(2000, 1), kStart);
+  EXPECT_EQ(registry.endpoints.begin()->second.item.state,
+            endpoint_state::kReady);
+  EXPECT_TRUE(TakeLeave(registry, {"a", 2000}, kStart));
+  EXPECT_TRUE(TakeHeartbeat(registry, BeatOfStart(3000, 1), kStart));
+  EXPECT_EQ(Listed(registry), IncarnationOf("a", 3000));
+}
+
+// A cut between an endpoint and the control group heals after the endpoint has
+// started again: heartbeats of the old start come in out of order, and its word
+// that it leaves. None of it changes anything.
+TEST(EndpointRegistryTest, NewsOfAnOlderStartChangesNothing) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, BeatOfStart(1000, 4), kStart);
+  TakeHeartbeat(registry, BeatOfStart(2000, 1), kStart);
+  for (uint64_t sequence : {9, 7, 8, 12}) {
+    EXPECT_FALSE(TakeHeartbeat(registry, BeatOfStart(1000, sequence),
+                               kStart + seconds(1)));
+  }
+  EXPECT_FALSE(TakeLeave(registry, {"a", 1000}, kStart + seconds(1)));
+  EXPECT_EQ(Listed(registry), IncarnationOf("a", 2000));
+}
+
+// The newer start has crashed too and is silent. Late news of the older one
+// comes in a burst, and must not bring it back.
+TEST(EndpointRegistryTest, BurstOfOldNewsRevivesNobody) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, BeatOfStart(2000, 1), kStart);
+  for (uint64_t sequence = 1; sequence < 20; ++sequence) {
+    EXPECT_FALSE(TakeHeartbeat(registry, BeatOfStart(1000, sequence),
+                               kStart + seconds(10)));
+  }
+  EXPECT_EQ(Listed(registry), IncarnationOf("a", 2000));
+}
+
+// The clock of the machine was set back before the endpoint started again, so
+// that its start looks older. Nothing tells it from old news but that it goes
+// on: it is taken once the other one has been silent and it has gone on with
+// rising sequence for as long.
+TEST(EndpointRegistryTest, RestartUnderAClockSetBackIsTakenInTheEnd) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, BeatOfStart(2000, 50), kStart);
+  core::time_point now = kStart;
+  uint64_t sequence = 0;
+  while (Listed(registry) != IncarnationOf("a", 1000) && sequence < 100) {
+    now += milliseconds(1200);
+    TakeHeartbeat(registry, BeatOfStart(1000, ++sequence), now);
+  }
+  EXPECT_EQ(Listed(registry), IncarnationOf("a", 1000));
+  EXPECT_GE(now - kStart, 2 * registry.options.silent_after);
+  EXPECT_LE(now - kStart, 3 * registry.options.silent_after);
+}
+
+// Repeats of one old heartbeat are no sign of life, however long they go on.
+TEST(EndpointRegistryTest, RepeatedOldHeartbeatIsNoSignOfLife) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, BeatOfStart(2000, 1), kStart);
+  for (int i = 0; i < 30; ++i) {
+    TakeHeartbeat(registry, BeatOfStart(1000, 7), kStart + seconds(i));
+  }
+  EXPECT_EQ(Listed(registry), IncarnationOf("a", 2000));
+}
+
+// An endpoint that does not say when it started leaves without saying it.
+TEST(EndpointRegistryTest, LeaveWithoutAStartTakesOutTheNewest) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, BeatOfStart(2000, 1), kStart);
+  EXPECT_TRUE(TakeLeave(registry, {"a"}, kStart));
+  EXPECT_TRUE(registry.endpoints.empty());
+}
+
+// A new leader knows from the view which start is the newest.
+TEST(EndpointRegistryTest, AdoptedStartsKeepOldNewsOut) {
+  endpoint_registry before;
+  TakeHeartbeat(before, BeatOfStart(2000, 1), kStart);
+  endpoint_registry after;
+  AdoptEndpoints(after, ListEndpoints(before), kStart);
+  EXPECT_FALSE(TakeHeartbeat(after, BeatOfStart(1000, 9), kStart));
+  EXPECT_EQ(Listed(after), IncarnationOf("a", 2000));
+}
+
 }  // namespace
 }  // namespace hickorywood::fleet
--- a/tests/unit/platform/protocol_test.cc
+++ b/tests/unit/platform/protocol_test.cc
@@ -49,7 +49,8 @@
 TEST_F(ProtocolTest, Heartbeat) {
   const auto call = Decode<fleet::announce_call>(
       Post("/v1/instances/i-1/heartbeat", kHeartbeat));
-  EXPECT_EQ(call.input.incarnation, "i-1");
+  EXPECT_EQ(call.input.name, "i-1");
+  EXPECT_EQ(call.input.started_ms, 0);
   EXPECT_EQ(call.input.service, "svc");
   EXPECT_EQ(call.input.address, "10.0.0.9:80");
   EXPECT_EQ(call.input.zone, "za");
@@ -61,10 +62,100 @@
   EXPECT_EQ(call.input.models[0].version, 3U);
 }
 
+// The start of an endpoint stands at the top of all that it says of itself.
+TEST_F(ProtocolTest, StartOfAnEndpoint) {
+  nlohmann::json beat = nlohmann::json::parse(kHeartbeat);
+  beat["born"] = 1764720000123;
+  EXPECT_EQ(Decode<fleet::announce_call>(
+                Post("/v1/instances/i-1/heartbeat", beat.dump()))
+                .input.started_ms,
+            1764720000123);
+  EXPECT_EQ(Decode<fleet::leave_call>(
+                Post("/v1/instances/i-1/leave", R"({"born":1764720000123})"))
+                .input.started_ms,
+            1764720000123);
+  net::response report;
+  report.body = R"({"models":[],"seq":0,"born":5})";
+  EXPECT_EQ(wire_->DecodeReport(report)->started_ms, 5);
+  report.body = R"({"models":[],"seq":0})";
+  EXPECT_FALSE(wire_->DecodeReport(report)->started_ms);
+}
+
+// Values that no endpoint writes into the field `name` of a heartbeat.
+std::vector<nlohmann::json> ForeignValues(const std::string& name) {
+  std::vector<nlohmann::json> values = {
+      nlohmann::json::array(), nlohmann::json::object(), true, -1, 1.5, 1e300};
+  const bool is_number = name == "slots" || name == "cold_left_ms" ||
+                         name == "seq" || name == "born";
+  values.push_back(is_number ? nlohmann::json("4") : nlohmann::json(4));
+  return values;
+}
+
+// Another writer sends heartbeats with fields left out or of another type. Each
+// is answered with what is wrong with it, and names no endpoint.
+TEST_F(ProtocolTest, ForeignHeartbeatsNameNoEndpoint) {
+  const auto expect_refused = [this](const nlohmann::json& beat) {
+    const auto bad = Decode<fleet::malformed_call>(
+        Post("/v1/instances/i-1/heartbeat", beat.dump()));
+    EXPECT_EQ(bad.status, 400) << beat;
+    EXPECT_FALSE(bad.reason.empty()) << beat;
+  };
+  nlohmann::json good = nlohmann::json::parse(kHeartbeat);
+  good["born"] = 1764720000123;
+  for (const char* name : {"service", "address", "zone", "slots", "state",
+                           "cold_left_ms", "seq"}) {
+    nlohmann::json beat = good;
+    beat.erase(name);
+    expect_refused(beat);
+  }
+  for (const char* name : {"service", "address", "zone", "slots", "state",
+                           "cold_left_ms", "seq", "born", "models"}) {
+    for (const nlohmann::json& value : ForeignValues(name)) {
+      const bool is_list = std::string(name) == "models" && value.is_array();
+      if (is_list) continue;
+      nlohmann::json beat = good;
+      beat[name] = value;
+      expect_refused(beat);
+    }
+  }
+  for (const char* state : {"", "READY", "gone", "ready "}) {
+    nlohmann::json beat = good;
+    beat["state"] = state;
+    expect_refused(beat);
+  }
+  for (const char* address :
+       {"", "10.0.0.9", ":80", "10.0.0.9:", "host:80", "10.0.0.9:0",
+        "10.0.0.9:70000", "10.0.0:x", "10.0.0.9:80 "}) {
+    nlohmann::json beat = good;
+    beat["address"] = address;
+    expect_refused(beat);
+  }
+  for (const char* model :
+       {"5", "{}", R"({"name":"m"})", R"({"version":1})",
+        R"({"name":3,"version":1})", R"({"name":"m","version":"1"})"}) {
+    nlohmann::json beat = good;
+    beat["models"] = nlohmann::json::array({nlohmann::json::parse(model)});
+    expect_refused(beat);
+  }
+}
+
+// A word that an endpoint leaves can't be read: it takes nobody out.
+TEST_F(ProtocolTest, ForeignLeavesTakeNobodyOut) {
+  for (const char* body : {"x", "5", "[]", "{\"born\":\"5\"}", "{\"born\":-5}",
+                           "{\"born\":1.5}"}) {
+    EXPECT_EQ(
+        Decode<fleet::malformed_call>(Post("/v1/instances/i-1/leave", body))
+            .status,
+        400)
+        << body;
+  }
+  Decode<fleet::leave_call>(Post("/v1/instances/i-1/leave", "{}"));
+}
+
 TEST_F(ProtocolTest, LeaveRetireAndPublish) {
-  EXPECT_EQ(Decode<fleet::leave_call>(Post("/v1/instances/i-1/leave", ""))
-                .incarnation,
-            "i-1");
+  EXPECT_EQ(
+      Decode<fleet::leave_call>(Post("/v1/instances/i-1/leave", "")).input.name,
+      "i-1");
   const auto retire = Decode<fleet::retire_call>(
       Post("/v1/retire/store-1/start", R"({"duration_s":2.5})"));
   EXPECT_EQ(retire.instance, "store-1");
@@ -179,7 +270,7 @@
 
   fleet::dispatch_terms terms;
   terms.time_left = milliseconds(900);
-  terms.incarnation = "i-1";
+  terms.endpoint = "i-1";
   terms.last_event = 5;
   const net::request run = wire_->EncodeTask(*step, task, terms);
   EXPECT_EQ(run.method, "POST");
@@ -322,7 +413,7 @@
   EXPECT_EQ(wire_->RequestId(input), "r");
   fleet::dispatch_terms terms;
   terms.time_left = milliseconds(1500);
-  terms.incarnation = "i-1";
+  terms.endpoint = "i-1";
   const net::request output = wire_->EncodeDispatch(input, terms);
   EXPECT_EQ(output.target, "/p/1?q=2");
   EXPECT_EQ(output.body, "body");
@@ -360,7 +451,7 @@
 
 TEST_F(ProtocolTest, Orders) {
   fleet::load_order order;
-  order.incarnation = "i-1";
+  order.endpoint = "i-1";
   order.target = {"m", 2};
   order.holder = "core-1";
   order.fencing_token = 41;
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -74,6 +74,7 @@
     ASSERT_TRUE(listeners_.back()->Start());
     fleet::endpoint item;
     item.incarnation = "w" + std::to_string(listeners_.size());
+    item.name = item.incarnation;
     item.service = "scorers";
     item.address = "127.0.0.1:" + std::to_string(listeners_.back()->Port());
     item.slots = kSlots;
