Engines by demand, early looks at loads, short tasks paced

Cause: (1) engines with usable weights were split evenly between models whose work is four to one; (2) a load was first looked at after the usual time, so that a time learned while three ran at once was waited for ever after (1.39 s for loads of 0.94: a third of the loader); a third load at once only made each longer; (3) all tasks of a step started at once in batches of twelve, where an event takes 41 ms and not 34, and the texts of 163 events that end a step ran at that speed. Change: stores tell the control leader how many streams of each model run (view requests); loads and assignments follow it, with a floor. First look at 0.8 of the usual time; a fifth of the engines, rounded, load at once. Short tasks start on as many places as it takes to have all started within 0.3 of the due time (steps/pacing); long ones at once; without hints or a due time nothing is held back.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -174,6 +174,9 @@
   const auto input = core::DecodeBinary<fleet::view_request>(payload);
   if (!input) co_return Malformed();
   NoteStore(*input);
+  for (const fleet::model_demand& item : input->demands) {
+    weights_.demands[item.model] = item.streams;
+  }
   if (!HasNews(*input)) {
     const milliseconds wait =
         std::min(milliseconds(input->wait_ms), kLongestWait);
--- a/packages/controller/weight_book.cc
+++ b/packages/controller/weight_book.cc
@@ -1,6 +1,7 @@
 #include "controller/weight_book.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace hickorywood::controller {
@@ -8,12 +9,12 @@
 
 // Engines per load that may run at the same time. Loads share the link to the
 // weight store: with more than a fifth of the engines loading each load takes
-// longer and more engines are out at once.
+// longer by as much, and more engines are out at once.
 constexpr size_t kEnginesPerLoad = 5;
 constexpr size_t kLeastLoadsAtOnce = 2;
 
 size_t MostLoadsAtOnce(size_t engines) {
-  const size_t share = (engines + kEnginesPerLoad - 1) / kEnginesPerLoad;
+  const size_t share = (engines + kEnginesPerLoad / 2) / kEnginesPerLoad;
   return std::max(share, kLeastLoadsAtOnce);
 }
 
@@ -24,6 +25,8 @@
 constexpr double kLoaderShare = 1.3;
 // Engines below which a model is not kept up: one loads while the other serves.
 constexpr size_t kLeastEngines = 2;
+// Least weight of a model, against 1 for the mean.
+constexpr double kLeastWeight = 0.4;
 
 size_t AssignmentsOf(const weight_book& book, const std::string& incarnation) {
   size_t count = 0;
@@ -60,7 +63,8 @@
   std::erase_if(chosen, [&](const std::string& incarnation) {
     return !IsListed(input, incarnation);
   });
-  const size_t wanted = EnginesPerModel(input, input.models.at(model).period);
+  const plannable_model& terms = input.models.at(model);
+  const size_t wanted = EnginesPerModel(input, terms.period, terms.weight);
   while (chosen.size() > wanted) DropOne(book, chosen, model);
   while (chosen.size() < wanted) {
     const plannable_engine* best = nullptr;
@@ -80,6 +84,7 @@
 
 // The loads that one model still needs, the most urgent first.
 struct model_need {
+  double weight = 1;
   size_t serviceable = 0;  // engines that its next step can use, or soon
   std::vector<planned_load> useless;  // engines that its next step can't use
   std::vector<planned_load> ahead;    // for the step after the next
@@ -115,6 +120,11 @@
   return need;
 }
 
+// How well a model is off.
+double Supply(const model_need& need) {
+  return static_cast<double>(need.serviceable) / need.weight;
+}
+
 // Takes the first load of an engine that is not taken yet. False: none is left.
 bool TakeFirst(std::vector<planned_load>& from, std::set<std::string>& taken,
                std::vector<planned_load>& plan) {
@@ -130,8 +140,28 @@
 
 }  // namespace
 
+std::map<std::string, double> WeightsOf(
+    const std::vector<std::string>& models,
+    const std::map<std::string, double>& demands) {
+  double total = 0;
+  for (const std::string& model : models) {
+    const auto found = demands.find(model);
+    if (found != demands.end()) total += found->second;
+  }
+  std::map<std::string, double> weights;
+  for (const std::string& model : models) {
+    const auto found = demands.find(model);
+    const bool is_known = total > 0 && found != demands.end();
+    const double weight =
+        is_known ? found->second * static_cast<double>(models.size()) / total
+                 : 1;
+    weights[model] = std::max(weight, kLeastWeight);
+  }
+  return weights;
+}
+
 size_t EnginesPerModel(const load_plan_input& input,
-                       std::chrono::milliseconds period) {
+                       std::chrono::milliseconds period, double weight) {
   const size_t engines = input.engines.size();
   const size_t models = std::max<size_t>(1, input.models.size());
   const double loads = kLoaderShare *
@@ -139,8 +169,9 @@
                        (std::chrono::duration<double>(period) /
                         std::chrono::duration<double>(input.load_time)) /
                        static_cast<double>(models);
-  const auto affordable = static_cast<size_t>(2 * loads);
-  const size_t doubled = (2 * engines + models - 1) / models;
+  const auto affordable = static_cast<size_t>(2 * weight * loads);
+  const auto doubled = static_cast<size_t>(std::ceil(
+      2 * weight * static_cast<double>(engines) / static_cast<double>(models)));
   return std::min(engines,
                   std::max(kLeastEngines, std::min(affordable, doubled)));
 }
@@ -175,6 +206,7 @@
   for (const auto& [model, terms] : input.models) {
     Assign(book, input, model);
     needs.push_back(NeedOf(book, input, {model, terms.newest}));
+    needs.back().weight = terms.weight;
   }
   std::vector<planned_load> plan;
   std::set<std::string> taken;
@@ -188,9 +220,7 @@
     model_need* worst = nullptr;
     for (model_need& need : needs) {
       if (need.useless.empty()) continue;
-      if (worst == nullptr || need.serviceable < worst->serviceable) {
-        worst = &need;
-      }
+      if (worst == nullptr || Supply(need) < Supply(*worst)) worst = &need;
     }
     return worst;
   };
--- a/packages/controller/weight_keeper.cc
+++ b/packages/controller/weight_keeper.cc
@@ -19,9 +19,14 @@
 
 constexpr milliseconds kPlanPeriod{200};
 constexpr milliseconds kCallTimeout{700};
-// Between two looks at whether a load is done. The next load waits for it: a
-// third one at the same time made each take 1.4 s in place of 0.9.
+// Between two looks at whether a load is done. The next load waits for it, and
+// a look costs a small call.
 constexpr milliseconds kNextLook{50};
+// Share of the usual time after which the first look is due. A look at the full
+// time never sees that loads have become quicker: one that took 1.4 s while a
+// third one ran was waited for as long ever after, a third of the loader's
+// time.
+constexpr double kFirstLookShare = 0.8;
 // A new sample's share in the smoothed times.
 constexpr int kSmoothing = 4;
 // Time between two versions within which the next one is thought to come.
@@ -97,12 +102,15 @@
 
 void weight_keeper::PlanService(const fleet::service& service) {
   load_plan_input input;
+  const std::map<std::string, double> weights =
+      WeightsOf(service.engine.models, book_.demands);
   for (const std::string& model : service.engine.models) {
     const auto found = publications_.find(model);
     if (found == publications_.end()) continue;
     plannable_model& terms = input.models[model];
     terms.newest = found->second.version;
     terms.period = found->second.period;
+    terms.weight = weights.at(model);
   }
   if (input.models.empty()) return;
   input.load_time = load_time_;
@@ -177,7 +185,8 @@
                         *outcome == fleet::order_outcome::kAlreadyDone;
   if (!is_taken) co_return load_end::kRetryLater;
   const time_point started = clock_.Now();
-  co_await net::Sleep(load_time_);
+  co_await net::Sleep(
+      std::chrono::duration_cast<milliseconds>(kFirstLookShare * load_time_));
   while (clock_.Now() - started < kLoadLimit && group_.IsServing()) {
     const auto after = co_await Report(target);
     if (after) {
@@ -186,7 +195,7 @@
           load.target.version) {
         const auto took =
             std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
-        load_time_ += (took - kNextLook - load_time_) / kSmoothing;
+        load_time_ += (took - load_time_) / kSmoothing;
         co_return load_end::kDone;
       }
       // Not answered and not under way: it may still come, but its precondition
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -62,6 +62,13 @@
   std::vector<engine_weights_entry> weights;
 };
 
+// How much of the engines the tasks of a model take.
+struct model_demand {
+  std::string model;
+  double streams = 0;  // that run at once, on average over the last seconds
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(model_demand, model, streams)
+
 // A process asks for what changed since the version that it holds. The answer
 // is held back until there is a change or `wait_ms` has passed.
 struct view_request {
@@ -73,11 +80,13 @@
   view_version held;
   uint64_t held_config = 0;  // version of the configuration that it holds
   int64_t wait_ms = 0;
+  // Of the instance that runs the tasks; empty: it is not that one.
+  std::vector<model_demand> demands;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_request, instance, address,
                                                 may_found, wants_weights,
                                                 held_weights, held, held_config,
-                                                wait_ms)
+                                                wait_ms, demands)
 
 struct view_update {
   view_version version;
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -43,6 +43,7 @@
     input.held = view_.version;
     input.held_config = view_.config.version;
     input.wait_ms = options_.wait.count();
+    if (demands_) input.demands = demands_();
     const core::milliseconds patience = options_.wait + options_.slack;
     const envelope answer = co_await caller_.Ask(
         kViewMethod, core::EncodeBinary(input), Now() + patience, patience);
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -39,6 +39,10 @@
   const fleet::view& View() const { return view_; }
   // Whether the weights of the engines are asked for too.
   void WantWeights(bool wants) { wants_weights_ = wants; }
+  // What this process says of the tasks that it runs, each time it asks.
+  void TellDemands(std::function<std::vector<fleet::model_demand>()> demands) {
+    demands_ = std::move(demands);
+  }
   // Called after each change.
   void OnChange(std::function<void()> changed) {
     changed_ = std::move(changed);
@@ -52,6 +56,7 @@
   fleet::view view_;
   bool is_in_touch_ = false;
   bool wants_weights_ = false;
+  std::function<std::vector<fleet::model_demand>()> demands_;
   std::function<void()> changed_;
 };
 
--- a/packages/steps/task_choice.h
+++ b/packages/steps/task_choice.h
@@ -4,6 +4,7 @@
 // Which task runs next, and at which engine. Decisions over plain data.
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,9 +24,11 @@
 
 // The engine for a task: the one that is expected to make its events fastest.
 // The batch of an engine slows each of its streams, so the shortest batch wins;
-// having read the group's prompt counts like one stream less. Empty: all are
-// full.
-std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines);
+// having read the group's prompt counts like one stream less. Engines with
+// `places` streams or more are passed over. Empty: all are full.
+std::optional<size_t> ChooseEngine(
+    const std::vector<engine_load>& engines,
+    int64_t places = std::numeric_limits<int64_t>::max());
 
 // How much slower an engine makes its events than its peers do: its time
 // between events against the median of all that have one. 0 in `gaps_ms`: not
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -44,6 +44,9 @@
 // 80 ms when all is well; committing each text before it would double the
 // commits for the few that a lost leader finds in between.
 constexpr milliseconds kLongScoring{400};
+// Time over which the streams of a model are averaged: two or three steps, so
+// that it tells the work of a model and not the moment in its step.
+constexpr std::chrono::duration<double> kDemandMemory{10};
 // Share of a new sample in the smoothed gap between events.
 constexpr double kGapWeight = 0.3;
 // Age after which an engine's gap counts for nothing: it is tried again.
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -62,6 +62,7 @@
     rewards_.DropAll();
     steps_.clear();
     outbox_.clear();
+    demands_.clear();
     return;
   }
   SyncSteps();
@@ -118,6 +119,7 @@
       CancelAll();
       continue;
     }
+    NoteDemands();
     GiveUpOld();
     EndStalledRuns();
     MoveStragglers();
@@ -153,11 +155,10 @@
       0, core::ToUnixMillis(clock_.WallNow()) - where.opened_ms));
   fresh.opened_at = clock_.Now() - age;
   fresh.tasks.resize(where.input.tasks.size());
-  std::vector<int64_t> expected;
   for (const steps::task& task : where.input.tasks) {
-    expected.push_back(wire_.ExpectedTokens(task));
+    fresh.expected.push_back(wire_.ExpectedTokens(task));
   }
-  fresh.order = steps::OrderTasks(expected);
+  fresh.order = steps::OrderTasks(fresh.expected);
   for (const steps::task_result& result : where.results) {
     fresh.tasks[result.task].stage = task_stage::kDone;
   }
@@ -264,6 +265,8 @@
     item.step = &step;
     item.terms = RouteOf(item.key);
     if (item.terms == nullptr) continue;
+    const int64_t longest = where.expected[where.order.front()];
+    item.is_long = steps::IsLong(where.expected[i], longest);
     if (!TryStart(item, pass)) return;
     ++pass.starting;
   }
@@ -290,7 +293,8 @@
     engines.loads[i].running = record.running;
     engines.loads[i].has_prompt = record.groups.count(group) != 0;
   }
-  const auto choice = steps::ChooseEngine(engines.loads);
+  const auto choice =
+      steps::ChooseEngine(engines.loads, PlacesFor(item, engines));
   if (!choice) return false;
   const fleet::endpoint& engine = *engines.endpoints[*choice];
   engines_[engine.incarnation].groups[group] = clock_.Now();
@@ -298,6 +302,31 @@
   return true;
 }
 
+// Streams on an engine up to which a task may be started there.
+int64_t dispatcher::PlacesFor(const candidate& item,
+                              const engine_pool& pool) const {
+  int64_t slots = 0;
+  size_t engines = 0;
+  for (const steps::engine_load& load : pool.loads) {
+    slots = std::max(slots, load.slots);
+    if (load.slots > 0) ++engines;
+  }
+  if (item.is_long) return slots;
+  const step_run& step = steps_.at(item.key.step);
+  const auto pace = paces_.find(item.step->input.model);
+  if (pace == paces_.end()) return slots;
+  int64_t expected = 0;
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const bool is_waiting = step.tasks[i].stage == task_stage::kWaiting;
+    if (is_waiting) expected += step.expected[i];
+  }
+  steps::waiting_work work;
+  work.runs = steps::ExpectedTime(pace->second, expected);
+  work.age = clock_.Now() - step.opened_at;
+  work.due = milliseconds(item.terms->due_ms);
+  return steps::PlacesForShortTasks(work, engines, slots);
+}
+
 dispatcher::engine_pool dispatcher::GatherEngines(const std::string& service,
                                                   const std::string& model,
                                                   uint64_t minimum_version) {
@@ -380,6 +409,8 @@
        {"endpoint", engine.incarnation},
        {"after_event", Text(task.text.events)},
        {"failures", std::to_string(task.failures)},
+       {"expected",
+        std::to_string(steps_.at(item.key.step).expected[item.key.task])},
        {"in_batch", std::to_string(engines_[engine.incarnation].running)}});
   net::SpawnCancellable(
       loop_, Run(self, wire_.EncodeTask(step, spec, terms), rules),
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -27,6 +27,7 @@
 #include "net/event.h"
 #include "net/spawn.h"
 #include "steps/event_text.h"
+#include "steps/pacing.h"
 #include "steps/task_choice.h"
 #include "store/reward_caller.h"
 #include "store/step_state.h"
@@ -49,6 +50,9 @@
   void OnApplied();
   // The endpoints, their weights or the configuration changed.
   void OnView();
+  // Of the models whose tasks run here; empty while this instance does not
+  // lead.
+  std::vector<fleet::model_demand> Demands() const;
 
  private:
   enum class task_stage {
@@ -71,7 +75,8 @@
   };
   struct step_run {
     std::vector<task_run> tasks;
-    std::vector<uint32_t> order;  // in which they start
+    std::vector<int64_t> expected;  // length of each; 0: not known
+    std::vector<uint32_t> order;    // in which they start
     core::time_point opened_at{};
     size_t open_tasks = 0;  // that have no result yet
     std::map<std::string, size_t> open_by_group;
@@ -123,6 +128,7 @@
   // One task with its place and terms, as it waits for an engine.
   struct candidate {
     task_key key;
+    bool is_long = true;
     const steps::step* step = nullptr;
     const fleet::route* terms = nullptr;
   };
@@ -144,6 +150,7 @@
   size_t Starting() const;
   void PumpStep(const std::string& id, step_run& where, dispatch_pass& pass);
   bool TryStart(const candidate& item, dispatch_pass& pass);
+  int64_t PlacesFor(const candidate& item, const engine_pool& pool) const;
   engine_pool GatherEngines(const std::string& service,
                             const std::string& model, uint64_t minimum_version);
   void StartRun(const candidate& item, const fleet::endpoint& engine);
@@ -162,6 +169,7 @@
   void OnScored(const task_key& key, reward_end how, const std::string& score);
   size_t OpenInGroup(const task_key& key);
   void Finish(const task_key& key, bool is_complete, std::string score = "");
+  void NoteDemands();
   void GiveUpOld();
   void ForgetOldGroups();
   static void ForgetPrompts(engine_record& record, const std::string& model);
@@ -190,6 +198,9 @@
   std::vector<step_results> outbox_;
   net::event outbox_filled_;
   net::event wake_;
+  std::map<std::string, steps::run_pace> paces_;  // by model
+  std::map<std::string, double> demands_;         // streams at once, by model
+  core::time_point demands_at_{};
   reward_caller rewards_;
 };
 
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -163,6 +163,30 @@
 
 // --- Upkeep.
 
+// Smooths the streams of each model over some steps.
+void dispatcher::NoteDemands() {
+  const time_point now = clock_.Now();
+  const std::chrono::duration<double> passed = now - demands_at_;
+  const double share = std::min(1.0, passed / kDemandMemory);
+  demands_at_ = now;
+  std::map<std::string, double> streams;
+  for (const auto& item : runs_) ++streams[item.second->model];
+  for (const auto& item : streams) demands_.try_emplace(item.first, 0);
+  for (auto& [model, mean] : demands_) {
+    const auto found = streams.find(model);
+    const double current = found == streams.end() ? 0 : found->second;
+    mean += share * (current - mean);
+  }
+}
+
+std::vector<fleet::model_demand> dispatcher::Demands() const {
+  std::vector<fleet::model_demand> list;
+  for (const auto& [model, streams] : demands_) {
+    list.push_back({model, streams});
+  }
+  return list;
+}
+
 void dispatcher::GiveUpOld() {
   const time_point now = clock_.Now();
   for (auto& [id, where] : steps_) {
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -119,6 +119,10 @@
                                      {"ms", std::to_string(took.count())}});
   switch (how) {
     case run_end::kComplete:
+      if (ended->events_at_start == 0) {
+        steps::NoteRun(paces_[ended->model], took,
+                       steps_.at(ended->key.step).expected[ended->key.task]);
+      }
       TakeWholeText(ended->key);
       break;
     case run_end::kImpossible:
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -77,6 +77,7 @@
     group.on_failure = [this] { loop.stop(); };
     // Followers too: a new leader must know at once which engine has what.
     follower.WantWeights(true);
+    follower.TellDemands([this] { return dispatch.Demands(); });
     follower.OnChange([this] { OnView(); });
   }
 
--- a/tests/unit/controller/weight_book_test.cc
+++ b/tests/unit/controller/weight_book_test.cc
@@ -131,6 +131,49 @@
   for (const auto& item : book.assigned) EXPECT_EQ(item.second.size(), 6U);
 }
 
+// One model has four times the work of the other, and loads can't keep up. The
+// engines that a next step can use are shared by work, and the small model
+// keeps enough for a crash.
+TEST(WeightBookTest, LoadsFollowTheDemand) {
+  weight_book book;
+  load_plan_input input = Engines(12);
+  const auto weights =
+      WeightsOf({"large", "small"}, {{"large", 32}, {"small", 8}});
+  SetAll(book, input, "large", 3);
+  SetAll(book, input, "small", 3);
+  for (const auto& [model, weight] : weights) {
+    input.models[model].newest = 5;
+    input.models[model].weight = weight;
+  }
+  std::map<std::string, size_t> loads;
+  while (loads["large"] + loads["small"] < 8) {
+    for (const planned_load& load : PlanLoads(book, input)) {
+      NoteVersion(book, load.incarnation, load.target.model, 5);
+      ++loads[load.target.model];
+    }
+  }
+  EXPECT_GE(loads["large"], 6U);
+  EXPECT_GE(loads["small"], 1U);
+  EXPECT_GE(EnginesPerModel(input, milliseconds(4000), weights.at("small")),
+            2U);
+  EXPECT_EQ(EnginesPerModel(input, milliseconds(60000), weights.at("large")),
+            12U);
+}
+
+// Nobody has said how much work there is, or only of one model: all count the
+// same, or the unknown one as the mean.
+TEST(WeightBookTest, UnknownDemandCountsAsTheMean) {
+  const auto none = WeightsOf({"a", "b"}, {});
+  EXPECT_EQ(none.at("a"), 1);
+  EXPECT_EQ(none.at("b"), 1);
+  const auto zero = WeightsOf({"a", "b"}, {{"a", 0}, {"b", 0}});
+  EXPECT_EQ(zero.at("a"), 1);
+  const auto idle = WeightsOf({"a", "b"}, {{"a", 10}, {"b", 0}});
+  EXPECT_GT(idle.at("b"), 0);
+  EXPECT_LT(idle.at("b"), 1);
+  EXPECT_TRUE(WeightsOf({}, {{"a", 1}}).empty());
+}
+
 // Loads share the link to the weight store: few run at once, and an engine has
 // one at a time.
 TEST(WeightBookTest, FewLoadsAtOnce) {
