--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -177,7 +177,9 @@
       ~cut_guard() { was_cut |= !is_answered; }
     };
     cut_guard guard{was_cut};
-    while (is_held) co_await net::Sleep(kTurn);
+    while (is_held) {
+      co_await net::Sleep(kTurn);
+    }
     net::response answer = Signed(call.Request(), 200, "mark");
     co_await call.Reply(std::move(answer));
     guard.is_answered = true;
