--- a/tests/unit/platform/foreign_writer_test.cc
+++ b/tests/unit/platform/foreign_writer_test.cc
@@ -140,7 +140,8 @@
 
 // A few bytes changed, taken out, or put in.
 std::string Damaged(std::string body) {
-  static const std::string kLikely = "{}[]\":,0-9.eE\\u\xff\x00nt";
+  static const std::string kLikely =
+      std::string("{}[]\":,0-9.eE\\u\xff") + "nt" + '\0';
   const int changes = *rc::gen::inRange(1, 6);
   for (int i = 0; i < changes && !body.empty(); ++i) {
     const size_t at = *rc::gen::inRange<size_t>(0, body.size());
