A group says which voters it misses, and a new data leader how many steps it holds

Cause: in the incident of the unreadable steps the control group stood still for 109 s, and its last line was the leadership that ended. Nothing said that it ran without a spare voter for 16 s before, which voters it then missed, or whether a restarted store still held the steps. Ruled out: a line for each failed election (two a second, for good); a metric alone (it doesn't name the voters). Change: HK2013 when the set of silent voters changes at a leader, HK2014 two seconds after an election that nobody wins and then each 10 s, HK6013 when a store takes over the data group. Events are counted on the metrics address like the others. No decision changes. Before: no line between 21.3 s and 93 s.

--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -130,7 +130,11 @@
   return true;
 }
 
-void group_replica::Tick() { consensus::Tick(raft_, clock_.Now(), out_); }
+void group_replica::Tick() {
+  const core::time_point now = clock_.Now();
+  health_.BeforeTick(raft_, now);
+  consensus::Tick(raft_, now, out_);
+}
 
 void group_replica::Flush() {
   if (has_failed_) return;
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "consensus/group_health.h"
 #include "consensus/lease.h"
 #include "consensus/raft.h"
 #include "consensus/storage.h"
@@ -158,6 +159,7 @@
   bool has_failed_ = false;
 
   raft_state raft_;
+  group_health_log health_;
   raft_output out_;
   std::deque<log_entry> backlog_;  // committed, not applied
   uint64_t applied_ = 0;
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -110,6 +110,8 @@
       {event_id::kVoterRemoved, kWarning, "consensus",
        "voter with a lost disk removed"},
       {event_id::kStateLoaded, kInfo, "storage", "state loaded"},
+      {event_id::kVotersSilent, kWarning, "consensus", "silent voters changed"},
+      {event_id::kNoQuorum, kWarning, "consensus", "no quorum in an election"},
       {event_id::kConfigurationAccepted, kInfo, "configuration", "accepted"},
       {event_id::kConfigurationRefused, kWarning, "configuration", "refused"},
       {event_id::kConfigurationInForce, kInfo, "configuration",
@@ -164,6 +166,7 @@
       {event_id::kResultsNotRead, kError, "rollout",
        "results can't be read from disk"},
       {event_id::kRewardCallEnded, kInfo, "rollout", "reward call ended"},
+      {event_id::kStepsHeld, kInfo, "rollout", "steps held by a new leader"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -38,6 +38,8 @@
   kGroupBootstrapped = 2010,
   kVoterRemoved = 2011,
   kStateLoaded = 2012,
+  kVotersSilent = 2013,
+  kNoQuorum = 2014,
   kConfigurationAccepted = 3001,
   kConfigurationRefused = 3002,
   kConfigurationInForce = 3003,
@@ -78,6 +80,7 @@
   kResultsNotCommitted = 6010,
   kResultsNotRead = 6011,
   kRewardCallEnded = 6012,
+  kStepsHeld = 6013,
 };
 
 struct event_info {
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -67,6 +67,7 @@
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
     group.on_leadership = [this](bool is_leader) {
+      if (is_leader) NoteStepsHeld();
       dispatch.OnLeadership(is_leader);
       service.OnChange();
     };
@@ -91,6 +92,21 @@
     dispatch.OnView();
   }
 
+  // After a loss of disks it tells a step that is gone from one that nobody
+  // finds.
+  void NoteStepsHeld() const {
+    size_t ended = 0;
+    size_t results = 0;
+    for (const auto& [id, step] : state.Steps()) {
+      ended += step.is_ended ? 1 : 0;
+      results += step.results.size();
+    }
+    LogEvent(event_id::kStepsHeld,
+             {{"steps", std::to_string(state.Steps().size())},
+              {"ended", std::to_string(ended)},
+              {"results", std::to_string(results)}});
+  }
+
   awaitable<void> ServePeer(net::exchange& call) {
     return peering::ServePeer(
         call,
