A group of an even number drops a voter that is gone, also below its wanted size

Cause: DropSpare removed a silent or leaving voter only from a group of more voters than it wants. The control group wants five and often has three or four, so an instance that was exchanged for one at another address counted for good; the next lost disk left two of four, three had to agree, and the group stood still for ever. An entry that restarts learns routes and stores from it alone, so steps that two of three stores held could not be read. Class: membership, a member that is gone goes on being counted. Ruled out: loss in the data group (PowerCutWithALostDiskLosesNothing; the elected store had 763 of 764 entries replayed); dropping from odd groups too (a silent voter that comes back is then missing: five bear two losses, four bear one); a smaller wanted size (the same at one less). Dropping from two is left out: one voter bears nothing. Change: MayDropVoter: more voters than wanted, or an even number of at least four. Groups with no wanted size (hickoryd's own control group) follow the same rule.

--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "consensus/group_health.h"
 #include "consensus/lease.h"
 #include "consensus/members.h"
 #include "consensus/raft.h"
@@ -139,11 +140,7 @@
   for (const member& voter : members.voters) {
     if (voter == state.self) continue;
     if (state.leaving.count(voter.node) != 0) return voter;
-    const auto found = state.followers.find(voter);
-    if (found == state.followers.end()) continue;
-    const time_point heard =
-        std::max(found->second.confirmed_at, state.elected_at);
-    if (now - heard >= state.options.replace_after) silent = voter;
+    if (IsSilentVoter(state, voter, now)) silent = voter;
   }
   return silent;
 }
@@ -205,10 +202,26 @@
              state.options.replace_after;
 }
 
-// Drops a voter beyond those that the group wants, leaving or silent, and
-// learners that are leaving, or silent where another one could take the place.
+// Whether the group may drop a voter that is leaving or silent. Beyond the
+// wanted size its successor votes already. Below it an instance that is gone
+// for good went on counting: it and one lost disk stopped a group of four for
+// ever, with all that only the group can find. An even group loses nothing by
+// the drop: four voters bear one loss and so do three, whether the silent one
+// comes back or not, and once it is gone three bear one more. An odd one would
+// bear fewer losses if it comes back, and two voters bear none.
+bool MayDropVoter(const raft_state& state, const group_members& members) {
+  constexpr size_t kFewestToDropFrom = 4;
+  const size_t voters = members.voters.size();
+  const size_t wanted = state.options.wanted_voters;
+  const bool is_beyond = wanted != 0 && voters > wanted;
+  const bool is_even = voters % 2 == 0;
+  return is_beyond || (is_even && voters >= kFewestToDropFrom);
+}
+
+// Drops a voter that is leaving or silent where the group may, and learners
+// that are leaving, or silent where another one could take the place.
 void DropSpare(raft_state& state, time_point now, raft_output& out) {
-  if (state.options.wanted_voters == 0 || !MayChangeMembers(state)) return;
+  if (!MayChangeMembers(state)) return;
   group_members members = ActiveMembers(state.log);
   const bool is_crowded = !TakesLearners(state, members);
   const size_t learners =
@@ -217,7 +230,7 @@
                (is_crowded && IsSilent(state, who, now));
       });
   std::optional<member> victim;
-  if (members.voters.size() > state.options.wanted_voters) {
+  if (MayDropVoter(state, members)) {
     victim = ReplaceableVoter(state, members, now);
   }
   if (victim) std::erase(members.voters, *victim);
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -51,6 +51,12 @@
   CheckSchedule(4, 3);
 }
 
+// Five voters are wanted and four are there: a silent one may stop counting and
+// come back.
+RC_GTEST_PROP(GroupTest, FourReplicasWithAFreePlaceKeepTheirPromises, ()) {
+  CheckSchedule(4, 5);
+}
+
 // A voter falls silent for good. The instance that waits takes its place, so
 // that the next loss is borne too; when the silent one is back it waits itself.
 TEST(GroupTest, SilentVoterIsReplaced) {
