--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -167,6 +167,88 @@
   }
 }
 
+// A voter is silent for some seconds, frozen or restarted, and stops counting.
+// Nobody tells it, and its own log still lists it; back with its disk it must
+// vote again, or each pause costs the group a voter for good.
+TEST(GroupTest, DroppedVoterThatIsBackVotesAgain) {
+  for (const size_t wanted : {size_t{0}, size_t{5}}) {
+    for (const bool is_restart : {false, true}) {
+      group_simulation group(4, 28, wanted);
+      group.Settle(milliseconds(8000));
+      const size_t silent = (group.Leader() + 1) % 4;
+      if (is_restart) group.Crash(silent);
+      if (!is_restart) group.SetFrozen(silent, true);
+      group.Settle(milliseconds(5000));
+      if (is_restart) group.Start(silent);
+      if (!is_restart) group.SetFrozen(silent, false);
+      group.Settle(milliseconds(20000));
+      EXPECT_EQ(group.Voters().size(), 4U) << wanted << is_restart;
+      EXPECT_EQ(group.Violation(), "");
+    }
+  }
+}
+
+// Four of five wanted voters are there and one pauses; the fifth instance
+// joins. A minute later two instances go for good, which five voters bear.
+TEST(GroupTest, FiveVotersBearTwoLossesAfterAPauseAtFour) {
+  group_simulation group(5, 31, 5);
+  group.Crash(4);
+  group.Settle(milliseconds(8000));
+  const size_t leader = group.Leader();
+  ASSERT_LT(leader, 4U);
+  const size_t paused = (leader + 1) % 4;
+  group.Crash(paused);
+  group.Settle(milliseconds(5000));
+  group.Start(paused);
+  group.Settle(milliseconds(5000));
+  group.Start(4);
+  group.Settle(milliseconds(60000));
+  EXPECT_EQ(group.Voters().size(), 5U);
+  group.Crash((leader + 2) % 4);
+  group.Crash((leader + 3) % 4);
+  group.Settle(milliseconds(20000));
+  const size_t before = group.Committed();
+  group.ProposeSomewhere();
+  group.Settle(milliseconds(1000));
+  EXPECT_LT(group.Leader(), 5U);
+  EXPECT_GT(group.Committed(), before);
+  EXPECT_EQ(group.Violation(), "");
+}
+
+// Two of five instances go for good, one after the other, and nobody takes
+// their place. A minute later one of the other three loses its disk. One loss
+// at a time is borne: the two that are gone no longer count.
+TEST(GroupTest, TwoThatAreGoneStopCountingInAGroupOfFive) {
+  group_simulation group(5, 32, 5);
+  group.Settle(milliseconds(8000));
+  ASSERT_EQ(group.Voters().size(), 5U);
+  const size_t leader = group.Leader();
+  group.Crash((leader + 1) % 5);
+  group.Settle(milliseconds(20000));
+  group.Crash((leader + 2) % 5);
+  group.Settle(milliseconds(60000));
+  const size_t wiped = (leader + 3) % 5;
+  group.LoseDisk(wiped);
+  group.Settle(milliseconds(1500));
+  group.Start(wiped);
+  group.Settle(milliseconds(20000));
+  EXPECT_LT(group.Leader(), 5U);
+  EXPECT_EQ(group.Violation(), "");
+}
+
+// One silent voter of an odd group may be back: three that became two would
+// bear no loss, and five that became four one instead of two.
+TEST(GroupTest, OddGroupKeepsAVoterThatIsSilent) {
+  for (const size_t voters : {size_t{3}, size_t{5}}) {
+    group_simulation group(voters, 33, 5);
+    group.Settle(milliseconds(8000));
+    ASSERT_EQ(group.Voters().size(), voters);
+    group.Crash((group.Leader() + 1) % voters);
+    group.Settle(milliseconds(10000));
+    EXPECT_EQ(group.Voters().size(), voters);
+  }
+}
+
 // Seven instances, three voters wanted. One more gets the entries, so that it
 // can take the next free place at once; the others wait without. They are not
 // taken in together when a place is free either: each would have to be sent the
