A dropped voter that is back asks to be taken in, and two that are gone no longer count

Cause: a replica asked to join only if its own log did not list it as a voter, and a dropped one never gets the entry that drops it. And a group of five kept two voters that are gone, so that one lost disk stopped the three that were left: the first cause again, in odd groups. Ruled out: sending the drop to the one that is dropped (it is silent, that is why it goes); dropping any silent voter of an odd group (OddGroupKeepsAVoterThatIsSilent: three would become two). With losses of two to be borne nothing is dropped from five. Change: NeedsToJoin() in consensus, asked by both hosts and by the simulation: no voter by its own log, or no leader heard for replace_after (2 s); a leader ignores members that ask. MayDropVoter: at least fewest_voters (2f + 1, three at least) remain, and the number is even or two are silent. The control role gets the losses to be borne. HK6013 is logged once the leader serves, since it has not applied all before; HK2013 and HK2014 say what they know.

--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -378,6 +378,10 @@
          IsServingLeader(raft_, clock_.Now());
 }
 
+bool group_replica::NeedsToJoin() const {
+  return consensus::NeedsToJoin(raft_, clock_.Now());
+}
+
 bool group_replica::IsVoter() const {
   return consensus::IsVoter(ActiveMembers(raft_.log), raft_.self);
 }
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -120,6 +120,8 @@
   // committed before its term.
   bool IsServing() const;
   bool IsVoter() const;
+  // See consensus::NeedsToJoin().
+  bool NeedsToJoin() const;
   bool HasFailed() const { return has_failed_; }
   uint64_t Applied() const { return applied_; }
   // Whether Flush() left committed entries for a later call.
--- a/packages/consensus/raft.cc
+++ b/packages/consensus/raft.cc
@@ -401,4 +401,10 @@
   CompactTo(state.log, std::move(next), state.options.keep_entries);
 }
 
+bool NeedsToJoin(const raft_state& state, time_point now) {
+  if (!IsVoter(ActiveMembers(state.log), state.self)) return true;
+  if (state.role == raft_role::kLeader) return false;
+  return now - state.leader_contact >= state.options.replace_after;
+}
+
 }  // namespace hickorywood::consensus
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -48,6 +48,10 @@
   // voter's place is taken by one that has the log already. Every further one
   // costs the leader as much as a voter.
   size_t spare_learners = 1;
+  // Voters that remain when one is dropped without a successor: twice the
+  // losses to be borne plus one. Each entry that was accepted is on more than
+  // half of them.
+  size_t fewest_voters = 3;
   // Silence after which a voter may be replaced by an instance that asks. A
   // replaced instance must be a voter before the next loss may come.
   milliseconds replace_after{2000};
@@ -131,6 +135,13 @@
                                 entry_kind kind, std::string data,
                                 raft_output& out);
 
+// Whether this replica should ask the others to take it in: it is no member, or
+// its disk was replaced, or it has heard no leader for replace_after. In that
+// time it may have been dropped, and nobody sends the entry that says so to one
+// that is no member any more; its own log would list it for good. A leader
+// ignores a member that asks.
+bool NeedsToJoin(const raft_state& state, time_point now);
+
 // Leader: queues the messages for entries that followers lack. Call once per
 // burst.
 void SendPending(raft_state& state, time_point now, raft_output& out);
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -205,17 +205,18 @@
 // Whether the group may drop a voter that is leaving or silent. Beyond the
 // wanted size its successor votes already. Below it an instance that is gone
 // for good went on counting: it and one lost disk stopped a group of four for
-// ever, with all that only the group can find. An even group loses nothing by
-// the drop: four voters bear one loss and so do three, whether the silent one
-// comes back or not, and once it is gone three bear one more. An odd one would
-// bear fewer losses if it comes back, and two voters bear none.
-bool MayDropVoter(const raft_state& state, const group_members& members) {
-  constexpr size_t kFewestToDropFrom = 4;
+// ever, with all that only the group can find. The group must be no weaker by
+// the drop. An even one is not: four voters bear one loss and so do three,
+// whether the silent one comes back or not, and once it is gone three bear one
+// more. An odd one is weaker if the only silent one comes back; of two that are
+// silent one may go, since the group is even then and the other one follows.
+bool MayDropVoter(const raft_state& state, const group_members& members,
+                  time_point now) {
   const size_t voters = members.voters.size();
   const size_t wanted = state.options.wanted_voters;
-  const bool is_beyond = wanted != 0 && voters > wanted;
-  const bool is_even = voters % 2 == 0;
-  return is_beyond || (is_even && voters >= kFewestToDropFrom);
+  if (wanted != 0 && voters > wanted) return true;
+  if (voters <= state.options.fewest_voters) return false;
+  return voters % 2 == 0 || MissingVoters(state, now).size() >= 2;
 }
 
 // Drops a voter that is leaving or silent where the group may, and learners
@@ -230,7 +231,7 @@
                (is_crowded && IsSilent(state, who, now));
       });
   std::optional<member> victim;
-  if (MayDropVoter(state, members)) {
+  if (MayDropVoter(state, members, now)) {
     victim = ReplaceableVoter(state, members, now);
   }
   if (victim) std::erase(members.voters, *victim);
--- a/packages/control/replica.h
+++ b/packages/control/replica.h
@@ -137,6 +137,7 @@
   // Whether this replica, with the data folder that it has now, is among the
   // voters.
   bool IsVoter() const { return group_.IsVoter(); }
+  bool NeedsToJoin() const { return group_.NeedsToJoin(); }
   uint64_t Term() const { return group_.Raft().hard.term; }
   core::time_point ElectedAt() const { return group_.Raft().elected_at; }
   const std::string& LeaderNode() const { return group_.Raft().leader.node; }
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -55,6 +55,8 @@
   settings.raft.leader_lease = node.leader_lease;
   settings.raft.reply_timeout = node.leader_lease;
   settings.raft.wanted_voters = wanted_voters;
+  settings.raft.fewest_voters =
+      std::max(settings.spread_voters, node.DataVoters());
   return settings;
 }
 
@@ -104,12 +106,11 @@
   }
 }
 
-// A replica that is in no group, or whose disk was replaced, is not among the
-// voters. It goes on asking until the leader has made it one.
+// Goes on until the leader has made this replica a voter.
 awaitable<void> group_host::KeepJoining() {
   for (;;) {
     co_await net::Sleep(kJoinPeriod);
-    if (!replica_.IsVoter()) AskToJoin();
+    if (replica_.NeedsToJoin()) AskToJoin();
   }
 }
 
--- a/packages/hickoryd/replica_host.cc
+++ b/packages/hickoryd/replica_host.cc
@@ -76,10 +76,9 @@
   }
 }
 
-// A replica that is in no group, or whose disk was replaced, is not among the
-// voters. It goes on asking until the leader has made it one.
+// Goes on until the leader has made this replica a voter.
 void replica_host::AskToJoin() {
-  if (replica_->IsVoter()) return;
+  if (!replica_->NeedsToJoin()) return;
   const std::string& self_node = context_.settings.id;
   for (const std::string& node : context_.links.ControlInstances()) {
     if (node == self_node) continue;
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -67,11 +67,12 @@
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
     group.on_leadership = [this](bool is_leader) {
-      if (is_leader) NoteStepsHeld();
+      has_steps_to_note = is_leader;
       dispatch.OnLeadership(is_leader);
       service.OnChange();
     };
     group.on_applied = [this] {
+      NoteStepsHeld();
       service.OnChange();
       dispatch.OnApplied();
     };
@@ -93,8 +94,10 @@
   }
 
   // After a loss of disks it tells a step that is gone from one that nobody
-  // finds.
-  void NoteStepsHeld() const {
+  // finds. Only a leader that serves has applied all that was accepted.
+  void NoteStepsHeld() {
+    if (!has_steps_to_note || !group.IsServing()) return;
+    has_steps_to_note = false;
     size_t ended = 0;
     size_t results = 0;
     for (const auto& [id, step] : state.Steps()) {
@@ -139,6 +142,7 @@
   routing::request_sender sender;
   dispatcher dispatch;
   net::listener peers;
+  bool has_steps_to_note = false;
 };
 
 store_instance::store_instance(asio::io_context& loop,
--- a/tests/unit/consensus/group_simulation.cc
+++ b/tests/unit/consensus/group_simulation.cc
@@ -135,7 +135,7 @@
 
 void group_simulation::JoinIfNeeded(size_t index) {
   const replica& item = replicas_[index];
-  if (IsVoter(ActiveMembers(item.state.log), item.state.self)) return;
+  if (!NeedsToJoin(item.state, clock_.Now())) return;
   for (const replica& other : replicas_) {
     if (&other == &item || network_.size() >= kMostMessages) continue;
     message join;
