The control leader tells changes, in few answers, and hears heartbeats in sums

Read in the code and seen in the counts: any change of an endpoint sent the whole list to each process that waits; each load of weights answered every entry, which follows no weights, and made it ask again; each heartbeat was a call at the leader of its own and went over all endpoints to find its place; idle connections of callers stayed for 15 s, up to 3,000 of them, and then new ones were closed.

Change: views tell what changed since the version that a process holds (fleet/view_log), news is gathered for 1 ms a follower and encoded once for all who hold the same, weights wake stores only, a configuration goes out at once (controller/view_publisher). Heartbeats that say nothing new are acknowledged where they come in and told to the leader in sums (controller/heartbeat_memory, heartbeat_relay), while the leader is in touch. An endpoint that is known at its address is not looked up among all others. Idle control connections end after 3 s.

Ruled out: connections kept for longer, since callers come with new ones. Not weighed yet: relays by zone.

--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -8,7 +8,7 @@
 #include "figures.h"
 
 ABSL_FLAG(std::string, part, "",
-          "control, entry, routing or rollout; empty: all");
+          "control, entry, routing, rollout or store; empty: all");
 ABSL_FLAG(std::string, out, "figures.txt", "file for the figures");
 
 int main(int argc, char** argv) {
@@ -25,5 +25,6 @@
   if (part.empty() || part == "rollout") {
     hickorywood::bench::MeasureRollout(out);
   }
+  if (part.empty() || part == "store") hickorywood::bench::MeasureStore(out);
   return 0;
 }
--- a/bench/figures.h
+++ b/bench/figures.h
@@ -42,6 +42,7 @@
 void MeasureEntry(figures& out);
 void MeasureRollout(figures& out);
 void MeasureOverload(figures& out);
+void MeasureStore(figures& out);
 
 }  // namespace hickorywood::bench
 
--- a/packages/controller/control_api.cc
+++ b/packages/controller/control_api.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "controller/call_limits.h"
 #include "core/binary.h"
 #include "core/events.h"
 #include "peering/failure_answer.h"
@@ -14,18 +15,14 @@
 using peering::call_outcome;
 using peering::envelope;
 
-// Callers go on to another instance after a second without an answer; what they
-// get before that tells them more.
-constexpr milliseconds kPatience{850};
-// One try at a leader: a second one must fit, at the next leader.
-constexpr milliseconds kOneTry{600};
 constexpr milliseconds kRetryAfter{200};
 
 }  // namespace
 
 control_api::control_api(const fleet::protocol& wire,
-                         peering::leader_caller& caller)
-    : wire_(wire), caller_(caller) {}
+                         peering::leader_caller& caller,
+                         heartbeat_relay& heartbeats)
+    : wire_(wire), caller_(caller), heartbeats_(heartbeats) {}
 
 awaitable<void> control_api::Serve(net::exchange& call) {
   net::response answer = co_await Answer(call.Request());
@@ -54,8 +51,9 @@
     co_return wire_.EncodeFailure(bad->status, bad->reason, std::nullopt);
   }
   if (auto* beat = std::get_if<fleet::announce_call>(&call)) {
-    co_return co_await Forward(peering::kHeartbeatMethod,
-                               core::EncodeBinary(beat->input));
+    const envelope told = co_await heartbeats_.Tell(std::move(beat->input));
+    if (told.outcome != call_outcome::kDone) co_return FailureOf(told);
+    co_return wire_.EncodeAcknowledgement("");
   }
   if (auto* leave = std::get_if<fleet::leave_call>(&call)) {
     co_return co_await Forward(peering::kLeaveMethod,
--- a/packages/controller/control_api.h
+++ b/packages/controller/control_api.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <string>
 
+#include "controller/heartbeat_relay.h"
 #include "fleet/protocol.h"
 #include "net/listener.h"
 #include "peering/leader_caller.h"
@@ -15,7 +16,8 @@
 
 class control_api {
  public:
-  control_api(const fleet::protocol& wire, peering::leader_caller& caller);
+  control_api(const fleet::protocol& wire, peering::leader_caller& caller,
+              heartbeat_relay& heartbeats);
 
   boost::asio::awaitable<void> Serve(net::exchange& call);
 
@@ -27,6 +29,7 @@
 
   const fleet::protocol& wire_;
   peering::leader_caller& caller_;
+  heartbeat_relay& heartbeats_;
 };
 
 }  // namespace hickorywood::controller
--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "controller/control_api.h"
+#include "controller/heartbeat_relay.h"
 #include "controller/leader_service.h"
 #include "controller/weight_keeper.h"
 #include "core/events.h"
@@ -29,6 +30,10 @@
 // second of delay.
 constexpr int kMissedHeartbeats = 3;
 constexpr std::chrono::seconds kHeartbeatDelay{1};
+// Callers come with new connections, one after the other: kept for longer,
+// those of 3,000 endpoints that report each second take more descriptors than
+// there are. One that reports over the same connection comes back in time.
+constexpr std::chrono::seconds kControlIdleTimeout{3};
 // Time for a hand-over to reach the successor before the listeners close.
 constexpr milliseconds kHandOverTime{300};
 
@@ -68,7 +73,8 @@
                KeeperOptions(node)),
         caller(pool, node.seeds),
         follower(caller, FollowerOptions(node)),
-        api(wire, caller),
+        heartbeats(io, runtime, caller),
+        api(wire, caller, heartbeats),
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }),
         control(io, ControlListenerOptions(node.control_address),
@@ -86,7 +92,11 @@
       const std::string& address) {
     net::listener_options options;
     options.address = address;
-    options.limits = [] { return net::caller_limits{}; };
+    options.limits = [] {
+      net::caller_limits limits;
+      limits.idle_timeout = kControlIdleTimeout;
+      return limits;
+    };
     return options;
   }
 
@@ -112,7 +122,7 @@
   // Control instances to ask for admission: the seeds and those of the view.
   std::vector<std::string> Contacts() const {
     std::vector<std::string> contacts = settings.seeds;
-    const std::vector<std::string>& known = follower.View().controllers;
+    const std::vector<std::string>& known = follower.View().members.controllers;
     contacts.insert(contacts.end(), known.begin(), known.end());
     return contacts;
   }
@@ -156,6 +166,7 @@
   weight_keeper keeper;
   peering::leader_caller caller;
   peering::view_follower follower;
+  heartbeat_relay heartbeats;
   control_api api;
   net::listener peers;
   net::listener control;
@@ -179,6 +190,7 @@
   if (is_founder) impl_->group.Found();
   impl_->service.Start();
   impl_->keeper.Start();
+  impl_->heartbeats.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
 }
--- /dev/null
+++ b/packages/controller/heartbeat_relay.h
@@ -0,0 +1,51 @@
+#ifndef HICKORYWOOD_CONTROLLER_HEARTBEAT_RELAY_H_
+#define HICKORYWOOD_CONTROLLER_HEARTBEAT_RELAY_H_
+
+// Brings the heartbeats that come in at this instance to the control leader,
+// several in one call.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <vector>
+
+#include "controller/heartbeat_memory.h"
+#include "core/clock.h"
+#include "net/event.h"
+#include "peering/leader_caller.h"
+#include "peering/messages.h"
+
+namespace hickorywood::controller {
+
+class heartbeat_relay {
+ public:
+  heartbeat_relay(boost::asio::io_context& loop,
+                  const core::runtime_clock& clock,
+                  peering::leader_caller& caller);
+
+  void Start();
+  // kDone once the leader has taken it, or at once where it says nothing new.
+  boost::asio::awaitable<peering::envelope> Tell(fleet::heartbeat input);
+
+ private:
+  struct waiting_heartbeat {
+    fleet::heartbeat input;
+    net::one_shot<peering::envelope> end;
+  };
+
+  boost::asio::awaitable<void> KeepTelling();
+  boost::asio::awaitable<void> Send(std::vector<waiting_heartbeat> waiting);
+  bool IsRefreshDue() const;
+
+  boost::asio::io_context& loop_;
+  const core::runtime_clock& clock_;
+  peering::leader_caller& caller_;
+  heartbeat_memory memory_;
+  std::vector<waiting_heartbeat> queue_;
+  core::time_point refreshed_at_{};
+  net::event filled_;
+};
+
+}  // namespace hickorywood::controller
+
+#endif  // HICKORYWOOD_CONTROLLER_HEARTBEAT_RELAY_H_
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -27,7 +27,6 @@
 using peering::envelope;
 
 constexpr milliseconds kHousePeriod{500};
-constexpr milliseconds kLongestWait{5000};
 // A store that asked for no view for this long is left out of the list. It is
 // well above an election, so that a new leader does not forget any.
 constexpr std::chrono::seconds kStoreLifetime{20};
@@ -58,9 +57,11 @@
       state_(state),
       registry_(registry),
       weights_(weights),
-      stores_caller_(stores) {}
+      stores_caller_(stores),
+      views_(loop, clock, Sources()) {}
 
 void leader_service::Start() {
+  views_.Start();
   asio::co_spawn(loop_, KeepHouse(), asio::detached);
 }
 
@@ -72,8 +73,8 @@
   if (method == peering::kViewMethod) {
     co_return co_await GetView(std::move(payload));
   }
-  if (method == peering::kHeartbeatMethod) {
-    co_return co_await TakeHeartbeat(std::move(payload));
+  if (method == peering::kHeartbeatsMethod) {
+    co_return co_await TakeHeartbeats(std::move(payload));
   }
   if (method == peering::kLeaveMethod) {
     co_return co_await TakeLeave(std::move(payload));
@@ -97,78 +98,64 @@
 
 // --- Views.
 
+view_sources leader_service::Sources() const {
+  view_sources sources;
+  sources.endpoints = [this] { return fleet::ListEndpoints(registry_); };
+  sources.members = [this] { return Members(); };
+  sources.weights = [this] { return ListWeights(weights_); };
+  sources.config = [this]() -> const fleet::configuration& {
+    return state_.Config();
+  };
+  return sources;
+}
+
+fleet::view_members leader_service::Members() const {
+  fleet::view_members members;
+  members.controllers = group_.Members();
+  for (const auto& [instance, entry] : stores_) {
+    members.stores.push_back({instance, entry.address});
+  }
+  members.data_founder = state_.DataFounder();
+  return members;
+}
+
 void leader_service::OnLeadership(bool is_leader, const fleet::view& followed) {
-  view_count_ = 1;
-  if (is_leader) {
-    // Heartbeats reach a new leader only after a while; until then the
-    // endpoints that it knew as a follower go on being used.
-    registry_.endpoints.clear();
-    fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
-    stores_.clear();
-    for (const fleet::store_entry& item : followed.stores) {
-      stores_[item.instance] = {item.address, clock_.Now()};
-    }
-    NoteEndpointsChanged();
+  if (!is_leader) {
+    views_.Interrupt();
+    return;
   }
-  view_changed_.Notify();
+  // Heartbeats reach a new leader only after a while; until then the endpoints
+  // that it knew as a follower go on being used.
+  registry_.endpoints.clear();
+  fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
+  stores_.clear();
+  for (const fleet::store_entry& item : followed.members.stores) {
+    stores_[item.instance] = {item.address, clock_.Now()};
+  }
+  views_.BeginTerm(group_.Term());
+  if (on_endpoints) on_endpoints();
 }
 
 void leader_service::OnApplied() {
+  if (state_.Config().version != seen_config_) {
+    seen_config_ = state_.Config().version;
+    views_.NoteConfiguration();
+  }
   std::vector<std::string> members = group_.Members();
-  const bool is_same = state_.Config().version == seen_config_ &&
-                       state_.DataFounder() == seen_founder_ &&
-                       members == seen_members_;
+  const bool is_same =
+      state_.DataFounder() == seen_founder_ && members == seen_members_;
   if (is_same) return;
-  seen_config_ = state_.Config().version;
   seen_founder_ = state_.DataFounder();
   seen_members_ = std::move(members);
-  ++view_count_;
-  view_changed_.Notify();
+  views_.NoteMembers();
 }
 
 void leader_service::NoteEndpointsChanged() {
-  ++view_count_;
-  view_changed_.Notify();
+  views_.NoteEndpoints();
   if (on_endpoints) on_endpoints();
 }
 
-void leader_service::NoteWeightsChanged() {
-  ++weights_count_;
-  view_changed_.Notify();
-}
-
-fleet::view_version leader_service::Version() const {
-  return {group_.Term(), view_count_};
-}
-
-fleet::view_update leader_service::MakeUpdate(
-    const fleet::view_request& input) const {
-  fleet::view_update update;
-  update.version = Version();
-  const fleet::configuration& config = state_.Config();
-  update.has_config = config.version > input.held_config;
-  if (update.has_config) update.config = config;
-  update.has_lists = !(input.held == update.version);
-  if (update.has_lists) {
-    update.endpoints = fleet::ListEndpoints(registry_);
-    update.controllers = group_.Members();
-    for (const auto& [instance, entry] : stores_) {
-      update.stores.push_back({instance, entry.address});
-    }
-    update.data_founder = state_.DataFounder();
-  }
-  const bool is_same_term = input.held.term == update.version.term;
-  update.has_weights = input.wants_weights &&
-                       (!is_same_term || input.held_weights != weights_count_);
-  update.weights_count = update.has_weights ? weights_count_ : 0;
-  if (update.has_weights) update.weights = ListWeights(weights_);
-  return update;
-}
-
-bool leader_service::HasNews(const fleet::view_request& input) const {
-  return !(input.held == Version()) ||
-         (input.wants_weights && input.held_weights != weights_count_);
-}
+void leader_service::NoteWeightsChanged() { views_.NoteWeights(); }
 
 awaitable<envelope> leader_service::GetView(std::string payload) {
   const auto input = core::DecodeBinary<fleet::view_request>(payload);
@@ -177,14 +164,10 @@
   for (const fleet::model_demand& item : input->demands) {
     weights_.demands[item.model] = item.streams;
   }
-  if (!HasNews(*input)) {
-    const milliseconds wait =
-        std::min(milliseconds(input->wait_ms), kLongestWait);
-    co_await view_changed_.WaitUntil(clock_.Now() + wait);
-  }
+  std::string update = co_await views_.Answer(*input);
   // The lease may have run out while the answer was held back.
   if (!group_.IsServing()) co_return NotLeader();
-  co_return Done(core::EncodeBinary(MakeUpdate(*input)));
+  co_return Done(std::move(update));
 }
 
 // --- Endpoints.
@@ -198,23 +181,37 @@
              [&name](const fleet::service& item) { return item.name == name; });
 }
 
-awaitable<envelope> leader_service::TakeHeartbeat(std::string payload) {
-  const auto input = core::DecodeBinary<fleet::heartbeat>(payload);
+awaitable<envelope> leader_service::TakeHeartbeats(std::string payload) {
+  const auto input = core::DecodeBinary<heartbeat_batch>(payload);
   if (!input) co_return Malformed();
+  heartbeat_batch_answer answer;
+  answer.term = group_.Term();
+  for (const fleet::heartbeat& item : input->heartbeats) {
+    answer.refusals.push_back(TakeHeartbeat(item));
+  }
+  for (const fleet::heartbeat_refresh& item : input->refreshes) {
+    const bool is_known = fleet::Refresh(registry_, item, clock_.Now());
+    if (!is_known) answer.unknown.push_back(item.incarnation);
+  }
+  co_return Done(core::EncodeBinary(answer));
+}
+
+// The reason where it is refused; empty: it is taken.
+std::string leader_service::TakeHeartbeat(const fleet::heartbeat& input) {
   const std::string incarnation =
-      fleet::IncarnationOf(input->name, input->started_ms);
+      fleet::IncarnationOf(input.name, input.started_ms);
   const bool is_new = registry_.endpoints.count(incarnation) == 0;
-  if (is_new && !IsKnownService(input->service)) {
-    const std::string reason = "no service is called '" + input->service + "'";
+  if (is_new && !IsKnownService(input.service)) {
+    const std::string reason = "no service is called '" + input.service + "'";
     LogEvent(event_id::kHeartbeatRefused,
              {{"endpoint", incarnation}, {"reason", reason}});
-    co_return Refused(reason);
+    return reason;
   }
-  const bool is_changed = fleet::TakeHeartbeat(registry_, *input, clock_.Now());
+  const bool is_changed = fleet::TakeHeartbeat(registry_, input, clock_.Now());
   bool is_newer = false;
   // News of a start that is not the newest says nothing of this one's weights.
   const bool is_listed = registry_.endpoints.count(incarnation) != 0;
-  for (const fleet::model_version& item : input->models) {
+  for (const fleet::model_version& item : input.models) {
     if (!is_listed) break;
     is_newer |= NoteVersion(weights_, incarnation, item.model, item.version);
   }
@@ -222,14 +219,14 @@
   if (is_changed) {
     LogEvent(is_new ? event_id::kEndpointJoined : event_id::kEndpointChanged,
              {{"endpoint", incarnation},
-              {"service", input->service},
-              {"address", input->address},
-              {"zone", input->zone},
-              {"draining", input->is_draining ? "true" : "false"},
-              {"sequence", std::to_string(input->sequence)}});
+              {"service", input.service},
+              {"address", input.address},
+              {"zone", input.zone},
+              {"draining", input.is_draining ? "true" : "false"},
+              {"sequence", std::to_string(input.sequence)}});
     NoteEndpointsChanged();
   }
-  co_return Done();
+  return "";
 }
 
 awaitable<envelope> leader_service::TakeLeave(std::string payload) {
@@ -319,8 +316,7 @@
   if (is_new) {
     LogEvent(event_id::kStoreJoined,
              {{"instance", input.instance}, {"address", input.address}});
-    ++view_count_;
-    view_changed_.Notify();
+    views_.NoteMembers();
   }
   // Exactly one store may found the data group, so the choice is committed.
   const bool is_needed = input.may_found && state_.DataFounder().empty() &&
@@ -340,9 +336,7 @@
   const size_t gone = std::erase_if(stores_, [now](const auto& item) {
     return now - item.second.heard_at > kStoreLifetime;
   });
-  if (gone == 0) return;
-  ++view_count_;
-  view_changed_.Notify();
+  if (gone > 0) views_.NoteMembers();
 }
 
 awaitable<envelope> leader_service::Retire(std::string method,
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -13,12 +13,13 @@
 #include <vector>
 
 #include "controller/control_state.h"
+#include "controller/heartbeat_memory.h"
+#include "controller/view_publisher.h"
 #include "controller/weight_book.h"
 #include "core/clock.h"
 #include "fleet/endpoint_registry.h"
 #include "fleet/view.h"
 #include "group/group_host.h"
-#include "net/event.h"
 #include "peering/leader_caller.h"
 #include "peering/messages.h"
 
@@ -51,7 +52,8 @@
   using answer = boost::asio::awaitable<peering::envelope>;
 
   answer GetView(std::string payload);
-  answer TakeHeartbeat(std::string payload);
+  answer TakeHeartbeats(std::string payload);
+  std::string TakeHeartbeat(const fleet::heartbeat& input);
   answer TakeLeave(std::string payload);
   answer PutConfiguration(std::string payload);
   answer GetConfiguration();
@@ -61,12 +63,11 @@
   answer CommitCall(std::string name, std::string payload);
   void NoteStore(const fleet::view_request& input);
   void ExpireStores();
-  bool HasNews(const fleet::view_request& input) const;
   boost::asio::awaitable<void> KeepHouse();
   void NoteEndpointsChanged();
   bool IsKnownService(const std::string& name) const;
-  fleet::view_version Version() const;
-  fleet::view_update MakeUpdate(const fleet::view_request& input) const;
+  view_sources Sources() const;
+  fleet::view_members Members() const;
   peering::envelope NotLeader() const;
 
   boost::asio::io_context& loop_;
@@ -76,8 +77,7 @@
   fleet::endpoint_registry& registry_;
   weight_book& weights_;
   peering::leader_caller& stores_caller_;
-  uint64_t view_count_ = 1;  // changes of the lists within this term
-  uint64_t weights_count_ = 1;
+  view_publisher views_;
   uint64_t seen_config_ = 0;
   std::string seen_founder_;
   std::vector<std::string> seen_members_;
@@ -87,7 +87,6 @@
   };
   std::map<std::string, known_store> stores_;  // by instance
   bool is_founding_ = false;
-  net::event view_changed_;
 };
 
 }  // namespace hickorywood::controller
--- a/packages/fleet/endpoint_registry.cc
+++ b/packages/fleet/endpoint_registry.cc
@@ -94,6 +94,19 @@
   return fields(left) == fields(right);
 }
 
+bool operator==(const model_version& left, const model_version& right) {
+  return left.model == right.model && left.version == right.version;
+}
+
+bool operator==(const heartbeat& left, const heartbeat& right) {
+  const auto fields = [](const heartbeat& item) {
+    return std::tie(item.name, item.started_ms, item.service, item.address,
+                    item.zone, item.slots, item.is_draining, item.warming_ms,
+                    item.sequence, item.models);
+  };
+  return fields(left) == fields(right);
+}
+
 bool TakeHeartbeat(endpoint_registry& registry, const heartbeat& input,
                    core::time_point now) {
   const std::string incarnation = IncarnationOf(input);
@@ -105,7 +118,11 @@
   } else if (!IsBack(registry, input)) {
     return false;
   }
-  TakePlace(registry, input);
+  // One that is known under this address has taken its place before. Looking at
+  // all endpoints for each heartbeat is quadratic in them.
+  const bool has_place = known != registry.endpoints.end() &&
+                         known->second.item.address == input.address;
+  if (!has_place) TakePlace(registry, input);
   registered_endpoint& entry = registry.endpoints[incarnation];
   endpoint fresh = ToEndpoint(input);
   // An endpoint that said it is leaving does not come back under the same id.
@@ -113,10 +130,25 @@
     fresh.state = endpoint_state::kDraining;
   }
   const bool is_changed = !(entry.item == fresh);
-  entry = {std::move(fresh), input.sequence, now, input.models};
+  entry = {std::move(fresh), input.sequence, now};
   return is_changed;
 }
 
+bool Refresh(endpoint_registry& registry, const heartbeat_refresh& input,
+             core::time_point now) {
+  const auto known = registry.endpoints.find(input.incarnation);
+  if (known == registry.endpoints.end()) return false;
+  registered_endpoint& entry = known->second;
+  // A silent one that is back changes the list, as its heartbeat would.
+  if (entry.item.state == endpoint_state::kSilent) return false;
+  if (input.sequence <= entry.sequence) return true;
+  entry.sequence = input.sequence;
+  entry.heard_at = now;
+  known_start& start = registry.starts[entry.item.name];
+  if (start.started_ms == entry.item.started_ms) start.heard_at = now;
+  return true;
+}
+
 bool TakeLeave(endpoint_registry& registry, const departure& input,
                core::time_point now) {
   // One that does not say when it started speaks for the newest start.
--- a/packages/fleet/endpoint_registry.h
+++ b/packages/fleet/endpoint_registry.h
@@ -45,6 +45,17 @@
                                                 is_draining, warming_ms,
                                                 sequence, models)
 
+bool operator==(const heartbeat& left, const heartbeat& right);
+
+// An endpoint goes on as it last said: a heartbeat that has nothing new but its
+// sequence.
+struct heartbeat_refresh {
+  std::string incarnation;
+  uint64_t sequence = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(heartbeat_refresh, incarnation,
+                                                sequence)
+
 // An endpoint says that it is going.
 struct departure {
   std::string name;
@@ -93,7 +104,6 @@
   endpoint item;
   uint64_t sequence = 0;
   core::time_point heard_at{};
-  std::vector<model_version> models;
 };
 
 // The newest start of a name, and one with an older time that goes on talking.
@@ -123,6 +133,11 @@
 bool TakeHeartbeat(endpoint_registry& registry, const heartbeat& input,
                    core::time_point now);
 
+// Takes a refresh as the heartbeat that it stands for. False when no such
+// endpoint is known: its heartbeat is wanted whole.
+bool Refresh(endpoint_registry& registry, const heartbeat_refresh& input,
+             core::time_point now);
+
 // Takes the word of an endpoint that it is going; that of an older start takes
 // out no newer one. True when the list changed.
 bool TakeLeave(endpoint_registry& registry, const departure& input,
--- a/packages/fleet/view.cc
+++ b/packages/fleet/view.cc
@@ -1,24 +1,74 @@
 #include "fleet/view.h"
 
+#include <algorithm>
+#include <set>
+#include <tuple>
+
 namespace hickorywood::fleet {
+namespace {
+
+auto KeyOf(const endpoint& item) { return std::tie(item.incarnation); }
+auto KeyOf(const engine_weights_entry& item) {
+  return std::tie(item.incarnation, item.model);
+}
+
+// Puts `changes` into a list that is ordered as they are, in place of the items
+// of the same key.
+template <typename Item>
+void Merge(std::vector<Item>& list, const std::vector<Item>& changes) {
+  const auto is_before = [](const Item& left, const Item& right) {
+    return KeyOf(left) < KeyOf(right);
+  };
+  std::vector<Item> merged;
+  merged.reserve(list.size() + changes.size());
+  // Of two equal ones the first range's is kept.
+  std::set_union(changes.begin(), changes.end(), list.begin(), list.end(),
+                 std::back_inserter(merged), is_before);
+  list = std::move(merged);
+}
+
+void TakeLists(view& held, const view_update& update) {
+  if (update.lists == list_part::kAll) held.endpoints = update.endpoints;
+  if (update.lists == list_part::kChanges) {
+    // One that went and came back since stands in both.
+    const std::set<std::string> gone(update.gone.begin(), update.gone.end());
+    std::erase_if(held.endpoints, [&gone](const endpoint& item) {
+      return gone.count(item.incarnation) != 0;
+    });
+    Merge(held.endpoints, update.endpoints);
+  }
+  if (update.has_members) held.members = update.members;
+}
+
+void TakeWeights(view& held, const view_update& update) {
+  if (update.weights_part == list_part::kNone) return;
+  if (update.weights_part == list_part::kAll) held.weights = update.weights;
+  if (update.weights_part == list_part::kChanges) {
+    Merge(held.weights, update.weights);
+  }
+  held.weights_count = update.weights_count;
+}
+
+bool HasChanges(const view_update& update) {
+  return update.lists == list_part::kChanges ||
+         update.weights_part == list_part::kChanges;
+}
+
+}  // namespace
 
 bool ApplyUpdate(view& held, const view_update& update) {
   if (update.version < held.version) return false;
+  const bool has_other_base =
+      HasChanges(update) && !(update.base == held.version);
+  if (has_other_base) return false;
   const bool is_newer_config =
       update.has_config && update.config.version > held.config.version;
   if (is_newer_config) held.config = update.config;
-  if (update.has_lists) {
-    held.endpoints = update.endpoints;
-    held.controllers = update.controllers;
-    held.stores = update.stores;
-    held.data_founder = update.data_founder;
-  }
-  if (update.has_weights) {
-    held.weights = update.weights;
-    held.weights_count = update.weights_count;
-  }
+  TakeLists(held, update);
+  TakeWeights(held, update);
   held.version = update.version;
-  return is_newer_config || update.has_lists || update.has_weights;
+  return is_newer_config || update.lists != list_part::kNone ||
+         update.weights_part != list_part::kNone;
 }
 
 }  // namespace hickorywood::fleet
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -51,15 +51,22 @@
   return left.instance == right.instance && left.address == right.address;
 }
 
-struct view {
-  view_version version;
-  configuration config;
-  std::vector<endpoint> endpoints;
+// The system's own instances that others must find.
+struct view_members {
   std::vector<std::string> controllers;  // peer addresses of the control group
   std::vector<store_entry> stores;
   std::string data_founder;  // peer address of the store that founds the group
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_members, controllers,
+                                                stores, data_founder)
+
+struct view {
+  view_version version;
+  configuration config;
+  std::vector<endpoint> endpoints;  // by incarnation
+  view_members members;
   uint64_t weights_count = 0;
-  std::vector<engine_weights_entry> weights;
+  std::vector<engine_weights_entry> weights;  // by incarnation and model
 };
 
 // How much of the engines the tasks of a model take.
@@ -88,27 +95,39 @@
                                                 held_weights, held, held_config,
                                                 wait_ms, demands)
 
+// How a list stands in an update.
+enum class list_part {
+  kNone,     // the asker holds it
+  kAll,      // whole
+  kChanges,  // what changed since the version that the asker held
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(list_part, {{list_part::kNone, 0},
+                                         {list_part::kAll, 1},
+                                         {list_part::kChanges, 2}})
+
 struct view_update {
   view_version version;
+  view_version base;        // that the asker held; changes count from it
   bool has_config = false;  // left out when the asker holds it
   configuration config;
-  bool has_lists = false;
+  list_part lists = list_part::kNone;  // endpoints
   std::vector<endpoint> endpoints;
-  std::vector<std::string> controllers;
-  std::vector<store_entry> stores;
-  std::string data_founder;
-  bool has_weights = false;
+  std::vector<std::string> gone;  // incarnations; only among changes
+  bool has_members = false;
+  view_members members;
+  list_part weights_part = list_part::kNone;
   uint64_t weights_count = 0;
   std::vector<engine_weights_entry> weights;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_update, version,
-                                                has_config, config, has_lists,
-                                                endpoints, controllers, stores,
-                                                data_founder, has_weights,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_update, version, base,
+                                                has_config, config, lists,
+                                                endpoints, gone, has_members,
+                                                members, weights_part,
                                                 weights_count, weights)
 
-// Takes an update into a view. False when it is older than the view: neither
-// the list nor the configuration ever steps back within one process.
+// Takes an update into a view. False when nothing changed by it, and when it is
+// older than the view or counts from a version that the view does not hold:
+// neither the lists nor the configuration ever step back within one process.
 bool ApplyUpdate(view& held, const view_update& update);
 
 }  // namespace hickorywood::fleet
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -25,7 +25,7 @@
 // about steps.
 constexpr char kConsensusMethod[] = "consensus";
 constexpr char kViewMethod[] = "view";
-constexpr char kHeartbeatMethod[] = "heartbeat";
+constexpr char kHeartbeatsMethod[] = "heartbeats";
 constexpr char kLeaveMethod[] = "leave";
 constexpr char kPutConfigurationMethod[] = "put_configuration";
 constexpr char kGetConfigurationMethod[] = "get_configuration";
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -23,7 +23,7 @@
 
 std::vector<std::string> StoreAddresses(const fleet::view& held) {
   std::vector<std::string> addresses;
-  for (const fleet::store_entry& item : held.stores) {
+  for (const fleet::store_entry& item : held.members.stores) {
     addresses.push_back(item.address);
   }
   return addresses;
@@ -71,7 +71,9 @@
   }
   const uint64_t config_before = view_.config.version;
   if (!fleet::ApplyUpdate(view_, *update)) return;
-  if (update->has_lists) caller_.SetControllers(view_.controllers);
+  if (update->has_members) {
+    caller_.SetControllers(view_.members.controllers);
+  }
   if (view_.config.version != config_before) {
     LogEvent(event_id::kConfigurationInForce,
              {{"version", std::to_string(view_.config.version)},
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -86,8 +86,8 @@
   void OnView() {
     const fleet::view& view = follower.View();
     group.SetContacts(peering::StoreAddresses(view));
-    const bool is_founder =
-        settings.is_first_start && view.data_founder == settings.peers_address;
+    const bool is_founder = settings.is_first_start &&
+                            view.members.data_founder == settings.peers_address;
     if (is_founder) group.Found();
     sender.OnEndpoints();
     dispatch.OnView();
--- /dev/null
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -0,0 +1,153 @@
+#include "controller/view_publisher.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <optional>
+
+#include "core/binary.h"
+
+namespace hickorywood::controller {
+namespace {
+
+using std::chrono::milliseconds;
+
+class ViewPublisherTest : public ::testing::Test {
+ protected:
+  ViewPublisherTest() : publisher(loop, clock, Sources()) {
+    publisher.Start();
+    publisher.BeginTerm(1);
+  }
+
+  view_sources Sources() {
+    view_sources sources;
+    sources.endpoints = [this] { return endpoints; };
+    sources.members = [] { return fleet::view_members{}; };
+    sources.weights = [this] { return weights; };
+    sources.config = [this]() -> const fleet::configuration& { return config; };
+    return sources;
+  }
+
+  // A process that holds all that was told so far asks for more.
+  void Ask(std::optional<fleet::view_update>& answer, bool wants_weights,
+           bool holds_nothing = false) {
+    fleet::view_request input;
+    input.wait_ms = 5000;
+    input.wants_weights = wants_weights;
+    if (!holds_nothing) {
+      input.held = held.version;
+      input.held_weights = held.weights_count;
+      input.held_config = held.config.version;
+    }
+    boost::asio::co_spawn(loop, publisher.Answer(input),
+                          [this, &answer](const std::exception_ptr& /*none*/,
+                                          const std::string& update) {
+                            answer =
+                                core::DecodeBinary<fleet::view_update>(update);
+                            fleet::ApplyUpdate(held, *answer);
+                          });
+  }
+
+  void RunUntil(const std::optional<fleet::view_update>& answer) {
+    while (!answer) loop.run_one();
+  }
+
+  // Takes what there is to hold.
+  void CatchUp() {
+    std::optional<fleet::view_update> answer;
+    Ask(answer, true, true);
+    RunUntil(answer);
+  }
+
+  boost::asio::io_context loop;
+  core::runtime_clock clock;
+  std::vector<fleet::endpoint> endpoints;
+  std::vector<fleet::engine_weights_entry> weights;
+  fleet::configuration config;
+  fleet::view held;
+  view_publisher publisher;
+};
+
+// Engines load weights all day, which concerns stores alone. An entry that is
+// answered at each load asks again at once: with 200 entries and 40 loads a
+// second the leader did nothing else.
+TEST_F(ViewPublisherTest, NewsOfWeightsGoesToStoresOnly) {
+  CatchUp();
+  std::optional<fleet::view_update> store;
+  std::optional<fleet::view_update> entry;
+  Ask(entry, false);
+  Ask(store, true);
+  weights = {{"i-1", "m", 2, true}};
+  publisher.NoteWeights();
+  RunUntil(store);
+  loop.poll();
+  EXPECT_EQ(store->weights_part, fleet::list_part::kChanges);
+  ASSERT_EQ(store->weights.size(), 1U);
+  EXPECT_FALSE(entry);
+}
+
+// A hundred endpoints join while an entry asks again and again. It is told of
+// them in a few answers, and at the end it holds them all.
+TEST_F(ViewPublisherTest, NewsIsGatheredWhereManyFollow) {
+  constexpr size_t kFollowers = 50;
+  constexpr size_t kEndpoints = 100;
+  CatchUp();
+  std::vector<std::optional<fleet::view_update>> others(kFollowers);
+  for (auto& other : others) Ask(other, false);
+  size_t answers = 0;
+  std::optional<fleet::view_update> entry;
+  Ask(entry, false);
+  while (endpoints.size() < kEndpoints || held.endpoints.size() < kEndpoints) {
+    if (endpoints.size() < kEndpoints) {
+      fleet::endpoint item;
+      item.incarnation = "i-" + std::to_string(endpoints.size());
+      endpoints.push_back(item);
+      publisher.NoteEndpoints();
+    }
+    loop.poll();
+    loop.restart();
+    if (!entry) continue;
+    ++answers;
+    entry.reset();
+    Ask(entry, false);
+  }
+  EXPECT_LT(answers, kEndpoints / 4);
+}
+
+// A configuration is committed in the middle of a storm of other news. It goes
+// out with the next turn of the loop and does not wait to be gathered.
+TEST_F(ViewPublisherTest, AConfigurationGoesOutAtOnce) {
+  CatchUp();
+  std::optional<fleet::view_update> entry;
+  Ask(entry, false);
+  loop.poll();
+  config.version = 7;
+  publisher.NoteConfiguration();
+  loop.poll();
+  ASSERT_TRUE(entry);
+  EXPECT_TRUE(entry->has_config);
+  EXPECT_EQ(entry->config.version, 7U);
+  EXPECT_EQ(entry->lists, fleet::list_part::kNone);
+}
+
+// The leader loses its lease. Who waits is not kept waiting for its time.
+TEST_F(ViewPublisherTest, InterruptionAnswersAtOnce) {
+  CatchUp();
+  std::optional<fleet::view_update> entry;
+  Ask(entry, false);
+  loop.poll();
+  ASSERT_FALSE(entry);
+  publisher.Interrupt();
+  loop.poll();
+  EXPECT_TRUE(entry);
+}
+
+// However many follow, a leaving endpoint is told of well within two seconds.
+TEST(GatherTimeTest, GrowsWithFollowersUpToABound) {
+  EXPECT_LE(GatherTime(14), milliseconds(20));
+  EXPECT_LT(GatherTime(14), GatherTime(200));
+  EXPECT_LE(GatherTime(100000), milliseconds(500));
+}
+
+}  // namespace
+}  // namespace hickorywood::controller
--- a/tests/unit/fleet/configuration_test.cc
+++ b/tests/unit/fleet/configuration_test.cc
@@ -71,7 +71,7 @@
   update.version = {2, 1};
   update.has_config = true;
   update.config = MakeConfiguration(5);
-  update.has_lists = true;
+  update.lists = list_part::kAll;
   update.endpoints = {{"new"}};
   EXPECT_TRUE(ApplyUpdate(held, update));
   view_update late = update;
@@ -83,7 +83,7 @@
   view_update older_config = update;
   older_config.version = {2, 2};
   older_config.config.version = 4;
-  older_config.has_lists = false;
+  older_config.lists = list_part::kNone;
   ApplyUpdate(held, older_config);
   EXPECT_EQ(held.config.version, 5U);
 }
--- a/tests/unit/fleet/endpoint_registry_test.cc
+++ b/tests/unit/fleet/endpoint_registry_test.cc
@@ -219,5 +219,50 @@
   EXPECT_EQ(Listed(after), IncarnationOf("a", 2000));
 }
 
+// A control instance tells in sums that endpoints go on. They are not thought
+// silent, as if each heartbeat had come by itself.
+TEST(EndpointRegistryTest, RefreshKeepsAnEndpoint) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, Beat("a", 1), kStart);
+  for (int i = 1; i <= 10; ++i) {
+    const core::time_point now = kStart + seconds(i);
+    EXPECT_TRUE(Refresh(registry, {"a", static_cast<uint64_t>(i + 1)}, now));
+    EXPECT_FALSE(ExpireEndpoints(registry, now));
+  }
+  EXPECT_EQ(registry.endpoints.at("a").item.state, endpoint_state::kReady);
+}
+
+// A refresh that was held up says nothing of now.
+TEST(EndpointRegistryTest, OlderRefreshIsNoSignOfLife) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, Beat("a", 9), kStart);
+  EXPECT_TRUE(Refresh(registry, {"a", 8}, kStart + seconds(10)));
+  EXPECT_TRUE(ExpireEndpoints(registry, kStart + seconds(10)));
+}
+
+// Endpoints that are gone, displaced or silent are heard whole again: a refresh
+// tells neither their address nor that the list changes.
+TEST(EndpointRegistryTest, RefreshBringsNobodyBack) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, Beat("a", 1), kStart);
+  TakeHeartbeat(registry, Beat("b", 1), kStart);  // at the same address
+  EXPECT_FALSE(Refresh(registry, {"a", 2}, kStart));
+  ExpireEndpoints(registry, kStart + seconds(10));
+  EXPECT_FALSE(Refresh(registry, {"b", 2}, kStart + seconds(10)));
+  TakeLeave(registry, {"b"}, kStart);
+  EXPECT_FALSE(Refresh(registry, {"b", 3}, kStart));
+  EXPECT_TRUE(registry.endpoints.empty());
+}
+
+// An endpoint moves to an address that another one has.
+TEST(EndpointRegistryTest, AMovedEndpointTakesItsNewPlace) {
+  endpoint_registry registry;
+  TakeHeartbeat(registry, Beat("a", 1, "10.0.0.1:80"), kStart);
+  TakeHeartbeat(registry, Beat("b", 1, "10.0.0.2:80"), kStart);
+  EXPECT_TRUE(TakeHeartbeat(registry, Beat("a", 2, "10.0.0.2:80"), kStart));
+  ASSERT_EQ(registry.endpoints.size(), 1U);
+  EXPECT_EQ(registry.endpoints.count("a"), 1U);
+}
+
 }  // namespace
 }  // namespace hickorywood::fleet
--- /dev/null
+++ b/tests/unit/fleet/view_log_test.cc
@@ -0,0 +1,181 @@
+#include "fleet/view_log.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+#include <string>
+
+namespace hickorywood::fleet {
+namespace {
+
+endpoint MakeEndpoint(int number, const std::string& address) {
+  endpoint item;
+  item.incarnation = "i-" + std::to_string(number);
+  item.name = item.incarnation;
+  item.service = "s";
+  item.address = address;
+  return item;
+}
+
+std::vector<endpoint> MakeEndpoints(int count) {
+  std::vector<endpoint> list;
+  for (int i = 0; i < count; ++i) list.push_back(MakeEndpoint(i, "a:1"));
+  return list;
+}
+
+view_request RequestOf(const view& held) {
+  view_request input;
+  input.held = held.version;
+  input.wants_weights = true;
+  input.held_weights = held.weights_count;
+  return input;
+}
+
+void Follow(view& held, const view_log& log) {
+  ApplyUpdate(held, MakeUpdate(log, RequestOf(held)));
+}
+
+std::vector<endpoint> Sorted(std::vector<endpoint> list) {
+  std::sort(list.begin(), list.end(), [](const auto& left, const auto& right) {
+    return left.incarnation < right.incarnation;
+  });
+  return list;
+}
+
+// A process that follows a thousand endpoints and misses one change gets that
+// one, not the thousand: the leader sends it to every process.
+TEST(ViewLogTest, OneChangeIsToldAlone) {
+  view_log log;
+  BeginTerm(log, 3);
+  std::vector<endpoint> list = MakeEndpoints(1000);
+  ASSERT_TRUE(TellEndpoints(log, list));
+  view held;
+  Follow(held, log);
+  ASSERT_EQ(held.endpoints.size(), 1000U);
+  list[17].state = endpoint_state::kDraining;
+  list.pop_back();
+  ASSERT_TRUE(TellEndpoints(log, list));
+  const view_update update = MakeUpdate(log, RequestOf(held));
+  EXPECT_EQ(update.lists, list_part::kChanges);
+  ASSERT_EQ(update.endpoints.size(), 1U);
+  EXPECT_EQ(update.endpoints[0].state, endpoint_state::kDraining);
+  EXPECT_EQ(update.gone, std::vector<std::string>{"i-999"});
+  EXPECT_TRUE(ApplyUpdate(held, update));
+  EXPECT_EQ(held.endpoints.size(), 999U);
+  EXPECT_FALSE(HasNews(log, RequestOf(held)));
+}
+
+TEST(ViewLogTest, WhatIsToldAgainIsNoNews) {
+  view_log log;
+  BeginTerm(log, 1);
+  EXPECT_TRUE(TellEndpoints(log, MakeEndpoints(2)));
+  EXPECT_FALSE(TellEndpoints(log, MakeEndpoints(2)));
+  EXPECT_TRUE(TellWeights(log, {{"i-0", "m", 4, false}}));
+  EXPECT_FALSE(TellWeights(log, {{"i-0", "m", 4, false}}));
+  EXPECT_TRUE(TellWeights(log, {{"i-0", "m", 4, true}}));
+}
+
+// A process held a version of a leader that is gone. Its successor counts anew,
+// so that the same count says nothing: everything is told whole.
+TEST(ViewLogTest, AnotherTermIsToldWhole) {
+  view_log log;
+  BeginTerm(log, 1);
+  TellEndpoints(log, MakeEndpoints(3));
+  view held;
+  Follow(held, log);
+  BeginTerm(log, 2);
+  TellEndpoints(log, MakeEndpoints(2));
+  ASSERT_EQ(held.version.count, log.count);
+  const view_update update = MakeUpdate(log, RequestOf(held));
+  EXPECT_EQ(update.lists, list_part::kAll);
+  EXPECT_TRUE(ApplyUpdate(held, update));
+  EXPECT_EQ(held.endpoints.size(), 2U);
+}
+
+// A process was frozen while more endpoints went than are remembered.
+TEST(ViewLogTest, WhoIsTooFarBehindIsToldWhole) {
+  view_log log;
+  BeginTerm(log, 1);
+  TellEndpoints(log, MakeEndpoints(1));
+  view held;
+  Follow(held, log);
+  for (int round = 0; round < 6; ++round) {
+    TellEndpoints(log, MakeEndpoints(1000));
+    TellEndpoints(log, MakeEndpoints(1));
+  }
+  const view_update update = MakeUpdate(log, RequestOf(held));
+  EXPECT_EQ(update.lists, list_part::kAll);
+  EXPECT_LT(log.gone.size(), 6000U);
+}
+
+// Changes count from what the asker held. One that holds something else by now
+// must not take them.
+TEST(ViewLogTest, ChangesOfAnotherBaseAreNotTaken) {
+  view_log log;
+  BeginTerm(log, 1);
+  TellEndpoints(log, MakeEndpoints(2));
+  view held;
+  Follow(held, log);
+  TellEndpoints(log, MakeEndpoints(3));
+  view_update update = MakeUpdate(log, RequestOf(held));
+  update.base.count -= 1;
+  EXPECT_FALSE(ApplyUpdate(held, update));
+  EXPECT_EQ(held.endpoints.size(), 2U);
+}
+
+// Whatever changes and whenever a process asks, it holds in the end exactly
+// what the leader told last.
+RC_GTEST_PROP(ViewLogTest, FollowersEndWithTheLeadersLists, ()) {
+  constexpr int kEndpoints = 6;
+  view_log log;
+  BeginTerm(log, 1);
+  view held;
+  std::map<int, std::string> present;
+  std::map<int, uint64_t> versions;
+  const int steps = *rc::gen::inRange(1, 40);
+  for (int step = 0; step < steps; ++step) {
+    const int number = *rc::gen::inRange(0, kEndpoints);
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        present[number] = "a:" + std::to_string(step);
+        break;
+      case 1:
+        present.erase(number);
+        break;
+      case 2:
+        ++versions[number];
+        break;
+      case 3:
+        Follow(held, log);
+        break;
+      default:
+        if (*rc::gen::inRange(0, 10) == 0) BeginTerm(log, log.term + 1);
+        break;
+    }
+    std::vector<endpoint> list;
+    for (const auto& [key, address] : present) {
+      list.push_back(MakeEndpoint(key, address));
+    }
+    std::vector<engine_weights_entry> weights;
+    for (const auto& [key, version] : versions) {
+      weights.push_back({"i-" + std::to_string(key), "m", version, false});
+    }
+    TellEndpoints(log, list);
+    TellWeights(log, weights);
+  }
+  Follow(held, log);
+  std::vector<endpoint> expected;
+  for (const auto& [key, address] : present) {
+    expected.push_back(MakeEndpoint(key, address));
+  }
+  RC_ASSERT(held.endpoints == Sorted(expected));
+  RC_ASSERT(held.weights.size() == versions.size());
+  for (const engine_weights_entry& item : held.weights) {
+    RC_ASSERT(item.version ==
+              versions.at(std::stoi(item.incarnation.substr(2))));
+  }
+}
+
+}  // namespace
+}  // namespace hickorywood::fleet
