--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <optional>
 #include <utility>
 
 #include "core/binary.h"
@@ -26,18 +27,15 @@
 // Counts a process while it waits for news.
 class counted {
  public:
-  explicit counted(size_t& count, bool is_counted = true)
-      : count_(is_counted ? &count : nullptr) {
-    if (count_ != nullptr) ++*count_;
-  }
-  ~counted() {
-    if (count_ != nullptr) --*count_;
+  explicit counted(std::shared_ptr<size_t> count) : count_(std::move(count)) {
+    ++*count_;
   }
+  ~counted() { --*count_; }
   counted(const counted&) = delete;
   counted& operator=(const counted&) = delete;
 
  private:
-  size_t* count_;
+  const std::shared_ptr<size_t> count_;
 };
 
 }  // namespace
@@ -97,7 +95,7 @@
       co_await news.due.WaitUntil(time_point::max());
       continue;
     }
-    const time_point next = news.told_at + GatherTime(news.followers);
+    const time_point next = news.told_at + GatherTime(*news.followers);
     if (clock_.Now() < next) {
       co_await net::Sleep(std::chrono::ceil<milliseconds>(next - clock_.Now()));
     }
@@ -127,7 +125,8 @@
   const milliseconds wait = std::min(milliseconds(input.wait_ms), kLongestWait);
   const time_point until = clock_.Now() + wait;
   const counted follower(lists_.followers);
-  const counted store(weights_.followers, input.wants_weights);
+  std::optional<counted> store;
+  if (input.wants_weights) store.emplace(weights_.followers);
   net::event& told = input.wants_weights ? weights_.told : lists_.told;
   const uint64_t interruptions = interruptions_;
   while (!HasNews(input) && clock_.Now() < until &&
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -60,7 +61,9 @@
   struct gathering {
     bool is_due = false;
     core::time_point told_at{};
-    size_t followers = 0;  // processes that wait for it now
+    // Processes that wait for it now. Shared with those that wait: at the end
+    // of the process their frames go after this object.
+    std::shared_ptr<size_t> followers = std::make_shared<size_t>(0);
     net::event due;
     net::event told;  // wakes those processes
   };
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -166,6 +166,9 @@
        "results can't be read from disk"},
       {event_id::kRewardCallEnded, kInfo, "rollout", "reward call ended"},
       {event_id::kStepsHeld, kInfo, "rollout", "steps held by a new leader"},
+      {event_id::kRunsWithoutLeader, kWarning, "rollout",
+       "runs ended without their leader"},
+      {event_id::kRunnerLost, kWarning, "rollout", "runs of a store lost"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -81,6 +81,8 @@
   kResultsNotRead = 6011,
   kRewardCallEnded = 6012,
   kStepsHeld = 6013,
+  kRunsWithoutLeader = 6014,
+  kRunnerLost = 6015,
 };
 
 struct event_info {
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -34,6 +34,9 @@
 constexpr char kReadResultsMethod[] = "read_results";
 constexpr char kReadTaskMethod[] = "read_task";
 constexpr char kEndStepMethod[] = "end_step";
+// A store asks the data leader for tasks to run, and tells what comes of them.
+constexpr char kTakeOrdersMethod[] = "take_orders";
+constexpr char kReportRunsMethod[] = "report_runs";
 // A store is to be emptied, and whether nothing depends on it any more. At the
 // control leader by instance, at the data leader by peer address.
 constexpr char kRetireMethod[] = "retire";
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -27,10 +27,36 @@
 // Pause of a task that an engine did not take, so that it does not knock again
 // at once.
 constexpr milliseconds kRetryPause{30};
-// Runs that are being started at once. All tasks of some steps in one turn kept
-// the loop of a new leader busy for longer than its followers wait for its
+// Runs that one store is starting at once. All tasks of some steps in one turn
+// kept the loop of a new leader busy for longer than its followers wait for its
 // heartbeat: they elected another one, and that one did the same.
 constexpr size_t kMostStarting = 16;
+// Runs up to which the leader reads all streams itself. A stream has 20 events
+// a second, and 16 us of a core an event: a tenth of a small instance's share
+// each 100 streams, beside what commits take. What comes beyond goes to other
+// stores; below it their calls would cost more than they spare.
+constexpr size_t kMostOwnRuns = 96;
+// Runs of one other store: its streams take as much of it, and losing it loses
+// no more.
+constexpr size_t kMostRunsOfRunner = 128;
+// How long a runner's question is held back: while it has runs, so that silence
+// is seen soon, and while it has none.
+constexpr milliseconds kBusyWait{300};
+constexpr milliseconds kIdleWait{2000};
+// How much later than that an answer may come.
+constexpr milliseconds kAnswerSlack{400};
+// Without an answer for this long a runner ends all its runs, for its leader
+// may have given them to others...
+constexpr milliseconds kLeaderSilence{900};
+// ... which it does after this: later, so that no task runs twice for long.
+constexpr milliseconds kRunnerSilence{1200};
+// Time between two questions within which a runner still gets orders.
+constexpr milliseconds kRunnerGap{200};
+// How long a runner gathers news: ends are wanted soon, since the engine has a
+// place free; the rest only feeds the view of how fast engines are and what a
+// lost leader leaves behind.
+constexpr milliseconds kGatherEnds{25};
+constexpr milliseconds kGatherNews{300};
 // A run stays this long before it may be moved, and a task is moved so often at
 // most: a move costs its prompt to be read again.
 constexpr milliseconds kLeastStay{400};
@@ -47,10 +73,6 @@
 // Time over which the streams of a model are averaged: two or three steps, so
 // that it tells the work of a model and not the moment in its step.
 constexpr std::chrono::duration<double> kDemandMemory{10};
-// Share of a new sample in the smoothed gap between events.
-constexpr double kGapWeight = 0.3;
-// Age after which an engine's gap counts for nothing: it is tried again.
-constexpr std::chrono::seconds kGapLifetime{3};
 // Age of the last task after which a group's prompt counts as dropped by its
 // engine: two steps come and go in it, and a group can reappear in the next.
 constexpr std::chrono::seconds kPromptLifetime{15};
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -39,7 +39,11 @@
       pool_(pool),
       wire_(wire),
       view_(view),
+      own_runs_(loop, clock, pool, wire),
       rewards_(loop, clock, sender, wire, view) {
+  own_runs_.on_report = [this](run_report report) {
+    TakeReport(std::move(report));
+  };
   rewards_.on_end = [this](const task_key& key, reward_end how,
                            const std::string& score) {
     OnScored(key, how, score);
@@ -59,6 +63,8 @@
   is_leading_ = is_leader;
   if (!is_leader) {
     CancelAll();
+    runners_->runners.clear();
+    orders_filled_.Notify();
     rewards_.DropAll();
     steps_.clear();
     outbox_.clear();
@@ -104,10 +110,18 @@
   for (const fleet::endpoint& item : view_.endpoints) {
     newest[item.name] = item.incarnation;
   }
-  EndRuns([&newest](const run& item) {
-    const auto found = newest.find(item.engine.name);
-    return found != newest.end() && found->second != item.engine.incarnation;
-  });
+  std::vector<std::shared_ptr<run>> ending;
+  for (const auto& item : runs_) {
+    const fleet::endpoint& engine = item.second->engine;
+    const auto found = newest.find(engine.name);
+    const bool is_older =
+        found != newest.end() && found->second != engine.incarnation;
+    if (is_older) ending.push_back(item.second);
+  }
+  for (const auto& item : ending) {
+    StopRun(*item);
+    EndRun(item, run_end::kBroken);
+  }
 }
 
 awaitable<void> dispatcher::KeepWatching() {
@@ -121,7 +135,8 @@
     }
     NoteDemands();
     GiveUpOld();
-    EndStalledRuns();
+    own_runs_.EndStalled();
+    LoseSilentRunners();
     MoveStragglers();
     ForgetOldGroups();
     Pump();
@@ -216,7 +231,7 @@
 // --- Starting runs.
 
 struct dispatcher::dispatch_pass {
-  size_t starting = 0;
+  size_t starting = 0;  // on this store
   // By service, model and oldest version.
   std::map<std::tuple<std::string, std::string, uint64_t>, engine_pool> pools;
 };
@@ -242,11 +257,12 @@
   rewards_.Pump();
 }
 
-// Runs whose engine has not answered yet.
+// Runs of this store whose engine has not answered yet.
 size_t dispatcher::Starting() const {
   return static_cast<size_t>(
-      std::count_if(runs_.begin(), runs_.end(),
-                    [](const auto& item) { return !item.second->has_head; }));
+      std::count_if(runs_.begin(), runs_.end(), [](const auto& item) {
+        return item.second->runner.empty() && !item.second->has_head;
+      }));
 }
 
 void dispatcher::PumpStep(const std::string& id, step_run& where,
@@ -259,7 +275,7 @@
     const task_run& task = where.tasks[i];
     if (task.stage != task_stage::kWaiting || task.not_before > now) continue;
     // The rest starts as engines answer.
-    if (pass.starting >= kMostStarting) return;
+    if (!RunnerFor("", pass)) return;
     candidate item;
     item.key = {id, i};
     item.step = &step;
@@ -268,7 +284,6 @@
     const int64_t longest = where.expected[where.order.front()];
     item.is_long = steps::IsLong(where.expected[i], longest);
     if (!TryStart(item, pass)) return;
-    ++pass.starting;
   }
 }
 
@@ -297,11 +312,26 @@
       steps::ChooseEngine(engines.loads, PlacesFor(item, engines));
   if (!choice) return false;
   const fleet::endpoint& engine = *engines.endpoints[*choice];
+  const std::optional<std::string> runner = RunnerFor(engine.zone, pass);
+  if (!runner) return false;
+  if (runner->empty()) ++pass.starting;
   engines_[engine.incarnation].groups[group] = clock_.Now();
-  StartRun(item, engine);
+  StartRun(item, engine, *runner);
   return true;
 }
 
+std::optional<std::string> dispatcher::RunnerFor(
+    const std::string& zone, const dispatch_pass& pass) const {
+  const bool is_own_busy = runs_.size() >= kMostOwnRuns;
+  if (is_own_busy) {
+    const auto other = ChooseRunner(*runners_, zone, clock_.Now());
+    if (other) return other;
+  }
+  // Without another store with room the leader carries on by itself.
+  if (pass.starting < kMostStarting) return "";
+  return std::nullopt;
+}
+
 // Streams on an engine up to which a task may be started there.
 int64_t dispatcher::PlacesFor(const candidate& item,
                               const engine_pool& pool) const {
@@ -343,7 +373,7 @@
       continue;
     }
     const engine_record& record = engines_[item.incarnation];
-    gaps.push_back(now - record.gap_at < kGapLifetime ? record.gap_ms : 0);
+    gaps.push_back(steps::GapMillis(record.gap, now));
     steps::engine_load load;
     load.incarnation = item.incarnation;
     load.slots = item.slots;
@@ -383,45 +413,4 @@
   }
 }
 
-void dispatcher::StartRun(const candidate& item,
-                          const fleet::endpoint& engine) {
-  task_run& task = *FindTask(item.key);
-  task.stage = task_stage::kRunning;
-  ++engines_[engine.incarnation].running;
-  fleet::dispatch_terms terms;
-  terms.time_left = kTaskTime;
-  terms.endpoint = engine.name;
-  if (task.text.events > 0) terms.last_event = task.text.events;
-  const steps::submission& step = item.step->input;
-  const steps::task& spec = step.tasks[item.key.task];
-  steps::text_rules rules;
-  rules.minimum_version = step.minimum_version;
-  rules.is_single_version = item.terms->is_single_version;
-  auto self = std::make_shared<run>();
-  self->key = item.key;
-  self->engine = engine;
-  self->model = step.model;
-  self->events_at_start = task.text.events;
-  self->started_at = clock_.Now();
-  self->heard_at = self->started_at;
-  self->patience = kFirstEventTimeout;
-  runs_[item.key] = self;
-  LogEvent(
-      event_id::kTaskDispatched,
-      {{"task", spec.id},
-       {"step", item.key.step},
-       {"endpoint", engine.incarnation},
-       {"after_event", Text(task.text.events)},
-       {"failures", std::to_string(task.failures)},
-       {"expected",
-        std::to_string(steps_.at(item.key.step).expected[item.key.task])},
-       {"in_batch", std::to_string(engines_[engine.incarnation].running)}});
-  net::SpawnCancellable(
-      loop_, Run(self, wire_.EncodeTask(step, spec, terms), rules),
-      self->cancel,
-      [this, self](const std::exception_ptr& failure, run_end how) {
-        EndRun(self, failure ? run_end::kMoved : how);
-      });
-}
-
 }  // namespace hickorywood::store
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -26,12 +26,17 @@
 #include "net/connection_pool.h"
 #include "net/event.h"
 #include "net/spawn.h"
+#include "peering/messages.h"
+#include "steps/event_gap.h"
 #include "steps/event_text.h"
 #include "steps/pacing.h"
 #include "steps/task_choice.h"
 #include "store/reward_caller.h"
+#include "store/runner_book.h"
 #include "store/step_state.h"
 #include "store/task_key.h"
+#include "store/task_run.h"
+#include "store/task_runner.h"
 
 namespace hickorywood::store {
 
@@ -50,6 +55,10 @@
   void OnApplied();
   // The endpoints, their weights or the configuration changed.
   void OnView();
+  // What other stores that run tasks ask and tell. kNotLeader while this
+  // instance does not hold a live lease.
+  boost::asio::awaitable<peering::envelope> HandleRunner(std::string method,
+                                                         std::string payload);
   // Of the models whose tasks run here; empty while this instance does not
   // lead.
   std::vector<fleet::model_demand> Demands() const;
@@ -88,35 +97,22 @@
   // What is known of one engine beside its registration.
   struct engine_record {
     int64_t running = 0;
-    double gap_ms = 0;  // time between events, smoothed; 0: not known
-    core::time_point gap_at{};
+    steps::event_gap gap;
     core::time_point avoid_until{};
     int failures = 0;  // in a row
     // Groups whose prompt it has read, with the time of the last task.
     std::map<std::string, core::time_point> groups;
     std::map<std::string, weights_at_engine> weights;  // by model
   };
-  enum class run_end {
-    kComplete,
-    kFailed,      // the engine answered that the attempt failed
-    kImpossible,  // the task can never be done
-    kNotRun,      // the engine did not take it
-    kBroken,      // cut, silent or spoiled midway
-    kUnusable,    // made under weights that the step does not allow
-    kMoved,       // given up here to go on elsewhere
-  };
   struct run {
+    uint64_t id = 0;
     task_key key;
     fleet::endpoint engine;
     std::string model;
+    std::string runner;  // store that runs it; empty: this one
     uint64_t events_at_start = 0;
     core::time_point started_at{};
-    bool is_moving = false;
     bool has_head = false;  // the engine has answered
-    bool is_stalled = false;
-    core::time_point heard_at{};  // the last event, or the start
-    core::milliseconds patience{0};
-    net::cancel_signal cancel = net::MakeCancelSignal();
   };
   // The engines that may run the tasks of a step, and what is known of them.
   struct engine_pool {
@@ -153,17 +149,25 @@
   int64_t PlacesFor(const candidate& item, const engine_pool& pool) const;
   engine_pool GatherEngines(const std::string& service,
                             const std::string& model, uint64_t minimum_version);
-  void StartRun(const candidate& item, const fleet::endpoint& engine);
-  boost::asio::awaitable<run_end> Run(std::shared_ptr<run> self,
-                                      net::request input,
-                                      steps::text_rules rules);
-  boost::asio::awaitable<run_end> ReadText(std::shared_ptr<run> self,
-                                           net::connection& from,
-                                           const steps::text_rules& rules,
-                                           std::optional<uint64_t> version);
+  // Where a run at an engine of `zone` may start: a store's peer address, or
+  // empty for this one. No value: nowhere now.
+  std::optional<std::string> RunnerFor(const std::string& zone,
+                                       const dispatch_pass& pass) const;
+  void StartRun(const candidate& item, const fleet::endpoint& engine,
+                const std::string& runner);
+  run_order MakeOrder(const candidate& item, const run& self) const;
+  boost::asio::awaitable<peering::envelope> TakeOrdersRequest(
+      std::string payload);
+  peering::envelope TakeReportsRequest(const std::string& payload);
+  void TakeReport(run_report report);
+  void NoteHead(run& self, uint64_t weights_version);
+  // Takes a run off the lists. What it still does is not heard.
+  void Forget(const run& ended);
+  void StopRun(const run& ending);
+  void LoseRuns(const std::string& runner, const std::vector<uint64_t>& runs);
+  void LoseSilentRunners();
   void EndRun(const std::shared_ptr<run>& ended, run_end how);
   void NoteEngine(const std::string& incarnation, run_end how);
-  void NoteGap(const std::string& incarnation, core::milliseconds gap);
   // The text of a task is whole: it is scored, or finished.
   void TakeWholeText(const task_key& key);
   void OnScored(const task_key& key, reward_end how, const std::string& score);
@@ -173,9 +177,7 @@
   void GiveUpOld();
   void ForgetOldGroups();
   static void ForgetPrompts(engine_record& record, const std::string& model);
-  void EndStalledRuns();
   void EndRunsOfOlderStarts();
-  void EndRuns(const std::function<bool(const run&)>& is_lost);
   void MoveStragglers();
   void CancelRuns(const std::string& step);
   void CancelAll();
@@ -195,6 +197,13 @@
   std::map<std::string, step_run> steps_;
   std::map<std::string, engine_record> engines_;  // by incarnation
   std::map<task_key, std::shared_ptr<run>> runs_;
+  std::map<uint64_t, std::shared_ptr<run>> runs_by_id_;
+  uint64_t latest_run_ = 0;
+  task_runner own_runs_;
+  // Shared with the questions that wait: at the end of the process their frames
+  // go after this object.
+  std::shared_ptr<runner_book> runners_ = std::make_shared<runner_book>();
+  net::event orders_filled_;
   std::vector<step_results> outbox_;
   net::event outbox_filled_;
   net::event wake_;
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -199,42 +199,22 @@
       if (now - where.opened_at < lifetime + kLifetimeSlack) continue;
       const auto running = runs_.find({id, i});
       if (running != runs_.end()) {
-        net::Cancel(running->second->cancel);
+        const std::shared_ptr<run> ending = running->second;
+        StopRun(*ending);
+        Forget(*ending);
       }
       Finish({id, i}, false);
     }
   }
 }
 
-// Ends runs whose engine has been silent for too long. One pass over all in
-// place of a timer for each read: a stream has a read for every 30 ms.
-void dispatcher::EndStalledRuns() {
-  const time_point now = clock_.Now();
-  EndRuns(
-      [now](const run& item) { return now - item.heard_at > item.patience; });
-}
-
-// Ends the runs that nothing more will come of.
-void dispatcher::EndRuns(const std::function<bool(const run&)>& is_lost) {
-  std::vector<std::shared_ptr<run>> ending;
-  for (const auto& item : runs_) {
-    const bool is_new = !item.second->is_stalled;
-    if (is_new && is_lost(*item.second)) ending.push_back(item.second);
-  }
-  for (const auto& item : ending) {
-    item->is_stalled = true;
-    net::Cancel(item->cancel);
-  }
-}
-
 // Takes runs off engines that are clearly slower than others with room. Without
 // it one slow engine holds up every group that has a task on it.
 void dispatcher::MoveStragglers() {
   std::vector<std::shared_ptr<run>> moving;
   std::map<std::string, engine_pool> by_step;
   for (const auto& [key, item] : runs_) {
-    const bool is_settled =
-        clock_.Now() - item->started_at >= kLeastStay && !item->is_moving;
+    const bool is_settled = clock_.Now() - item->started_at >= kLeastStay;
     const task_run* task = FindTask(key);
     if (!is_settled || task == nullptr || task->moves >= kMostMoves) continue;
     const auto step = state_.Steps().find(key.step);
@@ -256,9 +236,9 @@
     if (steps::IsWorthMoving(*own, loads)) moving.push_back(item);
   }
   for (const auto& item : moving) {
-    item->is_moving = true;
     if (task_run* const task = FindTask(item->key)) ++task->moves;
-    net::Cancel(item->cancel);
+    StopRun(*item);
+    EndRun(item, run_end::kMoved);
   }
 }
 
@@ -268,20 +248,20 @@
     if (key.step == step) ending.push_back(item);
   }
   for (const auto& item : ending) {
-    runs_.erase(item->key);
-    net::Cancel(item->cancel);
+    StopRun(*item);
+    Forget(*item);
   }
 }
 
 void dispatcher::CancelAll() {
   rewards_.Suspend();
-  std::map<task_key, std::shared_ptr<run>> ending = std::move(runs_);
-  runs_.clear();
-  for (const auto& item : ending) {
-    if (task_run* const task = FindTask(item.first)) {
+  const std::map<task_key, std::shared_ptr<run>> ending = runs_;
+  for (const auto& [key, item] : ending) {
+    if (task_run* const task = FindTask(key)) {
       task->stage = task_stage::kWaiting;
     }
-    net::Cancel(item.second->cancel);
+    StopRun(*item);
+    Forget(*item);
   }
 }
 
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/binary.h"
 #include "core/events.h"
-#include "net/spawn.h"
+#include "group/leader_calls.h"
 #include "store/dispatch_limits.h"
 #include "store/dispatcher.h"
 
@@ -20,91 +21,213 @@
 
 }  // namespace
 
-awaitable<dispatcher::run_end> dispatcher::Run(std::shared_ptr<run> self,
-                                               net::request input,
-                                               steps::text_rules rules) {
-  std::unique_ptr<net::connection> open = co_await pool_.Acquire(
-      self->engine.address, clock_.Now() + kConnectTimeout);
-  if (!open) co_return run_end::kNotRun;
-  const time_point deadline = clock_.Now() + kFirstEventTimeout;
-  const bool is_written = co_await open->Write(input, deadline);
-  if (!is_written) co_return run_end::kBroken;
-  net::response head;
-  const bool has_head = co_await open->ReadHead(head, deadline);
-  if (!has_head) co_return run_end::kBroken;
-  self->has_head = true;
-  SchedulePump();
-  const fleet::answer_marks marks = wire_.DecodeMarks(head);
-  if (marks.is_not_run) co_return run_end::kNotRun;
-  if (head.status == 422) co_return run_end::kImpossible;
-  if (head.status != 200 || !marks.IsSigned()) co_return run_end::kFailed;
-  if (marks.weights_version) {
-    // Newer than what the view says, where the leader has not heard yet.
-    engine_record& record = engines_[self->engine.incarnation];
-    uint64_t& known = record.weights[self->model].version;
-    if (*marks.weights_version > known) ForgetPrompts(record, self->model);
-    known = std::max(known, *marks.weights_version);
+void dispatcher::StartRun(const candidate& item, const fleet::endpoint& engine,
+                          const std::string& runner) {
+  task_run& task = *FindTask(item.key);
+  task.stage = task_stage::kRunning;
+  ++engines_[engine.incarnation].running;
+  const steps::submission& step = item.step->input;
+  auto self = std::make_shared<run>();
+  self->id = ++latest_run_;
+  self->key = item.key;
+  self->engine = engine;
+  self->model = step.model;
+  self->runner = runner;
+  self->events_at_start = task.text.events;
+  self->started_at = clock_.Now();
+  runs_[item.key] = self;
+  runs_by_id_[self->id] = self;
+  LogEvent(
+      event_id::kTaskDispatched,
+      {{"task", step.tasks[item.key.task].id},
+       {"step", item.key.step},
+       {"endpoint", engine.incarnation},
+       {"runner", runner},
+       {"after_event", Text(task.text.events)},
+       {"failures", std::to_string(task.failures)},
+       {"expected",
+        std::to_string(steps_.at(item.key.step).expected[item.key.task])},
+       {"in_batch", std::to_string(engines_[engine.incarnation].running)}});
+  run_order order = MakeOrder(item, *self);
+  if (runner.empty()) {
+    own_runs_.Start(std::move(order));
+    return;
   }
-  const task_run* task = FindTask(self->key);
-  if (task == nullptr) co_return run_end::kMoved;
-  if (!steps::MayContinue(task->text, rules, marks.weights_version)) {
-    co_return run_end::kUnusable;
+  AddOrder(*runners_, runner, std::move(order));
+  orders_filled_.Notify();
+}
+
+run_order dispatcher::MakeOrder(const candidate& item, const run& self) const {
+  const steps::submission& step = item.step->input;
+  const steps::generated_text& text =
+      steps_.at(item.key.step).tasks[item.key.task].text;
+  fleet::dispatch_terms terms;
+  terms.time_left = kTaskTime;
+  terms.endpoint = self.engine.name;
+  if (text.events > 0) terms.last_event = text.events;
+  net::request input = wire_.EncodeTask(step, step.tasks[item.key.task], terms);
+  run_order order;
+  order.run = self.id;
+  order.incarnation = self.engine.incarnation;
+  order.address = self.engine.address;
+  order.target = std::move(input.target);
+  order.headers = std::move(input.headers);
+  order.body = std::move(input.body);
+  order.events = text.events;
+  order.versions = text.versions;
+  order.minimum_version = step.minimum_version;
+  order.is_single_version = item.terms->is_single_version;
+  return order;
+}
+
+// --- Other stores that run tasks.
+
+awaitable<peering::envelope> dispatcher::HandleRunner(std::string method,
+                                                      std::string payload) {
+  if (!is_leading_ || !group_.IsServing()) co_return group::NotLeader(group_);
+  if (method == peering::kTakeOrdersMethod) {
+    co_return co_await TakeOrdersRequest(std::move(payload));
   }
-  const run_end how =
-      co_await ReadText(self, *open, rules, marks.weights_version);
-  if (how == run_end::kComplete) pool_.Release(std::move(open));
-  co_return how;
+  co_return TakeReportsRequest(payload);
 }
 
-awaitable<dispatcher::run_end> dispatcher::ReadText(
-    std::shared_ptr<run> self, net::connection& from,
-    const steps::text_rules& rules, std::optional<uint64_t> version) {
-  const steps::version_reader read = [this](const std::string& field,
-                                            const std::string& value) {
-    return wire_.EventVersion(field, value);
+namespace {
+
+// Tells the book when a question ends without an answer: its asker is gone.
+class open_question {
+ public:
+  open_question(std::shared_ptr<runner_book> book, const orders_request& input,
+                const core::runtime_clock& clock)
+      : book_(std::move(book)),
+        runner_(input.runner),
+        session_(input.session),
+        clock_(clock) {}
+  ~open_question() {
+    if (!is_answered_) NoteAbandoned(*book_, runner_, session_, clock_.Now());
+  }
+  open_question(const open_question&) = delete;
+  open_question& operator=(const open_question&) = delete;
+
+  void Close() { is_answered_ = true; }
+
+ private:
+  const std::shared_ptr<runner_book> book_;
+  const std::string runner_;
+  const std::string session_;
+  const core::runtime_clock& clock_;
+  bool is_answered_ = false;
+};
+
+}  // namespace
+
+awaitable<peering::envelope> dispatcher::TakeOrdersRequest(
+    std::string payload) {
+  const auto input = core::DecodeBinary<orders_request>(payload);
+  if (!input) co_return group::Malformed();
+  // A question of before this store led.
+  if (input->runner == group_.OwnAddress()) co_return peering::envelope{};
+  LoseRuns(input->runner, TakeQuestion(*runners_, *input, clock_.Now()));
+  SchedulePump();
+  open_question asked(runners_, *input, clock_);
+  const milliseconds wait = std::min(milliseconds(input->wait_ms), kIdleWait);
+  const time_point until = clock_.Now() + wait;
+  const auto is_known = [this, &input] {
+    return IsKnown(*runners_, input->runner, input->session);
   };
-  std::string buffer;
-  for (;;) {
-    const net::body_state state =
-        co_await from.ReadSome(buffer, time_point::max());
-    if (state == net::body_state::kBroken) co_return run_end::kBroken;
-    task_run* const task = FindTask(self->key);
-    if (task == nullptr) co_return run_end::kMoved;
-    while (const auto fields = steps::TakeEvent(buffer)) {
-      const steps::event_verdict verdict =
-          steps::AddEvent(task->text, *fields, rules, read, version);
-      if (verdict == steps::event_verdict::kSpoiled) co_return run_end::kBroken;
-      if (verdict != steps::event_verdict::kTaken) {
-        co_return run_end::kUnusable;
-      }
-      const time_point now = clock_.Now();
-      const bool is_first = task->text.events == self->events_at_start + 1;
-      if (!is_first) {
-        NoteGap(self->engine.incarnation,
-                std::chrono::duration_cast<milliseconds>(now - self->heard_at));
-      }
-      self->heard_at = now;
-      self->patience = kEventTimeout;
-    }
-    if (state != net::body_state::kEnd) continue;
-    co_return buffer.empty() ? run_end::kComplete : run_end::kBroken;
+  while (is_known() && !HasOrders(*runners_, input->runner) &&
+         clock_.Now() < until) {
+    co_await orders_filled_.WaitUntil(until);
+  }
+  asked.Close();
+  // Leadership, or the lease, may have ended while the answer was held back. A
+  // book that was begun anew knows the runner once it asks again.
+  if (!is_known() || !group_.IsServing()) co_return group::NotLeader(group_);
+  const orders_answer answer =
+      MakeAnswer(*runners_, input->runner, group_.Term(), clock_.Now());
+  co_return group::Done(core::EncodeBinary(answer));
+}
+
+peering::envelope dispatcher::TakeReportsRequest(const std::string& payload) {
+  auto input = core::DecodeBinary<reports_request>(payload);
+  if (!input) return group::Malformed();
+  if (!IsKnown(*runners_, input->runner, input->session)) {
+    return {peering::call_outcome::kNotFound, "", "no such session", ""};
+  }
+  // Reports that came before are acknowledged again, and count once.
+  if (TakeReports(*runners_, *input, clock_.Now())) {
+    for (run_report& report : input->reports) TakeReport(std::move(report));
   }
+  return group::Done();
+}
+
+void dispatcher::LoseRuns(const std::string& runner,
+                          const std::vector<uint64_t>& runs) {
+  if (runs.empty()) return;
+  LogEvent(event_id::kRunnerLost,
+           {{"runner", runner}, {"runs", std::to_string(runs.size())}});
+  for (const uint64_t id : runs) {
+    const auto found = runs_by_id_.find(id);
+    if (found == runs_by_id_.end()) continue;
+    // The engine is not to blame.
+    EndRun(std::shared_ptr<run>(found->second), run_end::kMoved);
+  }
+}
+
+void dispatcher::LoseSilentRunners() {
+  for (const auto& [runner, runs] : LoseSilent(*runners_, clock_.Now())) {
+    LoseRuns(runner, runs);
+  }
+}
+
+// --- What comes of a run.
+
+void dispatcher::TakeReport(run_report report) {
+  const auto found = runs_by_id_.find(report.run);
+  if (found == runs_by_id_.end()) return;
+  const std::shared_ptr<run> self = found->second;
+  task_run* const task = FindTask(self->key);
+  if (task == nullptr) return;
+  if (report.has_head && !self->has_head) {
+    NoteHead(*self, report.weights_version);
+  }
+  steps::generated_text& text = task->text;
+  text.events += report.data.size();
+  for (std::string& data : report.data) text.data.push_back(std::move(data));
+  if (!report.versions.empty()) text.versions = std::move(report.versions);
+  steps::NoteEvents(engines_[self->engine.incarnation].gap,
+                    milliseconds(report.span_ms), report.spanned, clock_.Now());
+  if (report.is_over) EndRun(self, report.how);
+}
+
+void dispatcher::NoteHead(run& self, uint64_t weights_version) {
+  self.has_head = true;
+  SchedulePump();
+  if (weights_version == 0) return;
+  // Newer than what the view says, where the leader has not heard yet.
+  engine_record& record = engines_[self.engine.incarnation];
+  uint64_t& known = record.weights[self.model].version;
+  if (weights_version > known) ForgetPrompts(record, self.model);
+  known = std::max(known, weights_version);
+}
+
+void dispatcher::Forget(const run& ended) {
+  --engines_[ended.engine.incarnation].running;
+  if (!ended.runner.empty()) NoteOver(*runners_, ended.runner, ended.id);
+  runs_by_id_.erase(ended.id);
+  runs_.erase(task_key(ended.key));
+}
+
+void dispatcher::StopRun(const run& ending) {
+  if (ending.runner.empty()) {
+    own_runs_.Cancel(ending.id);
+    return;
+  }
+  CancelRun(*runners_, ending.runner, ending.id);
+  orders_filled_.Notify();
 }
 
 void dispatcher::EndRun(const std::shared_ptr<run>& ended, run_end how) {
-  static constexpr const char* kWords[] = {"complete", "failed", "impossible",
-                                           "not_run",  "broken", "unusable",
-                                           "moved"};
-  engine_record& engine = engines_[ended->engine.incarnation];
-  --engine.running;
-  const auto found = runs_.find(ended->key);
-  const bool is_current = found != runs_.end() && found->second == ended;
-  if (!is_current) return;
-  runs_.erase(found);
-  // A run that was taken off its engine ends as if the engine had cut it, and
-  // one whose engine is silent as if it had been taken off.
-  if (ended->is_moving && how == run_end::kBroken) how = run_end::kMoved;
-  if (ended->is_stalled && how == run_end::kMoved) how = run_end::kBroken;
+  Forget(*ended);
   NoteEngine(ended->engine.incarnation, how);
   task_run* const task = FindTask(ended->key);
   if (task == nullptr) return;
@@ -114,7 +237,7 @@
   LogEvent(event_id::kTaskRunEnded, {{"step", ended->key.step},
                                      {"task", Text(ended->key.task)},
                                      {"endpoint", ended->engine.incarnation},
-                                     {"how", kWords[static_cast<size_t>(how)]},
+                                     {"how", WordOf(how)},
                                      {"events", Text(task->text.events)},
                                      {"ms", std::to_string(took.count())}});
   switch (how) {
@@ -163,14 +286,4 @@
   engine.avoid_until = clock_.Now() + kAvoidAfterFailure * (1 << doublings);
 }
 
-void dispatcher::NoteGap(const std::string& incarnation, milliseconds gap) {
-  engine_record& engine = engines_[incarnation];
-  const auto sample = static_cast<double>(gap.count());
-  const bool is_fresh = clock_.Now() - engine.gap_at < kGapLifetime;
-  engine.gap_ms = is_fresh && engine.gap_ms > 0
-                      ? engine.gap_ms + kGapWeight * (sample - engine.gap_ms)
-                      : sample;
-  engine.gap_at = clock_.Now();
-}
-
 }  // namespace hickorywood::store
--- a/packages/store/reward_caller.cc
+++ b/packages/store/reward_caller.cc
@@ -39,10 +39,20 @@
 
 void reward_caller::Pump() {
   const time_point now = clock_.Now();
+  // Places left at each route. Counted once for all jobs: counted for each, it
+  // went over all endpoints and took an eighth of a busy leader's processor.
+  std::map<const fleet::route*, int64_t> room;
+  const auto room_at = [this, &room](const fleet::route* where) -> int64_t& {
+    const auto [found, is_new] = room.try_emplace(where, 0);
+    if (is_new) found->second = RoomAt(*where);
+    return found->second;
+  };
   std::vector<steps::waiting_reward> waiting;
   std::vector<std::shared_ptr<job_state>> owners;
   for (const auto& [key, job] : jobs_) {
     if (job->is_sent || job->not_before > now) continue;
+    const fleet::route* where = RouteOf(job->job);
+    if (where == nullptr || room_at(where) <= 0) continue;
     steps::waiting_reward item;
     item.open_in_group = open_in_group(key);
     item.opened_at = job->job.opened_at;
@@ -52,7 +62,10 @@
   }
   for (const size_t index : steps::OrderRewards(waiting)) {
     const fleet::route* where = RouteOf(owners[index]->job);
-    if (where != nullptr && HasRoom(*where)) Start(owners[index], *where);
+    int64_t& left = room_at(where);
+    if (left <= 0) continue;
+    --left;
+    Start(owners[index], *where);
   }
 }
 
@@ -75,9 +88,9 @@
   return slots;
 }
 
-bool reward_caller::HasRoom(const fleet::route& where) {
+int64_t reward_caller::RoomAt(const fleet::route& where) {
   const route_state& state = routes_[where.name];
-  return state.running < routing::AllowedNow(state.limit, SlotsOf(where));
+  return routing::AllowedNow(state.limit, SlotsOf(where)) - state.running;
 }
 
 void reward_caller::Start(const std::shared_ptr<job_state>& job,
--- a/packages/store/reward_caller.h
+++ b/packages/store/reward_caller.h
@@ -77,7 +77,8 @@
 
   const fleet::route* RouteOf(const reward_job& job) const;
   int64_t SlotsOf(const fleet::route& where) const;
-  bool HasRoom(const fleet::route& where);
+  // Requests that may be sent now.
+  int64_t RoomAt(const fleet::route& where);
   void Start(const std::shared_ptr<job_state>& job, fleet::route where);
   void End(const std::shared_ptr<job_state>& job, const fleet::route& where,
            core::time_point started, const routing::send_outcome& outcome);
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -14,6 +14,7 @@
 #include "peering/peer_interface.h"
 #include "peering/view_follower.h"
 #include "store/dispatcher.h"
+#include "store/remote_runner.h"
 #include "store/step_service.h"
 #include "store/step_state.h"
 
@@ -39,6 +40,10 @@
   return options;
 }
 
+remote_runner_options RunnerOptions(const settings::node_settings& settings) {
+  return {settings.peers_address, settings.zone};
+}
+
 step_service_options ServiceOptions(const settings::node_settings& settings) {
   step_service_options options;
   options.step_retention = settings.step_retention;
@@ -64,6 +69,9 @@
         sender(io, runtime, pool, wire, follower.View(), node.zone),
         dispatch(io, runtime, group, state, pool, sender, wire,
                  follower.View()),
+        leader(pool, {}),
+        runner(io, runtime, pool, wire, leader, RunnerOptions(node),
+               [this] { return group.IsServing(); }),
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
     group.on_leadership = [this](bool is_leader) {
@@ -86,6 +94,7 @@
   void OnView() {
     const fleet::view& view = follower.View();
     group.SetContacts(peering::StoreAddresses(view));
+    leader.SetControllers(peering::StoreAddresses(view));
     const bool is_founder = settings.is_first_start &&
                             view.members.data_founder == settings.peers_address;
     if (is_founder) group.Found();
@@ -117,13 +126,22 @@
           return group.Receive(std::move(payload));
         },
         [this](std::string method, std::string payload) {
-          return service.Handle(std::move(method), std::move(payload));
+          return Handle(std::move(method), std::move(payload));
         });
   }
 
+  awaitable<peering::envelope> Handle(std::string method, std::string payload) {
+    const bool is_of_runner = method == peering::kTakeOrdersMethod ||
+                              method == peering::kReportRunsMethod;
+    return is_of_runner
+               ? dispatch.HandleRunner(std::move(method), std::move(payload))
+               : service.Handle(std::move(method), std::move(payload));
+  }
+
   awaitable<void> Stop() {
     LogEvent(event_id::kProcessStopping, {{"instance", settings.id}});
     dispatch.OnLeadership(false);
+    runner.Stop();
     group.HandOver();
     co_await net::Sleep(kHandOverTime);
     peers.StopAccepting();
@@ -141,6 +159,8 @@
   step_service service;
   routing::request_sender sender;
   dispatcher dispatch;
+  peering::leader_caller leader;  // of the data group
+  remote_runner runner;
   net::listener peers;
   bool has_steps_to_note = false;
 };
@@ -158,6 +178,7 @@
   impl_->group.SetLeaving(impl_->state.Retired());
   impl_->service.Start();
   impl_->dispatch.Start();
+  impl_->runner.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
 }
--- /dev/null
+++ b/packages/store/task_run.cc
@@ -0,0 +1,50 @@
+#include "store/task_run.h"
+
+#include <iterator>
+#include <utility>
+
+namespace hickorywood::store {
+namespace {
+
+template <typename Item>
+void Append(std::vector<Item>& list, std::vector<Item>& further) {
+  list.insert(list.end(), std::make_move_iterator(further.begin()),
+              std::make_move_iterator(further.end()));
+}
+
+}  // namespace
+
+const char* WordOf(run_end how) {
+  switch (how) {
+    case run_end::kComplete:
+      return "complete";
+    case run_end::kFailed:
+      return "failed";
+    case run_end::kImpossible:
+      return "impossible";
+    case run_end::kNotRun:
+      return "not_run";
+    case run_end::kBroken:
+      return "broken";
+    case run_end::kUnusable:
+      return "unusable";
+    case run_end::kMoved:
+      return "moved";
+  }
+  return "broken";
+}
+
+void Merge(run_report& earlier, run_report later) {
+  earlier.has_head = earlier.has_head || later.has_head;
+  if (later.weights_version != 0) {
+    earlier.weights_version = later.weights_version;
+  }
+  Append(earlier.data, later.data);
+  earlier.span_ms += later.span_ms;
+  earlier.spanned += later.spanned;
+  if (!later.versions.empty()) earlier.versions = std::move(later.versions);
+  earlier.is_over = later.is_over;
+  earlier.how = later.how;
+}
+
+}  // namespace hickorywood::store
--- /dev/null
+++ b/packages/store/task_runner.cc
@@ -0,0 +1,185 @@
+#include "store/task_runner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "store/dispatch_limits.h"
+
+namespace hickorywood::store {
+namespace {
+
+using boost::asio::awaitable;
+using core::time_point;
+
+net::request RequestOf(run_order& order) {
+  net::request input;
+  input.target = std::move(order.target);
+  input.headers = std::move(order.headers);
+  input.body = std::move(order.body);
+  return input;
+}
+
+}  // namespace
+
+task_runner::task_runner(boost::asio::io_context& loop,
+                         const core::runtime_clock& clock,
+                         net::connection_pool& pool,
+                         const fleet::protocol& wire)
+    : loop_(loop), clock_(clock), pool_(pool), wire_(wire) {}
+
+void task_runner::Start(run_order order) {
+  auto self = std::make_shared<active_run>();
+  self->rules.minimum_version = order.minimum_version;
+  self->rules.is_single_version = order.is_single_version;
+  self->text.events = order.events;
+  self->text.versions = order.versions;
+  self->heard_at = clock_.Now();
+  self->patience = kFirstEventTimeout;
+  self->order = std::move(order);
+  runs_[self->order.run] = self;
+  net::SpawnCancellable(
+      loop_, Run(self), self->cancel,
+      [this, self](const std::exception_ptr& failure, run_end how) {
+        EndRun(self, failure ? run_end::kMoved : how);
+      });
+}
+
+bool task_runner::IsCurrent(const std::shared_ptr<active_run>& one) const {
+  const auto found = runs_.find(one->order.run);
+  return found != runs_.end() && found->second == one;
+}
+
+awaitable<run_end> task_runner::Run(std::shared_ptr<active_run> self) {
+  std::unique_ptr<net::connection> open = co_await pool_.Acquire(
+      self->order.address, clock_.Now() + kConnectTimeout);
+  if (!open) co_return run_end::kNotRun;
+  const time_point deadline = clock_.Now() + kFirstEventTimeout;
+  const net::request input = RequestOf(self->order);
+  const bool is_written = co_await open->Write(input, deadline);
+  if (!is_written) co_return run_end::kBroken;
+  net::response head;
+  const bool has_head = co_await open->ReadHead(head, deadline);
+  if (!has_head) co_return run_end::kBroken;
+  const fleet::answer_marks marks = wire_.DecodeMarks(head);
+  if (marks.is_not_run) co_return run_end::kNotRun;
+  if (head.status == 422) co_return run_end::kImpossible;
+  if (head.status != 200 || !marks.IsSigned()) co_return run_end::kFailed;
+  self->has_head = true;
+  run_report begun;
+  begun.run = self->order.run;
+  begun.has_head = true;
+  begun.weights_version = marks.weights_version.value_or(0);
+  if (IsCurrent(self)) on_report(std::move(begun));
+  const bool may_go_on =
+      steps::MayContinue(self->text, self->rules, marks.weights_version);
+  if (!may_go_on) co_return run_end::kUnusable;
+  const run_end how = co_await ReadText(self, *open, marks.weights_version);
+  if (how == run_end::kComplete) pool_.Release(std::move(open));
+  co_return how;
+}
+
+awaitable<run_end> task_runner::ReadText(std::shared_ptr<active_run> self,
+                                         net::connection& from,
+                                         std::optional<uint64_t> version) {
+  std::string buffer;
+  for (;;) {
+    const net::body_state state =
+        co_await from.ReadSome(buffer, time_point::max());
+    if (state == net::body_state::kBroken) co_return run_end::kBroken;
+    if (!IsCurrent(self)) co_return run_end::kMoved;
+    const auto spoiled = TakeEvents(*self, buffer, version);
+    if (spoiled) co_return *spoiled;
+    if (state != net::body_state::kEnd) continue;
+    co_return buffer.empty() ? run_end::kComplete : run_end::kBroken;
+  }
+}
+
+std::optional<run_end> task_runner::TakeEvents(
+    active_run& self, std::string& buffer, std::optional<uint64_t>& version) {
+  const steps::version_reader read = [this](const std::string& field,
+                                            const std::string& value) {
+    return wire_.EventVersion(field, value);
+  };
+  run_report news;
+  news.run = self.order.run;
+  const uint64_t before = self.text.events;
+  std::optional<run_end> spoiled;
+  while (const auto fields = steps::TakeEvent(buffer)) {
+    const steps::event_verdict verdict =
+        steps::AddEvent(self.text, *fields, self.rules, read, version);
+    if (verdict == steps::event_verdict::kSpoiled) {
+      spoiled = run_end::kBroken;
+      break;
+    }
+    if (verdict != steps::event_verdict::kTaken) {
+      spoiled = run_end::kUnusable;
+      break;
+    }
+  }
+  if (self.text.data.empty()) return spoiled;
+  const time_point now = clock_.Now();
+  // The first event came after the request, and tells of its prompt.
+  if (before > self.order.events) {
+    const auto span =
+        std::chrono::duration_cast<milliseconds>(now - self.heard_at);
+    news.span_ms = span.count();
+    news.spanned = self.text.events - before;
+  }
+  self.heard_at = now;
+  self.patience = kEventTimeout;
+  news.data = std::move(self.text.data);
+  self.text.data.clear();
+  news.versions = self.text.versions;
+  on_report(std::move(news));
+  return spoiled;
+}
+
+void task_runner::EndRun(const std::shared_ptr<active_run>& ended,
+                         run_end how) {
+  if (!IsCurrent(ended)) return;
+  runs_.erase(ended->order.run);
+  run_report report;
+  report.run = ended->order.run;
+  report.is_over = true;
+  const bool is_silenced = ended->is_stalled && how == run_end::kMoved;
+  report.how = is_silenced ? run_end::kBroken : how;
+  on_report(std::move(report));
+}
+
+void task_runner::Cancel(uint64_t run) {
+  const auto found = runs_.find(run);
+  if (found == runs_.end()) return;
+  const std::shared_ptr<active_run> ending = found->second;
+  runs_.erase(found);
+  net::Cancel(ending->cancel);
+}
+
+void task_runner::CancelAll() {
+  const std::map<uint64_t, std::shared_ptr<active_run>> ending =
+      std::move(runs_);
+  runs_.clear();
+  for (const auto& item : ending) net::Cancel(item.second->cancel);
+}
+
+size_t task_runner::Starting() const {
+  return static_cast<size_t>(
+      std::count_if(runs_.begin(), runs_.end(),
+                    [](const auto& item) { return !item.second->has_head; }));
+}
+
+void task_runner::EndStalled() {
+  const time_point now = clock_.Now();
+  std::vector<std::shared_ptr<active_run>> ending;
+  for (const auto& item : runs_) {
+    const active_run& one = *item.second;
+    const bool is_silent = now - one.heard_at > one.patience;
+    if (is_silent && !one.is_stalled) ending.push_back(item.second);
+  }
+  for (const auto& one : ending) {
+    one->is_stalled = true;
+    net::Cancel(one->cancel);
+  }
+}
+
+}  // namespace hickorywood::store
--- /dev/null
+++ b/packages/store/task_runner.h
@@ -0,0 +1,75 @@
+#ifndef HICKORYWOOD_STORE_TASK_RUNNER_H_
+#define HICKORYWOOD_STORE_TASK_RUNNER_H_
+
+// Runs tasks at engines, from the request to the end of the stream, and checks
+// each event. It decides nothing: which task runs where is the leader's order,
+// and what a text is good for is judged from the reports.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "core/clock.h"
+#include "fleet/protocol.h"
+#include "net/connection_pool.h"
+#include "net/spawn.h"
+#include "steps/event_text.h"
+#include "store/task_run.h"
+
+namespace hickorywood::store {
+
+class task_runner {
+ public:
+  task_runner(boost::asio::io_context& loop, const core::runtime_clock& clock,
+              net::connection_pool& pool, const fleet::protocol& wire);
+
+  // Called for each piece of news of a run; the last one is over.
+  std::function<void(run_report)> on_report;
+
+  void Start(run_order order);
+  // Ends a run without a report.
+  void Cancel(uint64_t run);
+  void CancelAll();
+  // Ends runs whose engine has been silent for too long. One pass over all in
+  // place of a timer for each read: a stream has a read for every 30 ms.
+  void EndStalled();
+
+  size_t Running() const { return runs_.size(); }
+  // Of these, the engine has not answered yet.
+  size_t Starting() const;
+
+ private:
+  struct active_run {
+    run_order order;
+    steps::text_rules rules;
+    steps::generated_text text;  // without what was reported
+    bool has_head = false;
+    bool is_stalled = false;
+    core::time_point heard_at{};  // the last event, or the start
+    core::milliseconds patience{0};
+    net::cancel_signal cancel = net::MakeCancelSignal();
+  };
+
+  boost::asio::awaitable<run_end> Run(std::shared_ptr<active_run> self);
+  boost::asio::awaitable<run_end> ReadText(std::shared_ptr<active_run> self,
+                                           net::connection& from,
+                                           std::optional<uint64_t> version);
+  // Takes the whole events off `buffer`. Empty when all of them fit.
+  std::optional<run_end> TakeEvents(active_run& self, std::string& buffer,
+                                    std::optional<uint64_t>& version);
+  void EndRun(const std::shared_ptr<active_run>& ended, run_end how);
+  bool IsCurrent(const std::shared_ptr<active_run>& one) const;
+
+  boost::asio::io_context& loop_;
+  const core::runtime_clock& clock_;
+  net::connection_pool& pool_;
+  const fleet::protocol& wire_;
+  std::map<uint64_t, std::shared_ptr<active_run>> runs_;
+};
+
+}  // namespace hickorywood::store
+
+#endif  // HICKORYWOOD_STORE_TASK_RUNNER_H_
--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <fstream>
 #include <set>
 #include <string>
 
@@ -53,6 +54,48 @@
   EXPECT_EQ(fleet.WaitForResults("e2", "step-a", kTasks), first);
 }
 
+// Whether the log of some store says that it gave tasks to others.
+bool HasGivenTasks(const deployment& fleet) {
+  for (const std::string& store : fleet.Stores()) {
+    std::ifstream log(fleet.LogOf(store));
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("\"runner\":\"127.") != std::string::npos) return true;
+    }
+  }
+  return false;
+}
+
+// More tasks run at once than the leader takes on itself, so that the other
+// stores run them for it. Each store is frozen in turn, then killed, the leader
+// among them, and comes back. What a store had under way is run by another one:
+// each task is listed once, whole, and both entries agree.
+TEST(DeploymentTest, TasksOutliveTheStoresThatRunThem) {
+  constexpr int kEngines = 24;
+  constexpr int kTasks = 180;
+  deployment fleet;
+  for (int i = 0; i < kEngines; ++i) fleet.Endpoints().Start("engines");
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().SetEventTime(std::chrono::milliseconds(100));
+  // By the end of a step each store has asked the leader for tasks.
+  ASSERT_TRUE(fleet.Submit("e1", "first", 1));
+  ExpectWhole(fleet.WaitForResults("e2", "first", 1), "first", 1);
+  ASSERT_TRUE(fleet.Submit("e1", "wide", kTasks));
+  ASSERT_TRUE(WaitUntil([&] { return HasGivenTasks(fleet); }));
+  for (const std::string& store : fleet.Stores()) {
+    fleet.Node(store).Signal(SIGSTOP);
+    ASSERT_TRUE(fleet.Submit("e2", "frozen-" + store, 1));
+    fleet.Node(store).Signal(SIGCONT);
+    fleet.KillNode(store);
+    fleet.StartNode(store);
+    ASSERT_TRUE(fleet.Submit("e2", "after-" + store, 1));
+    ExpectWhole(fleet.WaitForResults("e1", "after-" + store, 1),
+                "after-" + store, 1);
+  }
+  const json first = fleet.WaitForResults("e1", "wide", kTasks);
+  ExpectWhole(first, "wide", kTasks);
+  EXPECT_EQ(fleet.WaitForResults("e2", "wide", kTasks), first);
+}
+
 // A store loses its disk right after a step was accepted and comes back empty.
 // The step and its results are there. Once it votes again, which is what one
 // loss at a time allows, the next store loses its disk.
--- /dev/null
+++ b/tests/unit/store/runner_book_test.cc
@@ -0,0 +1,189 @@
+#include "store/runner_book.h"
+
+#include <gtest/gtest.h>
+
+#include "store/dispatch_limits.h"
+
+namespace hickorywood::store {
+namespace {
+
+const core::time_point kStart = core::time_point(std::chrono::hours(1));
+
+using runs = std::vector<uint64_t>;
+
+orders_request Question(const std::string& runner, uint64_t received,
+                        const std::string& session = "one") {
+  orders_request input;
+  input.runner = runner;
+  input.zone = "z-" + runner;
+  input.session = session;
+  input.received = received;
+  return input;
+}
+
+run_order MakeOrder(uint64_t run) {
+  run_order order;
+  order.run = run;
+  return order;
+}
+
+// A book in which "a" has asked once and got runs 1 and 2.
+runner_book MakeBook() {
+  runner_book book;
+  TakeQuestion(book, Question("a", 0), kStart);
+  AddOrder(book, "a", MakeOrder(1));
+  AddOrder(book, "a", MakeOrder(2));
+  MakeAnswer(book, "a", 7, kStart);
+  return book;
+}
+
+TEST(RunnerBookTest, OrdersAreHandedOverOnce) {
+  runner_book book;
+  EXPECT_TRUE(TakeQuestion(book, Question("a", 0), kStart).empty());
+  EXPECT_FALSE(HasOrders(book, "a"));
+  AddOrder(book, "a", MakeOrder(1));
+  ASSERT_TRUE(HasOrders(book, "a"));
+  const orders_answer answer = MakeAnswer(book, "a", 7, kStart);
+  EXPECT_EQ(answer.term, 7U);
+  ASSERT_EQ(answer.orders.size(), 1U);
+  EXPECT_TRUE(TakeQuestion(book, Question("a", answer.number), kStart).empty());
+  EXPECT_FALSE(HasOrders(book, "a"));
+  EXPECT_TRUE(MakeAnswer(book, "a", 7, kStart).orders.empty());
+}
+
+// An answer gets lost on its way, and with it two orders. The runner asks again
+// and says that it did not take the answer: its tasks go elsewhere at once.
+TEST(RunnerBookTest, OrdersOfALostAnswerAreLost) {
+  runner_book book = MakeBook();
+  EXPECT_EQ(TakeQuestion(book, Question("a", 0), kStart), (runs{1, 2}));
+}
+
+// A store dies and is there again before its silence was noticed. It knows
+// nothing of its runs, which its new session tells.
+TEST(RunnerBookTest, ANewSessionLosesTheRunsOfTheOld) {
+  runner_book book = MakeBook();
+  EXPECT_EQ(TakeQuestion(book, Question("a", 0, "two"), kStart), (runs{1, 2}));
+  EXPECT_TRUE(book.runners.at("a").runs.empty());
+}
+
+// A store is frozen, or cut from the leader but not from the engines.
+TEST(RunnerBookTest, ASilentRunnerLosesItsRuns) {
+  runner_book book = MakeBook();
+  EXPECT_TRUE(LoseSilent(book, kStart + kRunnerSilence).empty());
+  const auto lost = LoseSilent(book, kStart + kRunnerSilence + milliseconds(1));
+  ASSERT_EQ(lost.count("a"), 1U);
+  EXPECT_EQ(lost.at("a"), (runs{1, 2}));
+  EXPECT_TRUE(book.runners.empty());
+}
+
+// It ends its runs before the leader gives them to others: a task that runs
+// twice costs a place that another one could have.
+TEST(RunnerBookTest, ARunnerGivesUpBeforeItsLeaderDoes) {
+  EXPECT_LT(kLeaderSilence, kRunnerSilence);
+  EXPECT_LT(kBusyWait + kAnswerSlack, kLeaderSilence);
+}
+
+// The process is killed: its connection closes, and nobody waits for silence.
+TEST(RunnerBookTest, AnAbandonedQuestionIsNoticedSoon) {
+  runner_book book = MakeBook();
+  TakeQuestion(book, Question("a", 1), kStart);
+  EXPECT_TRUE(LoseSilent(book, kStart + kIdleWait).empty());
+  NoteAbandoned(book, "a", "one", kStart);
+  EXPECT_TRUE(LoseSilent(book, kStart).empty());
+  EXPECT_EQ(LoseSilent(book, kStart + kRunnerGap + milliseconds(1)).size(), 1U);
+}
+
+// The answer to a set of reports is lost and it comes again: its texts count
+// once. Reports of a session that is over don't count.
+TEST(RunnerBookTest, ReportsCountOnce) {
+  runner_book book = MakeBook();
+  reports_request input;
+  input.runner = "a";
+  input.session = "one";
+  input.number = 1;
+  EXPECT_TRUE(TakeReports(book, input, kStart));
+  EXPECT_FALSE(TakeReports(book, input, kStart));
+  input.number = 2;
+  EXPECT_TRUE(TakeReports(book, input, kStart));
+  input.number = 3;
+  input.session = "two";
+  EXPECT_FALSE(TakeReports(book, input, kStart));
+}
+
+TEST(RunnerBookTest, TheFullestOfTheEnginesZoneIsChosen) {
+  runner_book book;
+  for (const std::string runner : {"a", "b", "c"}) {
+    TakeQuestion(book, Question(runner, 0), kStart);
+  }
+  AddOrder(book, "b", MakeOrder(1));
+  EXPECT_EQ(ChooseRunner(book, "z-c", kStart), "c");
+  EXPECT_EQ(ChooseRunner(book, "elsewhere", kStart), "b");
+}
+
+TEST(RunnerBookTest, AFullRunnerGetsNoMore) {
+  runner_book book;
+  TakeQuestion(book, Question("a", 0), kStart);
+  for (size_t i = 0; i < kMostRunsOfRunner; ++i) {
+    ASSERT_TRUE(ChooseRunner(book, "", kStart));
+    AddOrder(book, "a", MakeOrder(i));
+  }
+  EXPECT_FALSE(ChooseRunner(book, "", kStart));
+  NoteOver(book, "a", 0);
+  EXPECT_TRUE(ChooseRunner(book, "", kStart));
+}
+
+// Leadership is lost and won again while a runner's question waits. The leader
+// has forgotten it by then, and gives it no task until it asks anew: so it must
+// be told, and not be kept waiting.
+TEST(RunnerBookTest, AForgottenRunnerIsNotKnown) {
+  runner_book book = MakeBook();
+  EXPECT_TRUE(IsKnown(book, "a", "one"));
+  EXPECT_FALSE(IsKnown(book, "a", "two"));
+  LoseRunner(book, "a");
+  EXPECT_FALSE(IsKnown(book, "a", "one"));
+  EXPECT_FALSE(ChooseRunner(book, "", kStart));
+}
+
+// A runner that has its answer and doesn't ask again gets no orders: they would
+// wait for it.
+TEST(RunnerBookTest, WhoDoesNotAskGetsNothing) {
+  runner_book book = MakeBook();
+  EXPECT_TRUE(ChooseRunner(book, "", kStart));
+  EXPECT_FALSE(ChooseRunner(book, "", kStart + kRunnerGap));
+}
+
+// A step ends while an order of it waits to be handed over, and another one of
+// its tasks runs already.
+TEST(RunnerBookTest, CancelledOrdersAreNotHandedOver) {
+  runner_book book = MakeBook();
+  TakeQuestion(book, Question("a", 1), kStart);
+  AddOrder(book, "a", MakeOrder(3));
+  CancelRun(book, "a", 3);
+  CancelRun(book, "a", 1);
+  const orders_answer answer = MakeAnswer(book, "a", 7, kStart);
+  EXPECT_TRUE(answer.orders.empty());
+  EXPECT_EQ(answer.cancelled, (runs{1}));
+}
+
+TEST(TaskRunTest, MergedReportsTellAll) {
+  run_report earlier;
+  earlier.run = 4;
+  earlier.has_head = true;
+  earlier.data = {"a", "b"};
+  earlier.versions = {1};
+  run_report later;
+  later.run = 4;
+  later.data = {"c"};
+  later.versions = {1, 2};
+  later.is_over = true;
+  later.how = run_end::kComplete;
+  Merge(earlier, later);
+  EXPECT_TRUE(earlier.has_head);
+  EXPECT_TRUE(earlier.is_over);
+  EXPECT_EQ(earlier.how, run_end::kComplete);
+  EXPECT_EQ(earlier.data, (std::vector<std::string>{"a", "b", "c"}));
+  EXPECT_EQ(earlier.versions, (runs{1, 2}));
+}
+
+}  // namespace
+}  // namespace hickorywood::store
