Reports to a lost leader are not its successor's; a run elsewhere without news is given to others

Cause, found by reading: runs are named by number, and a set of reports that is under way when the leader is lost reaches its successor under the same session. If it was the first one, it would have been taken: its texts added to tasks of the same numbers, and the first reports that are meant for the successor dropped as already taken.

Change: reports name the term of their leader and count only there; runs are named from the term on. A run whose news got lost is given away after 4 s. A store that stood still starts none of the orders that it holds. Test: RunnerBookTest.ReportsToALostLeaderAreNotTakenByTheNext (red on the code before: taken).

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -202,7 +202,7 @@
       fleet::IncarnationOf(input.name, input.started_ms);
   const bool is_new = registry_.endpoints.count(incarnation) == 0;
   if (is_new && !IsKnownService(input.service)) {
-    const std::string reason = "no service is called '" + input.service + "'";
+    std::string reason = "no service is called '" + input.service + "'";
     LogEvent(event_id::kHeartbeatRefused,
              {{"endpoint", incarnation}, {"reason", reason}});
     return reason;
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -50,6 +50,10 @@
 constexpr milliseconds kLeaderSilence{900};
 // ... which it does after this: later, so that no task runs twice for long.
 constexpr milliseconds kRunnerSilence{1200};
+// Without news of a run elsewhere for this long it is given to others: its
+// store ends it when its engine is silent for 2.5 s, and tells that at once. So
+// its news was lost on the way.
+constexpr milliseconds kQuietRun{4000};
 // Time between two questions within which a runner still gets orders.
 constexpr milliseconds kRunnerGap{200};
 // How long a runner gathers news: ends are wanted soon, since the engine has a
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -23,6 +23,9 @@
 using core::LogEvent;
 using core::time_point;
 
+// Runs of one term: some thousand a second for weeks.
+constexpr int kRunBits = 40;
+
 std::string Text(uint64_t number) { return std::to_string(number); }
 
 }  // namespace
@@ -71,6 +74,7 @@
     demands_.clear();
     return;
   }
+  latest_run_ = group_.Term() << kRunBits;
   SyncSteps();
 }
 
@@ -324,7 +328,7 @@
     const std::string& zone, const dispatch_pass& pass) const {
   const bool is_own_busy = runs_.size() >= kMostOwnRuns;
   if (is_own_busy) {
-    const auto other = ChooseRunner(*runners_, zone, clock_.Now());
+    auto other = ChooseRunner(*runners_, zone, clock_.Now());
     if (other) return other;
   }
   // Without another store with room the leader carries on by itself.
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -112,7 +112,8 @@
     std::string runner;  // store that runs it; empty: this one
     uint64_t events_at_start = 0;
     core::time_point started_at{};
-    bool has_head = false;  // the engine has answered
+    bool has_head = false;        // the engine has answered
+    core::time_point heard_at{};  // the last report, or the start
   };
   // The engines that may run the tasks of a step, and what is known of them.
   struct engine_pool {
@@ -198,6 +199,7 @@
   std::map<std::string, engine_record> engines_;  // by incarnation
   std::map<task_key, std::shared_ptr<run>> runs_;
   std::map<uint64_t, std::shared_ptr<run>> runs_by_id_;
+  // Rises. Begins with the term, so that no two leaders name a run alike.
   uint64_t latest_run_ = 0;
   task_runner own_runs_;
   // Shared with the questions that wait: at the end of the process their frames
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -35,6 +35,7 @@
   self->runner = runner;
   self->events_at_start = task.text.events;
   self->started_at = clock_.Now();
+  self->heard_at = self->started_at;
   runs_[item.key] = self;
   runs_by_id_[self->id] = self;
   LogEvent(
@@ -154,7 +155,7 @@
     return {peering::call_outcome::kNotFound, "", "no such session", ""};
   }
   // Reports that came before are acknowledged again, and count once.
-  if (TakeReports(*runners_, *input, clock_.Now())) {
+  if (TakeReports(*runners_, *input, group_.Term(), clock_.Now())) {
     for (run_report& report : input->reports) TakeReport(std::move(report));
   }
   return group::Done();
@@ -174,9 +175,20 @@
 }
 
 void dispatcher::LoseSilentRunners() {
-  for (const auto& [runner, runs] : LoseSilent(*runners_, clock_.Now())) {
+  const time_point now = clock_.Now();
+  for (const auto& [runner, runs] : LoseSilent(*runners_, now)) {
     LoseRuns(runner, runs);
   }
+  std::vector<std::shared_ptr<run>> quiet;
+  for (const auto& item : runs_) {
+    const run& one = *item.second;
+    const bool is_quiet = !one.runner.empty() && now - one.heard_at > kQuietRun;
+    if (is_quiet) quiet.push_back(item.second);
+  }
+  for (const auto& item : quiet) {
+    StopRun(*item);
+    LoseRuns(item->runner, {item->id});
+  }
 }
 
 // --- What comes of a run.
@@ -187,6 +199,7 @@
   const std::shared_ptr<run> self = found->second;
   task_run* const task = FindTask(self->key);
   if (task == nullptr) return;
+  self->heard_at = clock_.Now();
   if (report.has_head && !self->has_head) {
     NoteHead(*self, report.weights_version);
   }
--- a/packages/store/remote_runner.cc
+++ b/packages/store/remote_runner.cc
@@ -123,6 +123,8 @@
 }
 
 void remote_runner::StartWaiting() {
+  // What waits here may have been given to others while this process stood.
+  if (clock_.Now() - heard_at_ > kLeaderSilence) return;
   while (!waiting_.empty() && runs_.Starting() < kMostStarting) {
     run_order next = std::move(waiting_.front());
     waiting_.pop_front();
@@ -155,13 +157,17 @@
       co_await has_news_.WaitUntil(is_idle ? time_point::max()
                                            : clock_.Now() + kGatherNews);
     }
-    if (has_ends_) co_await net::Sleep(kGatherEnds);
-    if (news_.empty()) continue;
+    if (has_ends_) {
+      co_await net::Sleep(kGatherEnds);
+    }
+    std::vector<run_report> news = TakeNews();
+    if (news.empty()) continue;
     reports_request input;
     input.runner = options_.address;
     input.session = session_;
+    input.term = term_;
     input.number = ++reported_;
-    input.reports = TakeNews();
+    input.reports = std::move(news);
     const std::string payload = core::EncodeBinary(input);
     for (int i = 0; i < kMostTries && input.session == session_; ++i) {
       const envelope told =
--- a/packages/store/runner_book.cc
+++ b/packages/store/runner_book.cc
@@ -86,12 +86,13 @@
   one->heard_at = now - (kRunnerSilence - kRunnerGap);
 }
 
-bool TakeReports(runner_book& book, const reports_request& input,
+bool TakeReports(runner_book& book, const reports_request& input, uint64_t term,
                  core::time_point now) {
   known_runner* const one = Find(book, input.runner);
   if (one == nullptr || one->session != input.session) return false;
   one->heard_at = now;
-  if (input.number != one->reports + 1) return false;
+  const bool is_next = input.term == term && input.number == one->reports + 1;
+  if (!is_next) return false;
   one->reports = input.number;
   return true;
 }
--- a/packages/store/runner_book.h
+++ b/packages/store/runner_book.h
@@ -48,11 +48,12 @@
 struct reports_request {
   std::string runner;
   std::string session;
+  uint64_t term = 0;    // of the leader that ordered the runs
   uint64_t number = 0;  // rises by one; the same again: the answer was lost
   std::vector<run_report> reports;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(reports_request, runner,
-                                                session, number, reports)
+                                                session, term, number, reports)
 
 struct known_runner {
   std::string zone;
@@ -91,9 +92,11 @@
 void NoteAbandoned(runner_book& book, const std::string& runner,
                    const std::string& session, core::time_point now);
 
-// Whether reports are the next ones of a session that is known. False: they
-// are not to be taken.
-bool TakeReports(runner_book& book, const reports_request& input,
+// Whether reports are the next ones of a session that is known, on runs of the
+// leader of `term`. False: they are not to be taken. A set that was under way
+// when the leader was lost reaches its successor under the same session, and
+// its numbers mean nothing there.
+bool TakeReports(runner_book& book, const reports_request& input, uint64_t term,
                  core::time_point now);
 
 // Forgets a runner, and returns the runs that are lost with it.
--- a/tests/unit/store/runner_book_test.cc
+++ b/tests/unit/store/runner_book_test.cc
@@ -101,13 +101,30 @@
   input.runner = "a";
   input.session = "one";
   input.number = 1;
-  EXPECT_TRUE(TakeReports(book, input, kStart));
-  EXPECT_FALSE(TakeReports(book, input, kStart));
+  input.term = 7;
+  EXPECT_TRUE(TakeReports(book, input, 7, kStart));
+  EXPECT_FALSE(TakeReports(book, input, 7, kStart));
   input.number = 2;
-  EXPECT_TRUE(TakeReports(book, input, kStart));
+  EXPECT_TRUE(TakeReports(book, input, 7, kStart));
   input.number = 3;
   input.session = "two";
-  EXPECT_FALSE(TakeReports(book, input, kStart));
+  EXPECT_FALSE(TakeReports(book, input, 7, kStart));
+}
+
+// The leader dies while the first reports to it are under way, and they reach
+// its successor, which has answered a question of the same session. Taken, they
+// would add to the texts of other tasks and use up the number of the first
+// reports that are meant for it.
+TEST(RunnerBookTest, ReportsToALostLeaderAreNotTakenByTheNext) {
+  runner_book book = MakeBook();
+  reports_request input;
+  input.runner = "a";
+  input.session = "one";
+  input.number = 1;
+  input.term = 6;
+  EXPECT_FALSE(TakeReports(book, input, 7, kStart));
+  input.term = 7;
+  EXPECT_TRUE(TakeReports(book, input, 7, kStart));
 }
 
 TEST(RunnerBookTest, TheFullestOfTheEnginesZoneIsChosen) {
