A task that was taken off a slow engine does not go back there

Change: the choice of an engine passes over the one that the task was taken off, unless no other has room. Test: TaskChoiceTest.ATaskDoesNotReturnToTheEngineThatItLeft (the first of its lines shows the old choice). 336 tests pass.

--- a/packages/steps/task_choice.cc
+++ b/packages/steps/task_choice.cc
@@ -28,11 +28,12 @@
 }  // namespace
 
 std::optional<size_t> ChooseEngine(const std::vector<engine_load>& engines,
-                                   int64_t places) {
+                                   int64_t places, const std::string& left) {
   std::optional<size_t> best;
   double best_cost = 0;
   for (size_t i = 0; i < engines.size(); ++i) {
     if (engines[i].running >= std::min(engines[i].slots, places)) continue;
+    if (!left.empty() && engines[i].incarnation == left) continue;
     const double cost = ExpectedCost(engines[i]);
     if (best && cost >= best_cost) continue;
     best = i;
--- a/packages/steps/task_choice.h
+++ b/packages/steps/task_choice.h
@@ -25,10 +25,13 @@
 // The engine for a task: the one that is expected to make its events fastest.
 // The batch of an engine slows each of its streams, so the shortest batch wins;
 // having read the group's prompt counts like one stream less. Engines with
-// `places` streams or more are passed over. Empty: all are full.
+// `places` streams or more are passed over, and so is `left`, the incarnation
+// that the task was taken off for being slow: empty of other work it would look
+// best again. Empty: all are full.
 std::optional<size_t> ChooseEngine(
     const std::vector<engine_load>& engines,
-    int64_t places = std::numeric_limits<int64_t>::max());
+    int64_t places = std::numeric_limits<int64_t>::max(),
+    const std::string& left = "");
 
 // How much slower an engine makes its events than its peers do: its time
 // between events against the median of all that have one. 0 in `gaps_ms`: not
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -312,8 +312,11 @@
     engines.loads[i].running = record.running;
     engines.loads[i].has_prompt = record.groups.count(group) != 0;
   }
-  const auto choice =
-      steps::ChooseEngine(engines.loads, PlacesFor(item, engines));
+  const int64_t places = PlacesFor(item, engines);
+  const std::string& left = steps_.at(item.key.step).tasks[item.key.task].left;
+  auto choice = steps::ChooseEngine(engines.loads, places, left);
+  // A slow engine is better than none.
+  if (!choice) choice = steps::ChooseEngine(engines.loads, places);
   if (!choice) return false;
   const fleet::endpoint& engine = *engines.endpoints[*choice];
   const std::optional<std::string> runner = RunnerFor(engine.zone, pass);
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -78,6 +78,7 @@
     int64_t failures = 0;  // answers that count as a failed attempt
     core::time_point not_before{};
     int moves = 0;                  // off slow engines
+    std::string left;               // the engine of the last move
     uint64_t committed_events = 0;  // of the text, kept by the data group
     bool is_whole_committed = false;
     core::time_point whole_at{};
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -236,7 +236,10 @@
     if (steps::IsWorthMoving(*own, loads)) moving.push_back(item);
   }
   for (const auto& item : moving) {
-    if (task_run* const task = FindTask(item->key)) ++task->moves;
+    if (task_run* const task = FindTask(item->key)) {
+      ++task->moves;
+      task->left = item->engine.incarnation;
+    }
     StopRun(*item);
     EndRun(item, run_end::kMoved);
   }
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -261,6 +261,18 @@
 
 // A step's tasks share a prompt per group: an engine that has read it is worth
 // one stream more in its batch, and no more than that.
+// Seen: a text of 160 events was taken off a slow engine twice and went back
+// there both times, since the engine had nothing else to do by then. Its moves
+// were used up, and the step ended four seconds late.
+TEST(TaskChoiceTest, ATaskDoesNotReturnToTheEngineThatItLeft) {
+  std::vector<engine_load> engines = {Engine("a", 3), Engine("b", 0)};
+  engines[1].slowness = 2.3;
+  EXPECT_EQ(ChooseEngine(engines), 1U);
+  EXPECT_EQ(ChooseEngine(engines, 4, "b"), 0U);
+  engines[0].running = 4;
+  EXPECT_FALSE(ChooseEngine(engines, 4, "b"));
+}
+
 TEST(TaskChoiceTest, PromptAtHandCountsLikeOneStream) {
   std::vector<engine_load> engines = {Engine("a", 1), Engine("b", 1)};
   engines[1].has_prompt = true;
