--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -96,7 +96,7 @@
       continue;
     }
     const time_point next = news.told_at + GatherTime(*news.followers);
-    if (clock_.Now() < next) {
+    while (clock_.Now() < next) {
       co_await net::Sleep(std::chrono::ceil<milliseconds>(next - clock_.Now()));
     }
     news.is_due = false;
