Logs name a request by what it asks for, and say when an endpoint ended under it

Callers of the incident saw 502 and 503; the logs could not tell whether one request took the endpoints down or whether requests were victims of endpoints that ended by themselves: each line has the id of one request, which is new each time.

Change: HK5007, one line for each request that was running at an endpoint that ended, with a digest of its customer, method, path and body. The digest is keyed, with a key that the control group draws once and keeps, so that nobody who reads it can guess a body. That an endpoint ended is told from a broken connection: nothing listens at its address any more, or a later start of it does. One that said that it leaves is left out, and so is silence. Entries tell it of plain requests and streams, the data leader of tasks, stores of reward calls. No decision depends on it yet.

--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -27,6 +27,11 @@
   if (input && held.data_founder.empty()) held.data_founder = input->founder;
 }
 
+void SetDigestKey(control_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<set_digest_key_command>(payload);
+  if (input && held.digest_key.empty()) held.digest_key = input->key;
+}
+
 }  // namespace
 
 void control_state::Apply(const group::hosted_command& input) {
@@ -36,6 +41,8 @@
     PublishVersion(held_, input.payload);
   } else if (input.name == kFoundDataGroupCommand) {
     FoundDataGroup(held_, input.payload);
+  } else if (input.name == kSetDigestKeyCommand) {
+    SetDigestKey(held_, input.payload);
   }
 }
 
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -17,6 +17,7 @@
 constexpr char kPutConfigurationCommand[] = "put_configuration";
 constexpr char kPublishVersionCommand[] = "publish_version";
 constexpr char kFoundDataGroupCommand[] = "found_data_group";
+constexpr char kSetDigestKeyCommand[] = "set_digest_key";
 
 struct put_configuration_command {
   fleet::configuration config;
@@ -31,10 +32,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(found_data_group_command,
                                                 founder)
 
+struct set_digest_key_command {
+  std::string key;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(set_digest_key_command, key)
+
 class control_state : public group::hosted_state {
  public:
   // A configuration that is not newer, a version that is not higher, a second
-  // founder: nothing changes.
+  // founder, a second key: nothing changes.
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
   consensus::saved_state Save(uint64_t applied) const override;
@@ -47,12 +53,16 @@
   }
   // The store that founds the data group; empty: none was named yet.
   const std::string& DataFounder() const { return held_.data_founder; }
+  // Under which requests are named to other instances; empty: none was drawn
+  // yet. Kept for good, so that a request has one name whoever leads.
+  const std::string& DigestKey() const { return held_.digest_key; }
 
   struct content {
     fleet::configuration config;
     std::string config_text;
     std::map<std::string, uint64_t> versions;
     std::string data_founder;
+    std::string digest_key;
   };
 
  private:
@@ -60,7 +70,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(control_state::content, config,
                                                 config_text, versions,
-                                                data_founder)
+                                                data_founder, digest_key)
 
 }  // namespace hickorywood::controller
 
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -9,6 +9,7 @@
 
 #include "core/binary.h"
 #include "core/events.h"
+#include "core/ids.h"
 #include "group/leader_calls.h"
 
 namespace hickorywood::controller {
@@ -116,6 +117,7 @@
     members.stores.push_back({instance, entry.address});
   }
   members.data_founder = state_.DataFounder();
+  members.digest_key = state_.DigestKey();
   return members;
 }
 
@@ -133,6 +135,7 @@
     stores_[item.instance] = {item.address, clock_.Now()};
   }
   views_.BeginTerm(group_.Term());
+  asio::co_spawn(loop_, DrawDigestKey(), asio::detached);
   if (on_endpoints) on_endpoints();
 }
 
@@ -142,10 +145,12 @@
     views_.NoteConfiguration();
   }
   std::vector<std::string> members = group_.Members();
-  const bool is_same =
-      state_.DataFounder() == seen_founder_ && members == seen_members_;
+  const bool is_same = state_.DataFounder() == seen_founder_ &&
+                       state_.DigestKey() == seen_key_ &&
+                       members == seen_members_;
   if (is_same) return;
   seen_founder_ = state_.DataFounder();
+  seen_key_ = state_.DigestKey();
   seen_members_ = std::move(members);
   views_.NoteMembers();
 }
@@ -357,10 +362,18 @@
 
 // --- Upkeep.
 
+// Two leaders may draw one each; the first that is committed counts.
+awaitable<void> leader_service::DrawDigestKey() {
+  if (!state_.DigestKey().empty()) co_return;
+  const set_digest_key_command command{core::RandomId()};
+  co_await CommitCall(kSetDigestKeyCommand, core::EncodeBinary(command));
+}
+
 awaitable<void> leader_service::KeepHouse() {
   for (;;) {
     co_await net::Sleep(kHousePeriod);
     if (!group_.IsServing()) continue;
+    co_await DrawDigestKey();
     ExpireStores();
     if (!fleet::ExpireEndpoints(registry_, clock_.Now())) continue;
     LogEvent(event_id::kEndpointLeaseExpired,
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -63,6 +63,7 @@
   answer CommitCall(std::string name, std::string payload);
   void NoteStore(const fleet::view_request& input);
   void ExpireStores();
+  boost::asio::awaitable<void> DrawDigestKey();
   boost::asio::awaitable<void> KeepHouse();
   void NoteEndpointsChanged();
   bool IsKnownService(const std::string& name) const;
@@ -80,6 +81,7 @@
   view_publisher views_;
   uint64_t seen_config_ = 0;
   std::string seen_founder_;
+  std::string seen_key_;
   std::vector<std::string> seen_members_;
   struct known_store {
     std::string address;
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -151,6 +151,8 @@
       {event_id::kAccessDenied, kWarning, "access", "access denied"},
       {event_id::kRequestAnswered, kInfo, "routing", "request answered"},
       {event_id::kAttemptFailed, kInfo, "routing", "attempt failed"},
+      {event_id::kEndpointEndedUnderRequest, kWarning, "routing",
+       "endpoint ended under a request"},
       {event_id::kStepOpened, kInfo, "rollout", "step opened"},
       {event_id::kStepTakenOver, kWarning, "rollout", "step taken over"},
       {event_id::kStepClosed, kInfo, "rollout", "step closed"},
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -68,6 +68,7 @@
   kAccessDenied = 5004,
   kRequestAnswered = 5005,
   kAttemptFailed = 5006,
+  kEndpointEndedUnderRequest = 5007,
   kStepOpened = 6001,
   kStepTakenOver = 6002,
   kStepClosed = 6003,
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -13,6 +13,7 @@
 #include "net/listener.h"
 #include "peering/leader_caller.h"
 #include "peering/view_follower.h"
+#include "quarantine/crash_watch.h"
 
 namespace hickorywood::entry {
 namespace {
@@ -48,7 +49,8 @@
         pool(io),
         caller(pool, node.seeds),
         follower(caller, FollowerOptions(node)),
-        plain(io, runtime, pool, protocol, follower.View(), node.zone),
+        crashes(io, runtime, pool, follower.View()),
+        plain(io, runtime, pool, protocol, follower.View(), crashes, node.zone),
         stores_caller(pool, {}),
         gateway(runtime, protocol, stores_caller),
         callers(io, CallerOptions(),
@@ -57,6 +59,7 @@
                   [this](net::exchange& call) { return Check(call); }) {
     follower.OnChange([this] {
       plain.OnEndpoints();
+      crashes.OnView();
       stores_caller.SetControllers(peering::StoreAddresses(follower.View()));
     });
   }
@@ -165,6 +168,7 @@
   net::connection_pool pool;
   peering::leader_caller caller;
   peering::view_follower follower;
+  quarantine::crash_watch crashes;
   relay plain;
   peering::leader_caller stores_caller;
   step_gateway gateway;
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -29,12 +29,14 @@
 
 relay::relay(asio::io_context& loop, const core::runtime_clock& clock,
              net::connection_pool& pool, const fleet::protocol& wire,
-             const fleet::view& view, std::string own_zone)
+             const fleet::view& view, quarantine::crash_watch& crashes,
+             std::string own_zone)
     : clock_(clock),
       pool_(pool),
       wire_(wire),
       view_(view),
-      sender_(loop, clock, pool, wire, view, std::move(own_zone)) {}
+      crashes_(crashes),
+      sender_(loop, clock, pool, wire, view, crashes, std::move(own_zone)) {}
 
 void relay::OnEndpoints() { sender_.OnEndpoints(); }
 
@@ -91,6 +93,12 @@
                              std::nullopt);
 }
 
+void relay::NoteBroken(const net::request& input, const fleet::endpoint& target,
+                       time_point deadline) {
+  const bool is_timeout = clock_.Now() >= deadline;
+  if (!is_timeout) crashes_.NoteBroken(quarantine::IdentityOf(input), target);
+}
+
 awaitable<void> relay::ServeStream(net::exchange& call,
                                    const fleet::route& where) {
   const net::request& input = call.Request();
@@ -122,6 +130,7 @@
     }
     if (!is_open) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
+      NoteBroken(input, target, deadline);
       co_await call.Reply(
           wire_.EncodeFailure(502, "the endpoint gave no answer", {}));
       co_return;
@@ -133,11 +142,16 @@
     head.headers = net::EndToEnd(head.headers);
     co_await call.BeginStream(std::move(head));
     net::body_state state = net::body_state::kMore;
+    bool has_body = false;
     while (state == net::body_state::kMore) {
       std::string piece;
       state = co_await open->ReadSome(piece, deadline);
+      has_body = has_body || !piece.empty();
       co_await call.WriteStream(std::move(piece));
     }
+    // An endpoint that has sent some of it has begun without ending.
+    const bool is_broken = state == net::body_state::kBroken && !has_body;
+    if (is_broken) NoteBroken(input, target, deadline);
     if (state == net::body_state::kEnd) {
       co_await call.EndStream();
       pool_.Release(std::move(open));
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -13,6 +13,7 @@
 #include "fleet/view.h"
 #include "net/connection_pool.h"
 #include "net/listener.h"
+#include "quarantine/crash_watch.h"
 #include "routing/request_sender.h"
 
 namespace hickorywood::entry {
@@ -21,7 +22,8 @@
  public:
   relay(boost::asio::io_context& loop, const core::runtime_clock& clock,
         net::connection_pool& pool, const fleet::protocol& wire,
-        const fleet::view& view, std::string own_zone);
+        const fleet::view& view, quarantine::crash_watch& crashes,
+        std::string own_zone);
 
   // Answers the exchange. Cancelled when the caller is gone: the attempts that
   // are under way then end with their connections.
@@ -36,6 +38,8 @@
   net::response GiveUp(const routing::send_outcome& outcome) const;
   boost::asio::awaitable<void> ServeStream(net::exchange& call,
                                            const fleet::route& where);
+  void NoteBroken(const net::request& input, const fleet::endpoint& target,
+                  core::time_point deadline);
   core::time_point DeadlineOf(const net::request& input,
                               const fleet::route& where) const;
 
@@ -43,6 +47,7 @@
   net::connection_pool& pool_;
   const fleet::protocol& wire_;
   const fleet::view& view_;
+  quarantine::crash_watch& crashes_;
   routing::request_sender sender_;
 };
 
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -56,9 +56,11 @@
   std::vector<std::string> controllers;  // peer addresses of the control group
   std::vector<store_entry> stores;
   std::string data_founder;  // peer address of the store that founds the group
+  std::string digest_key;    // under which instances name requests; empty: none
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_members, controllers,
-                                                stores, data_founder)
+                                                stores, data_founder,
+                                                digest_key)
 
 struct view {
   view_version version;
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -38,6 +38,7 @@
   awaitable<bool> Connect(tcp::endpoint where, time_point deadline) {
     stream_.expires_at(deadline);
     const auto [failure] = co_await stream_.async_connect(where, kNoThrow);
+    is_refused_ = failure == asio::error::connection_refused;
     if (failure) co_return Fail(failure);
     TuneSocket(stream_.socket());
     co_return true;
@@ -45,6 +46,7 @@
 
   const std::string& Address() const { return address_; }
   bool IsReused() const override { return is_reused_; }
+  bool IsRefused() const { return is_refused_; }
   const std::string& Error() const override { return error_; }
 
   awaitable<bool> Write(const request& output, time_point deadline) override {
@@ -145,6 +147,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string error_;
   bool is_reused_ = false;
+  bool is_refused_ = false;
 };
 
 struct idle_connection {
@@ -204,6 +207,18 @@
   co_return made;
 }
 
+awaitable<connect_outcome> connection_pool::Probe(const std::string& address,
+                                                  time_point deadline) {
+  const std::shared_ptr<impl> state = impl_;
+  const auto where = ParseAddress(address);
+  if (!where) co_return connect_outcome::kNoAnswer;
+  pooled_connection made(state->loop, address);
+  const bool is_open = co_await made.Connect(*where, deadline);
+  if (is_open) co_return connect_outcome::kConnected;
+  co_return made.IsRefused() ? connect_outcome::kRefused
+                             : connect_outcome::kNoAnswer;
+}
+
 void connection_pool::Release(std::unique_ptr<connection> used) {
   auto* const item = static_cast<pooled_connection*>(used.release());
   std::unique_ptr<pooled_connection> held(item);
--- a/packages/net/connection_pool.h
+++ b/packages/net/connection_pool.h
@@ -53,6 +53,13 @@
   virtual const std::string& Error() const = 0;
 };
 
+// What became of an attempt to connect.
+enum class connect_outcome {
+  kConnected,
+  kRefused,   // the host answered that nothing listens there
+  kNoAnswer,  // unreachable, or no answer in time
+};
+
 struct pool_options {
   // Kept unused for this long at most; below what endpoints commonly allow.
   std::chrono::milliseconds idle_limit{4000};
@@ -76,6 +83,9 @@
   // instead where the other side asked for that or has sent more than its
   // answer.
   void Release(std::unique_ptr<connection> used);
+  // Opens a connection to `address` and closes it again.
+  boost::asio::awaitable<connect_outcome> Probe(const std::string& address,
+                                                core::time_point deadline);
   // Closes the idle connections to `address`.
   void Forget(const std::string& address);
 
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -79,12 +79,15 @@
                                const core::runtime_clock& clock,
                                net::connection_pool& pool,
                                const fleet::protocol& wire,
-                               const fleet::view& view, std::string own_zone)
+                               const fleet::view& view,
+                               quarantine::crash_watch& crashes,
+                               std::string own_zone)
     : loop_(loop),
       clock_(clock),
       pool_(pool),
       wire_(wire),
       view_(view),
+      crashes_(crashes),
       own_zone_(std::move(own_zone)) {}
 
 void request_sender::OnEndpoints() {
@@ -210,6 +213,9 @@
   } else {
     result.may_have_run = call.how != net::progress::kNotSent;
     NoteFailure(book_, target.incarnation, now);
+    if (result.may_have_run && !call.is_timeout) {
+      crashes_.NoteBroken(quarantine::IdentityOf(output), target);
+    }
   }
   if (!result.is_usable) {
     LogEvent(event_id::kAttemptFailed,
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -20,6 +20,7 @@
 #include "fleet/view.h"
 #include "net/connection_pool.h"
 #include "net/message.h"
+#include "quarantine/crash_watch.h"
 #include "routing/endpoint_choice.h"
 
 namespace hickorywood::routing {
@@ -57,7 +58,7 @@
   request_sender(boost::asio::io_context& loop,
                  const core::runtime_clock& clock, net::connection_pool& pool,
                  const fleet::protocol& wire, const fleet::view& view,
-                 std::string own_zone);
+                 quarantine::crash_watch& crashes, std::string own_zone);
 
   // Cancelled with its coroutine: the attempts that are under way then end with
   // their connections.
@@ -88,6 +89,7 @@
   net::connection_pool& pool_;
   const fleet::protocol& wire_;
   const fleet::view& view_;
+  quarantine::crash_watch& crashes_;
   const std::string own_zone_;
   endpoint_book book_;
   std::map<std::string, std::string> addresses_;  // by incarnation
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -27,6 +27,7 @@
 #include "net/event.h"
 #include "net/spawn.h"
 #include "peering/messages.h"
+#include "quarantine/crash_watch.h"
 #include "steps/event_gap.h"
 #include "steps/event_text.h"
 #include "steps/pacing.h"
@@ -45,7 +46,8 @@
   dispatcher(boost::asio::io_context& loop, const core::runtime_clock& clock,
              group::group_host& group, const step_state& state,
              net::connection_pool& pool, routing::request_sender& sender,
-             const fleet::protocol& wire, const fleet::view& view);
+             quarantine::crash_watch& crashes, const fleet::protocol& wire,
+             const fleet::view& view);
 
   void Start();
   // This instance starts or stops leading. When it stops, all runs are
@@ -170,6 +172,7 @@
   void LoseSilentRunners();
   void EndRun(const std::shared_ptr<run>& ended, run_end how);
   void NoteEngine(const std::string& incarnation, run_end how);
+  void NoteBroken(const run& ended, const task_run& task);
   // The text of a task is whole: it is scored, or finished.
   void TakeWholeText(const task_key& key);
   void OnScored(const task_key& key, reward_end how, const std::string& score);
@@ -192,6 +195,7 @@
   group::group_host& group_;
   const step_state& state_;
   net::connection_pool& pool_;
+  quarantine::crash_watch& crashes_;
   const fleet::protocol& wire_;
   const fleet::view& view_;
   bool is_leading_ = false;
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -281,12 +281,25 @@
       task->not_before = clock_.Now() + kRetryPause;
       break;
     case run_end::kBroken:
+      NoteBroken(*ended, *task);
+      break;
     case run_end::kMoved:
       break;
   }
   SchedulePump();
 }
 
+// A run that brought its text forward has not taken its engine down by being
+// begun, and the next one goes on after it.
+void dispatcher::NoteBroken(const run& ended, const task_run& task) {
+  const steps::step* const step = state_.Find(ended.key.step);
+  const bool has_gained = task.text.events > ended.events_at_start;
+  if (step == nullptr || has_gained) return;
+  const steps::task& spec = step->input.tasks.at(ended.key.task);
+  crashes_.NoteBroken({step->input.host, "POST", spec.path, spec.body},
+                      ended.engine);
+}
+
 void dispatcher::NoteEngine(const std::string& incarnation, run_end how) {
   engine_record& engine = engines_[incarnation];
   const bool is_fault = how == run_end::kBroken || how == run_end::kNotRun;
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -13,6 +13,7 @@
 #include "peering/leader_caller.h"
 #include "peering/peer_interface.h"
 #include "peering/view_follower.h"
+#include "quarantine/crash_watch.h"
 #include "store/dispatcher.h"
 #include "store/remote_runner.h"
 #include "store/step_service.h"
@@ -66,8 +67,9 @@
         caller(pool, node.seeds),
         follower(caller, FollowerOptions(node)),
         service(io, runtime, group, state, ServiceOptions(node)),
-        sender(io, runtime, pool, wire, follower.View(), node.zone),
-        dispatch(io, runtime, group, state, pool, sender, wire,
+        crashes(io, runtime, pool, follower.View()),
+        sender(io, runtime, pool, wire, follower.View(), crashes, node.zone),
+        dispatch(io, runtime, group, state, pool, sender, crashes, wire,
                  follower.View()),
         leader(pool, {}),
         runner(io, runtime, pool, wire, leader, RunnerOptions(node),
@@ -99,6 +101,7 @@
                             view.members.data_founder == settings.peers_address;
     if (is_founder) group.Found();
     sender.OnEndpoints();
+    crashes.OnView();
     dispatch.OnView();
   }
 
@@ -157,6 +160,7 @@
   peering::leader_caller caller;
   peering::view_follower follower;
   step_service service;
+  quarantine::crash_watch crashes;
   routing::request_sender sender;
   dispatcher dispatch;
   peering::leader_caller leader;  // of the data group
--- /dev/null
+++ b/tests/unit/quarantine/request_digest_test.cc
@@ -0,0 +1,65 @@
+#include "quarantine/request_digest.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+namespace hickorywood::quarantine {
+namespace {
+
+constexpr char kKey[] = "key";
+
+net::request MakeRequest(const std::string& id) {
+  return {"POST",
+          "/clips/7?sync=1",
+          {{"Host", "camera.example"}, {"X-Request-Id", id}},
+          "clip"};
+}
+
+std::string Digest(const net::request& input) {
+  return DigestOf(kKey, IdentityOf(input));
+}
+
+TEST(RequestDigestTest, AnotherIdIsTheSameRequest) {
+  EXPECT_EQ(Digest(MakeRequest("first")), Digest(MakeRequest("second")));
+}
+
+TEST(RequestDigestTest, HostIsComparedWithoutCase) {
+  net::request other = MakeRequest("id");
+  other.headers[0].value = "Camera.Example";
+  EXPECT_EQ(Digest(MakeRequest("id")), Digest(other));
+}
+
+TEST(RequestDigestTest, AnotherCustomerMethodTargetOrBodyIsAnotherRequest) {
+  const std::string digest = Digest(MakeRequest("id"));
+  net::request customer = MakeRequest("id");
+  customer.headers[0].value = "other.example";
+  EXPECT_NE(Digest(customer), digest);
+  net::request method = MakeRequest("id");
+  method.method = "PUT";
+  EXPECT_NE(Digest(method), digest);
+  net::request target = MakeRequest("id");
+  target.target = "/clips/7?sync=2";
+  EXPECT_NE(Digest(target), digest);
+  net::request body = MakeRequest("id");
+  body.body = "clap";
+  EXPECT_NE(Digest(body), digest);
+}
+
+// A reader of logs who knows a body can't tell that it was sent.
+TEST(RequestDigestTest, AnotherKeyGivesAnotherDigest) {
+  const net::request input = MakeRequest("id");
+  EXPECT_NE(DigestOf("other", IdentityOf(input)), Digest(input));
+}
+
+RC_GTEST_PROP(RequestDigestTest, FieldsDoNotRunIntoEachOther,
+              (const std::string& left, const std::string& right)) {
+  RC_PRE(!right.empty());
+  const request_identity one{"c", "POST", left + right, ""};
+  const request_identity two{"c", "POST", left, right};
+  RC_ASSERT(DigestOf(kKey, one) != DigestOf(kKey, two));
+}
+
+}  // namespace
+}  // namespace hickorywood::quarantine
