--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -57,6 +57,12 @@
   }
 }
 
+std::string Base64(const std::string& bytes) {
+  std::string encoded;
+  absl::Base64Escape(bytes, &encoded);
+  return encoded;
+}
+
 json PlainRoute() {
   return {{"name", "plain"},   {"host", "h"},         {"path_prefix", "/p/"},
           {"kind", "safe"},    {"timeout_ms", 20000}, {"goal_ms", 10000},
@@ -219,6 +225,7 @@
                   Address(controls_[turn++ % controls_.size()], control_port_) +
                   "/v1/instances/" + incarnation + "/heartbeat";
       input.body = endpoints_.HeartbeatOf(incarnation);
+      if (input.body.empty()) continue;  // it has ended since
       input.total_timeout = kCallTimeout;
       web_.Send(std::move(input));
     }
@@ -251,24 +258,31 @@
   return held.is_object() ? held.value("version", 0) : 0;
 }
 
-transport::http_request deployment::MakePlain(
-    const std::string& entry, const std::string& request_id) const {
+transport::http_request deployment::MakePlain(const std::string& entry,
+                                              const std::string& request_id,
+                                              const std::string& body) const {
   transport::http_request input;
   input.url = "http://" + Address(entry, callers_port_) + "/p/x";
   input.headers = {{"Host", "h"}, {"X-Request-Id", request_id}};
-  input.body = request_id;
+  input.body = body;
   input.total_timeout = std::chrono::milliseconds(30000);
   return input;
 }
 
 transport::http_response deployment::Plain(const std::string& entry,
                                            const std::string& request_id) {
-  return web_.Send(MakePlain(entry, request_id));
+  return web_.Send(MakePlain(entry, request_id, request_id));
+}
+
+transport::http_response deployment::PlainWithBody(
+    const std::string& entry, const std::string& request_id,
+    const std::string& body) {
+  return web_.Send(MakePlain(entry, request_id, body));
 }
 
 std::future<transport::http_response> deployment::PlainLater(
     const std::string& entry, const std::string& request_id) {
-  return web_.SendLater(MakePlain(entry, request_id));
+  return web_.SendLater(MakePlain(entry, request_id, request_id));
 }
 
 std::string deployment::TaskId(const std::string& step, int task) {
@@ -280,7 +294,7 @@
 }
 
 bool deployment::Submit(const std::string& entry, const std::string& step,
-                        int tasks, bool with_rewards) {
+                        int tasks, bool with_rewards, int crashing) {
   json body = {{"step", 0},
                {"model", "m"},
                {"min_version", 1},
@@ -288,19 +302,18 @@
                {"requests", json::array()}};
   for (int i = 0; i < tasks; ++i) {
     const std::string id = TaskId(step, i);
-    body["requests"].push_back({{"id", id},
-                                {"path", "/s/run"},
-                                {"headers", json::object()},
-                                {"body", "eA=="},
-                                {"tokens", 10},
-                                {"group", id}});
+    body["requests"].push_back(
+        {{"id", id},
+         {"path", "/s/run"},
+         {"headers", json::object()},
+         {"body", Base64(i == crashing ? kCrashBody : id)},
+         {"tokens", 10},
+         {"group", id}});
     if (!with_rewards) continue;
-    std::string encoded;
-    absl::Base64Escape(id, &encoded);
     body["requests"].back()["scorer"] = {{"id", RewardId(step, i)},
                                          {"host", "h"},
                                          {"path", "/p/reward"},
-                                         {"body", encoded}};
+                                         {"body", Base64(id)}};
   }
   return WaitUntil([&] {
     return web_.Post(Address(entry, callers_port_), "/s/" + step, body,
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -54,11 +54,15 @@
 
   transport::http_response Plain(const std::string& entry,
                                  const std::string& request_id);
+  transport::http_response PlainWithBody(const std::string& entry,
+                                         const std::string& request_id,
+                                         const std::string& body);
   std::future<transport::http_response> PlainLater(
       const std::string& entry, const std::string& request_id);
-  // Submits a step of `tasks` tasks until it is accepted.
+  // Submits a step of `tasks` tasks until it is accepted. The body of the task
+  // `crashing` is kCrashBody.
   bool Submit(const std::string& entry, const std::string& step, int tasks,
-              bool with_rewards = false);
+              bool with_rewards = false, int crashing = -1);
   // Ends a step until that is acknowledged.
   bool End(const std::string& entry, const std::string& step);
   // All results of a step as one entry lists them, once there are `count`.
@@ -66,6 +70,8 @@
                                 const std::string& step, size_t count);
 
   static constexpr char kSpareControl[] = "c4";
+  // Of requests that take down what runs them, once the stand-ins are told.
+  static constexpr char kCrashBody[] = "crash";
   static std::string TaskId(const std::string& step, int task);
   static std::string RewardId(const std::string& step, int task);
   const std::vector<std::string>& Stores() const { return stores_; }
@@ -89,7 +95,8 @@
   std::vector<std::string> GroupOf(const std::string& id) const;
   std::string Address(const std::string& id, int port) const;
   transport::http_request MakePlain(const std::string& entry,
-                                    const std::string& request_id) const;
+                                    const std::string& request_id,
+                                    const std::string& body) const;
   void SendHeartbeats();
 
   const std::string folder_;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -27,6 +27,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket of the test that a child holds too outlives its close.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> argv;
   for (const std::string& argument : arguments) {
     argv.push_back(const_cast<char*>(argument.c_str()));
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -1,5 +1,7 @@
 #include "support/stand_in_endpoints.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
@@ -17,6 +19,10 @@
 constexpr char kSignature[] = "X-Response-Stamp";
 // Path of requests whose body names the task that they score.
 constexpr char kRewardPath[] = "/p/reward";
+// How long a request that takes its endpoint down runs, and how long that one
+// is away.
+constexpr std::chrono::milliseconds kTimeToCrash{50};
+constexpr std::chrono::milliseconds kDownTime{500};
 
 net::response SignedAnswer(const net::request& input, int status,
                            std::string body) {
@@ -39,9 +45,11 @@
   std::string incarnation;
   std::string service;
   std::unique_ptr<net::listener> listening;
+  std::string address;
   int sequence = 0;
   int orders = 0;
   int64_t version = 1;
+  bool has_ended = false;
 };
 
 stand_in_endpoints::stand_in_endpoints()
@@ -58,24 +66,68 @@
 std::string stand_in_endpoints::Start(const std::string& service) {
   std::promise<std::string> name;
   boost::asio::post(loop_, [this, &service, &name] {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    auto fresh = std::make_shared<endpoint>();
-    fresh->service = service;
-    fresh->incarnation =
-        "i-" + service + "-" + std::to_string(endpoints_.size());
-    net::listener_options options;
-    options.address = "127.0.0.1:0";
-    options.limits = [] { return net::caller_limits{}; };
-    fresh->listening = std::make_unique<net::listener>(
-        loop_, options,
-        [this, fresh](net::exchange& call) { return Serve(fresh, call); });
-    fresh->listening->Start();
-    endpoints_[fresh->incarnation] = fresh;
-    name.set_value(fresh->incarnation);
+    name.set_value(Open(service, "127.0.0.1:0")->incarnation);
   });
   return name.get_future().get();
 }
 
+std::shared_ptr<stand_in_endpoints::endpoint> stand_in_endpoints::Open(
+    const std::string& service, const std::string& address) {
+  auto fresh = std::make_shared<endpoint>();
+  fresh->service = service;
+  net::listener_options options;
+  options.address = address;
+  options.limits = [] { return net::caller_limits{}; };
+  fresh->listening = std::make_unique<net::listener>(
+      loop_, options,
+      [this, fresh](net::exchange& call) { return Serve(fresh, call); });
+  fresh->listening->Start();
+  fresh->address = "127.0.0.1:" + std::to_string(fresh->listening->Port());
+  const std::lock_guard<std::mutex> lock(mutex_);
+  fresh->incarnation = "i-" + service + "-" + std::to_string(started_++);
+  endpoints_[fresh->incarnation] = fresh;
+  return fresh;
+}
+
+void stand_in_endpoints::CrashOnBody(const std::string& body) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  crash_body_ = body;
+}
+
+int stand_in_endpoints::Crashes() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return crashes_;
+}
+
+size_t stand_in_endpoints::Running() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return endpoints_.size();
+}
+
+bool stand_in_endpoints::IsCrashing(const net::request& input) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return !crash_body_.empty() && input.body == crash_body_;
+}
+
+void stand_in_endpoints::Crash(const std::shared_ptr<endpoint>& self) {
+  if (self->has_ended) return;
+  self->has_ended = true;
+  self->listening->StopAccepting();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    endpoints_.erase(self->incarnation);
+    ++crashes_;
+  }
+  boost::asio::co_spawn(loop_, Restart(self->service, self->address),
+                        boost::asio::detached);
+}
+
+awaitable<void> stand_in_endpoints::Restart(std::string service,
+                                            std::string address) {
+  co_await net::Sleep(kDownTime);
+  Open(service, address);
+}
+
 std::vector<std::string> stand_in_endpoints::Incarnations() {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<std::string> names;
@@ -85,12 +137,12 @@
 
 std::string stand_in_endpoints::HeartbeatOf(const std::string& incarnation) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  endpoint& self = *endpoints_.at(incarnation);
-  const std::string address =
-      "127.0.0.1:" + std::to_string(self.listening->Port());
+  const auto found = endpoints_.find(incarnation);
+  if (found == endpoints_.end()) return "";
+  endpoint& self = *found->second;
   const json models = json::array({{{"name", "m"}, {"version", self.version}}});
   return json({{"service", self.service},
-               {"address", address},
+               {"address", self.address},
                {"zone", "z"},
                {"slots", 8},
                {"state", "ready"},
@@ -172,6 +224,12 @@
     co_await call.Reply(std::move(taken));
     co_return;
   }
+  if (IsCrashing(input)) {
+    NoteRun(std::string(net::Find(input.headers, "X-Request-Id")));
+    co_await net::Sleep(kTimeToCrash);
+    Crash(self);
+    co_return;
+  }
   if (self->service == "engines") {
     co_await ServeStream(self, call);
   } else {
@@ -179,8 +237,8 @@
   }
 }
 
-awaitable<void> stand_in_endpoints::ServePlain(
-    std::shared_ptr<endpoint> /*self*/, net::exchange& call) {
+awaitable<void> stand_in_endpoints::ServePlain(std::shared_ptr<endpoint> self,
+                                               net::exchange& call) {
   const net::request& input = call.Request();
   const std::string id(net::Find(input.headers, "X-Request-Id"));
   NoteRun(id);
@@ -192,6 +250,7 @@
     if (failures_left_[id]-- > 0) status = 500;
   }
   co_await net::Sleep(work_time_);
+  if (self->has_ended) co_return;
   net::response answer = SignedAnswer(input, status, "echo " + input.body);
   co_await call.Reply(std::move(answer));
 }
@@ -208,6 +267,7 @@
   const int first = last.empty() ? 1 : std::stoi(last) + 1;
   for (int event = first; event <= kEvents; ++event) {
     co_await net::Sleep(event_time_);
+    if (self->has_ended) co_return;
     const bool breaks =
         break_after_ > 0 && event > break_after_ && !was_broken_[id];
     if (breaks) {
--- a/tests/support/stand_in_endpoints.h
+++ b/tests/support/stand_in_endpoints.h
@@ -40,6 +40,15 @@
   // Each stream breaks off once, after this many events.
   void BreakStreamsAfter(int events);
 
+  // Requests with this body take their endpoint down: all its connections break
+  // and nothing listens there until it is back, at the same address under a new
+  // incarnation, after a while.
+  void CrashOnBody(const std::string& body);
+  // Endpoints that ended so.
+  int Crashes();
+  // Endpoints that run now.
+  size_t Running();
+
   // The next plain requests of these ids get a failed answer, so often each.
   void FailPlain(const std::string& request_id, int times);
 
@@ -56,6 +65,13 @@
  private:
   struct endpoint;
 
+  std::shared_ptr<endpoint> Open(const std::string& service,
+                                 const std::string& address);
+  bool IsCrashing(const net::request& input);
+  // Ends `self` and starts its successor later.
+  void Crash(const std::shared_ptr<endpoint>& self);
+  boost::asio::awaitable<void> Restart(std::string service,
+                                       std::string address);
   boost::asio::awaitable<void> Serve(std::shared_ptr<endpoint> self,
                                      net::exchange& call);
   boost::asio::awaitable<void> ServePlain(std::shared_ptr<endpoint> self,
@@ -71,6 +87,9 @@
   std::map<std::string, bool> was_broken_;
   std::map<std::string, int> failures_left_;  // by request
   std::set<std::string> whole_texts_;         // by task
+  std::string crash_body_;                    // empty: no request crashes
+  int crashes_ = 0;
+  int started_ = 0;
   int early_rewards_ = 0;
   std::chrono::milliseconds work_time_{1};
   std::chrono::milliseconds event_time_{2};
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -104,7 +104,9 @@
   net::connection_pool pool_{loop_};
   const std::unique_ptr<fleet::protocol> wire_ = platform::MakeProtocol();
   fleet::view view_;
-  routing::request_sender sender_{loop_, clock_, pool_, *wire_, view_, "z"};
+  quarantine::crash_watch crashes_{loop_, clock_, pool_, view_};
+  routing::request_sender sender_{loop_, clock_,   pool_, *wire_,
+                                  view_, crashes_, "z"};
   reward_caller caller_{loop_, clock_, sender_, *wire_, view_};
   std::vector<std::unique_ptr<net::listener>> listeners_;
   std::vector<std::string> seen_;  // requests that reached an endpoint
