--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -89,6 +89,16 @@
   if (method == peering::kPublishVersionMethod) {
     co_return co_await PublishVersion(std::move(payload));
   }
+  if (method == peering::kCrashNewsMethod) {
+    co_return co_await TakeCrashNews(std::move(payload));
+  }
+  if (method == peering::kWarningsMethod) {
+    const peering::warning_list held{quarantine::ListWarnings(crashes_)};
+    co_return Done(core::EncodeBinary(held));
+  }
+  if (method == peering::kLiftMethod) {
+    co_return co_await Lift(std::move(payload));
+  }
   const bool is_about_store =
       method == peering::kRetireMethod || method == peering::kRetirementMethod;
   if (is_about_store) {
@@ -102,6 +112,7 @@
 view_sources leader_service::Sources() const {
   view_sources sources;
   sources.endpoints = [this] { return fleet::ListEndpoints(registry_); };
+  sources.warnings = [this] { return quarantine::ListWarnings(crashes_); };
   sources.members = [this] { return Members(); };
   sources.weights = [this] { return ListWeights(weights_); };
   sources.config = [this]() -> const fleet::configuration& {
@@ -134,6 +145,11 @@
   for (const fleet::store_entry& item : followed.members.stores) {
     stores_[item.instance] = {item.address, clock_.Now()};
   }
+  // Those that have seen more tell it again once they follow this leader.
+  crashes_ = {};
+  for (const fleet::request_warning& item : followed.warnings) {
+    quarantine::Adopt(crashes_, item, clock_.Now());
+  }
   views_.BeginTerm(group_.Term());
   asio::co_spawn(loop_, DrawDigestKey(), asio::detached);
   if (on_endpoints) on_endpoints();
@@ -360,6 +376,54 @@
   co_return answer;
 }
 
+// --- Requests under which endpoints ended.
+
+void leader_service::NoteQuarantines(
+    const std::vector<quarantine::standing_change>& changes) {
+  for (const quarantine::standing_change& item : changes) {
+    if (!item.is_quarantined) {
+      LogEvent(event_id::kQuarantineLifted,
+               {{"digest", item.digest},
+                {"reason", quarantine::WordOf(item.reason)}});
+      continue;
+    }
+    const quarantine::suspect& held = crashes_.suspects.at(item.digest);
+    LogEvent(event_id::kRequestQuarantined,
+             {{"digest", item.digest},
+              {"customer", held.customer},
+              {"endpoints", absl::StrJoin(held.ends, " ")},
+              {"seconds", std::to_string(held.length.count())},
+              {"quarantines", std::to_string(held.quarantines)}});
+  }
+  views_.NoteWarnings();
+}
+
+awaitable<envelope> leader_service::TakeCrashNews(std::string payload) {
+  const auto input = core::DecodeBinary<fleet::crash_news>(payload);
+  if (!input) co_return Malformed();
+  const time_point now = clock_.Now();
+  for (const fleet::crash_report& report : input->reports) {
+    NoteQuarantines(quarantine::NoteEnd(crashes_, report, now));
+  }
+  for (const std::string& digest : input->served) {
+    NoteQuarantines(quarantine::Release(
+        crashes_, digest, quarantine::release_reason::kServed, now));
+  }
+  co_return Done();
+}
+
+awaitable<envelope> leader_service::Lift(std::string payload) {
+  const auto input = core::DecodeBinary<peering::named_item>(payload);
+  if (!input) co_return Malformed();
+  if (!quarantine::HasEnds(crashes_, input->name)) {
+    co_return envelope{call_outcome::kNotFound, "", "no such request", ""};
+  }
+  NoteQuarantines(quarantine::Release(crashes_, input->name,
+                                      quarantine::release_reason::kOperator,
+                                      clock_.Now()));
+  co_return Done();
+}
+
 // --- Upkeep.
 
 // Two leaders may draw one each; the first that is committed counts.
@@ -375,6 +439,8 @@
     if (!group_.IsServing()) continue;
     co_await DrawDigestKey();
     ExpireStores();
+    const auto lifted = quarantine::Expire(crashes_, clock_.Now());
+    if (!lifted.empty()) NoteQuarantines(lifted);
     if (!fleet::ExpireEndpoints(registry_, clock_.Now())) continue;
     LogEvent(event_id::kEndpointLeaseExpired,
              {{"endpoints", std::to_string(registry_.endpoints.size())}});
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -2,8 +2,8 @@
 #define HICKORYWOOD_CONTROLLER_LEADER_SERVICE_H_
 
 // What the control leader does for the other processes: views, heartbeats,
-// configurations and weights. Each method answers kNotLeader where this
-// instance does not hold a live lease.
+// configurations, weights, and requests that take endpoints down. Each method
+// answers kNotLeader where this instance does not hold a live lease.
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +22,7 @@
 #include "group/group_host.h"
 #include "peering/leader_caller.h"
 #include "peering/messages.h"
+#include "quarantine/crash_ledger.h"
 
 namespace hickorywood::controller {
 
@@ -59,10 +60,14 @@
   answer GetConfiguration();
   answer PublishVersion(std::string payload);
   answer Retire(std::string method, std::string payload);
+  answer TakeCrashNews(std::string payload);
+  answer Lift(std::string payload);
 
   answer CommitCall(std::string name, std::string payload);
   void NoteStore(const fleet::view_request& input);
   void ExpireStores();
+  // Logs what began and ended, and tells it.
+  void NoteQuarantines(const std::vector<quarantine::standing_change>& changes);
   boost::asio::awaitable<void> DrawDigestKey();
   boost::asio::awaitable<void> KeepHouse();
   void NoteEndpointsChanged();
@@ -78,6 +83,7 @@
   fleet::endpoint_registry& registry_;
   weight_book& weights_;
   peering::leader_caller& stores_caller_;
+  quarantine::crash_ledger crashes_;
   view_publisher views_;
   uint64_t seen_config_ = 0;
   std::string seen_founder_;
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -71,6 +71,8 @@
 
 void view_publisher::NoteEndpoints() { Note(lists_); }
 
+void view_publisher::NoteWarnings() { Note(lists_); }
+
 void view_publisher::NoteMembers() { Note(lists_); }
 
 void view_publisher::NoteWeights() { Note(weights_); }
@@ -108,8 +110,9 @@
 
 bool view_publisher::TellLists() {
   const bool has_endpoints = fleet::TellEndpoints(log_, sources_.endpoints());
+  const bool has_warnings = fleet::TellWarnings(log_, sources_.warnings());
   const bool has_members = fleet::TellMembers(log_, sources_.members());
-  return has_endpoints || has_members;
+  return has_endpoints || has_warnings || has_members;
 }
 
 bool view_publisher::TellWeights() {
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -26,6 +26,7 @@
 // Where the view comes from, asked for what is true now.
 struct view_sources {
   std::function<std::vector<fleet::endpoint>()> endpoints;
+  std::function<std::vector<fleet::request_warning>()> warnings;
   std::function<fleet::view_members()> members;
   std::function<std::vector<fleet::engine_weights_entry>()> weights;
   std::function<const fleet::configuration&()> config;
@@ -45,6 +46,7 @@
 
   // Something of that kind changed.
   void NoteEndpoints();
+  void NoteWarnings();
   void NoteMembers();
   void NoteWeights();
   void NoteConfiguration();
@@ -82,7 +84,7 @@
   const core::runtime_clock& clock_;
   const view_sources sources_;
   fleet::view_log log_;
-  gathering lists_;    // endpoints and members, for every process
+  gathering lists_;    // endpoints, warnings and members, for every process
   gathering weights_;  // for stores, which follow the lists too
   uint64_t interruptions_ = 0;
   // Answers made since the last change. Most processes hold the same version,
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -153,6 +153,9 @@
       {event_id::kAttemptFailed, kInfo, "routing", "attempt failed"},
       {event_id::kEndpointEndedUnderRequest, kWarning, "routing",
        "endpoint ended under a request"},
+      {event_id::kRequestQuarantined, kWarning, "routing",
+       "request quarantined"},
+      {event_id::kQuarantineLifted, kInfo, "routing", "quarantine lifted"},
       {event_id::kStepOpened, kInfo, "rollout", "step opened"},
       {event_id::kStepTakenOver, kWarning, "rollout", "step taken over"},
       {event_id::kStepClosed, kInfo, "rollout", "step closed"},
@@ -171,6 +174,7 @@
       {event_id::kRunsWithoutLeader, kWarning, "rollout",
        "runs ended without their leader"},
       {event_id::kRunnerLost, kWarning, "rollout", "runs of a store lost"},
+      {event_id::kTaskHeldBack, kWarning, "rollout", "task held back"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -69,6 +69,8 @@
   kRequestAnswered = 5005,
   kAttemptFailed = 5006,
   kEndpointEndedUnderRequest = 5007,
+  kRequestQuarantined = 5008,
+  kQuarantineLifted = 5009,
   kStepOpened = 6001,
   kStepTakenOver = 6002,
   kStepClosed = 6003,
@@ -84,6 +86,7 @@
   kStepsHeld = 6013,
   kRunsWithoutLeader = 6014,
   kRunnerLost = 6015,
+  kTaskHeldBack = 6016,
 };
 
 struct event_info {
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -49,7 +49,10 @@
         pool(io),
         caller(pool, node.seeds),
         follower(caller, FollowerOptions(node)),
-        crashes(io, runtime, pool, follower.View()),
+        crashes(io, runtime, pool, follower.View(),
+                [this](fleet::crash_news news) {
+                  return peering::TellCrashNews(caller, std::move(news));
+                }),
         plain(io, runtime, pool, protocol, follower.View(), crashes, node.zone),
         stores_caller(pool, {}),
         gateway(runtime, protocol, stores_caller),
@@ -187,6 +190,7 @@
 
 bool entry_instance::Start() {
   if (!impl_->callers.Start() || !impl_->readiness.Start()) return false;
+  impl_->crashes.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
 }
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -21,6 +21,10 @@
 // When all endpoints are full a place is free after about one request.
 constexpr milliseconds kRetryAfter{100};
 
+// What a caller hears whose request takes endpoints down: not run, and not now.
+// 503 would say that the service is at fault and invite the next try.
+constexpr int kTooManyRequests = 429;
+
 milliseconds Since(time_point start, time_point now) {
   return std::chrono::duration_cast<milliseconds>(now - start);
 }
@@ -82,6 +86,10 @@
 // The answer when no endpoint gave one. "Not run" is said only when that is
 // certain.
 net::response relay::GiveUp(const routing::send_outcome& outcome) const {
+  if (!outcome.may_have_run && outcome.quarantined_for) {
+    return wire_.EncodeFailure(kTooManyRequests, outcome.problem,
+                               outcome.quarantined_for);
+  }
   if (!outcome.may_have_run) {
     const std::string reason = outcome.problem.empty()
                                    ? "no endpoint could take the request"
@@ -93,10 +101,10 @@
                              std::nullopt);
 }
 
-void relay::NoteBroken(const net::request& input, const fleet::endpoint& target,
-                       time_point deadline) {
+void relay::NoteBroken(const quarantine::request_identity& input,
+                       const fleet::endpoint& target, time_point deadline) {
   const bool is_timeout = clock_.Now() >= deadline;
-  if (!is_timeout) crashes_.NoteBroken(quarantine::IdentityOf(input), target);
+  if (!is_timeout) crashes_.NoteBroken(input, target);
 }
 
 awaitable<void> relay::ServeStream(net::exchange& call,
@@ -106,6 +114,17 @@
   const std::string service(fleet::DrawService(where, routing::DrawShare()));
   routing::endpoint_book& book = sender_.Book();
   std::set<std::string> tried;
+  const quarantine::request_identity identity = quarantine::IdentityOf(input);
+  const quarantine::verdict found = crashes_.Check(identity);
+  if (found.standing == quarantine::request_standing::kQuarantined) {
+    const std::string reason = "endpoints end under this request";
+    LogEvent(event_id::kRequestRefused, {{"request", wire_.RequestId(input)},
+                                         {"digest", found.digest},
+                                         {"reason", reason}});
+    co_await call.Reply(
+        wire_.EncodeFailure(kTooManyRequests, reason, found.left));
+    co_return;
+  }
   for (int attempt = 0; attempt <= routing::kMostRefusals; ++attempt) {
     const routing::choice_input choice{&view_.endpoints, service,
                                        sender_.OwnZone(), &tried, clock_.Now()};
@@ -130,7 +149,7 @@
     }
     if (!is_open) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
-      NoteBroken(input, target, deadline);
+      NoteBroken(identity, target, deadline);
       co_await call.Reply(
           wire_.EncodeFailure(502, "the endpoint gave no answer", {}));
       co_return;
@@ -151,8 +170,9 @@
     }
     // An endpoint that has sent some of it has begun without ending.
     const bool is_broken = state == net::body_state::kBroken && !has_body;
-    if (is_broken) NoteBroken(input, target, deadline);
+    if (is_broken) NoteBroken(identity, target, deadline);
     if (state == net::body_state::kEnd) {
+      crashes_.NoteServed(identity);
       co_await call.EndStream();
       pool_.Release(std::move(open));
     }
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -38,8 +38,8 @@
   net::response GiveUp(const routing::send_outcome& outcome) const;
   boost::asio::awaitable<void> ServeStream(net::exchange& call,
                                            const fleet::route& where);
-  void NoteBroken(const net::request& input, const fleet::endpoint& target,
-                  core::time_point deadline);
+  void NoteBroken(const quarantine::request_identity& input,
+                  const fleet::endpoint& target, core::time_point deadline);
   core::time_point DeadlineOf(const net::request& input,
                               const fleet::route& where) const;
 
--- /dev/null
+++ b/packages/fleet/request_warning.h
@@ -0,0 +1,56 @@
+#ifndef HICKORYWOOD_FLEET_REQUEST_WARNING_H_
+#define HICKORYWOOD_FLEET_REQUEST_WARNING_H_
+
+// What processes tell each other of requests under which endpoints ended.
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/json.h"
+
+namespace hickorywood::fleet {
+
+// A request was running at one start of an endpoint when that ended.
+struct crash_report {
+  std::string digest;    // of the request, see quarantine/request_digest.h
+  std::string customer;  // whose request it is
+  std::string incarnation;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(crash_report, digest, customer,
+                                                incarnation)
+
+// What a process has seen since it last told the control leader.
+struct crash_news {
+  std::vector<crash_report> reports;
+  // Digests of requests that an endpoint served and outlived.
+  std::vector<std::string> served;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(crash_news, reports, served)
+
+// What the control leader tells all of one request.
+struct request_warning {
+  std::string digest;
+  std::string customer;
+  std::vector<std::string> ends;  // starts of endpoints that ended under it
+  bool is_quarantined = false;    // it is sent to no endpoint
+  int64_t length_s = 0;           // of the quarantine, from its begin
+  int64_t quarantines = 0;        // so far
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(request_warning, digest,
+                                                customer, ends, is_quarantined,
+                                                length_s, quarantines)
+
+inline bool operator==(const request_warning& left,
+                       const request_warning& right) {
+  const auto fields = [](const request_warning& item) {
+    return std::tie(item.digest, item.customer, item.ends, item.is_quarantined,
+                    item.length_s, item.quarantines);
+  };
+  return fields(left) == fields(right);
+}
+
+}  // namespace hickorywood::fleet
+
+#endif  // HICKORYWOOD_FLEET_REQUEST_WARNING_H_
--- a/packages/fleet/view.cc
+++ b/packages/fleet/view.cc
@@ -8,6 +8,7 @@
 namespace {
 
 auto KeyOf(const endpoint& item) { return std::tie(item.incarnation); }
+auto KeyOf(const request_warning& item) { return std::tie(item.digest); }
 auto KeyOf(const engine_weights_entry& item) {
   return std::tie(item.incarnation, item.model);
 }
@@ -27,15 +28,26 @@
   list = std::move(merged);
 }
 
+// Takes the items with one of these keys off a list. One that went and came
+// back since stands in both and is put in again by Merge().
+template <typename Item>
+void Remove(std::vector<Item>& list, const std::vector<std::string>& keys) {
+  const std::set<std::string> gone(keys.begin(), keys.end());
+  std::erase_if(list, [&gone](const Item& item) {
+    return gone.count(std::get<0>(KeyOf(item))) != 0;
+  });
+}
+
 void TakeLists(view& held, const view_update& update) {
-  if (update.lists == list_part::kAll) held.endpoints = update.endpoints;
+  if (update.lists == list_part::kAll) {
+    held.endpoints = update.endpoints;
+    held.warnings = update.warnings;
+  }
   if (update.lists == list_part::kChanges) {
-    // One that went and came back since stands in both.
-    const std::set<std::string> gone(update.gone.begin(), update.gone.end());
-    std::erase_if(held.endpoints, [&gone](const endpoint& item) {
-      return gone.count(item.incarnation) != 0;
-    });
+    Remove(held.endpoints, update.gone);
     Merge(held.endpoints, update.endpoints);
+    Remove(held.warnings, update.lifted);
+    Merge(held.warnings, update.warnings);
   }
   if (update.has_members) held.members = update.members;
 }
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -11,6 +11,7 @@
 #include "core/json.h"
 #include "fleet/configuration.h"
 #include "fleet/endpoint_registry.h"
+#include "fleet/request_warning.h"
 
 namespace hickorywood::fleet {
 
@@ -67,6 +68,7 @@
   configuration config;
   std::vector<endpoint> endpoints;  // by incarnation
   view_members members;
+  std::vector<request_warning> warnings;  // by digest
   uint64_t weights_count = 0;
   std::vector<engine_weights_entry> weights;  // by incarnation and model
 };
@@ -112,9 +114,11 @@
   view_version base;        // that the asker held; changes count from it
   bool has_config = false;  // left out when the asker holds it
   configuration config;
-  list_part lists = list_part::kNone;  // endpoints
+  list_part lists = list_part::kNone;  // endpoints and warnings
   std::vector<endpoint> endpoints;
   std::vector<std::string> gone;  // incarnations; only among changes
+  std::vector<request_warning> warnings;
+  std::vector<std::string> lifted;  // digests; only among changes
   bool has_members = false;
   view_members members;
   list_part weights_part = list_part::kNone;
@@ -123,9 +127,10 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_update, version, base,
                                                 has_config, config, lists,
-                                                endpoints, gone, has_members,
-                                                members, weights_part,
-                                                weights_count, weights)
+                                                endpoints, gone, warnings,
+                                                lifted, has_members, members,
+                                                weights_part, weights_count,
+                                                weights)
 
 // Takes an update into a view. False when nothing changed by it, and when it is
 // older than the view or counts from a version that the view does not hold:
--- a/packages/fleet/view_log.cc
+++ b/packages/fleet/view_log.cc
@@ -6,8 +6,9 @@
 namespace hickorywood::fleet {
 namespace {
 
-// Endpoints that are remembered as gone: more than a deployment exchanges while
-// a process that goes on asking misses answers, and a few hundred KB.
+// Endpoints, and warnings, that are remembered as gone: more than a deployment
+// exchanges while a process that goes on asking misses answers, and a few
+// hundred KB.
 constexpr size_t kMostGone = 4096;
 
 bool SameWeights(const engine_weights_entry& left,
@@ -21,12 +22,57 @@
          left.digest_key == right.digest_key;
 }
 
-void ForgetOldest(view_log& log) {
-  if (log.gone.size() <= kMostGone) return;
-  const size_t extra = log.gone.size() - kMostGone;
-  log.complete_from = log.gone[extra - 1].changed_at;
-  log.gone.erase(log.gone.begin(),
-                 log.gone.begin() + static_cast<ptrdiff_t>(extra));
+// `gone`: items of `log` that went, in the order in which they did.
+void ForgetOldest(view_log& log, std::vector<told_item<std::string>>& gone) {
+  if (gone.size() <= kMostGone) return;
+  const size_t extra = gone.size() - kMostGone;
+  log.complete_from = std::max(log.complete_from, gone[extra - 1].changed_at);
+  gone.erase(gone.begin(), gone.begin() + static_cast<ptrdiff_t>(extra));
+}
+
+// Brings what was told to `items`, under the count `next`. True when something
+// changed; what is no longer there is added to `gone`.
+template <typename Item>
+bool TellItems(std::map<std::string, told_item<Item>>& told_items,
+               std::vector<told_item<std::string>>& gone,
+               const std::vector<Item>& items, std::string Item::*key,
+               uint64_t next) {
+  bool is_changed = false;
+  std::set<std::string> listed;
+  for (const Item& item : items) {
+    listed.insert(item.*key);
+    auto& told = told_items[item.*key];
+    const bool is_told = told.changed_at != 0 && told.item == item;
+    if (is_told) continue;
+    told = {item, next};
+    is_changed = true;
+  }
+  for (auto told = told_items.begin(); told != told_items.end();) {
+    if (listed.count(told->first) != 0) {
+      ++told;
+      continue;
+    }
+    gone.push_back({told->first, next});
+    told = told_items.erase(told);
+    is_changed = true;
+  }
+  return is_changed;
+}
+
+// The items that changed after the count `since`.
+template <typename Told, typename Item>
+void AddSince(const Told& told_items, uint64_t since,
+              std::vector<Item>& changes) {
+  for (const auto& [key, told] : told_items) {
+    if (told.changed_at > since) changes.push_back(told.item);
+  }
+}
+
+void AddGoneSince(const std::vector<told_item<std::string>>& gone,
+                  uint64_t since, std::vector<std::string>& changes) {
+  for (const auto& told : gone) {
+    if (told.changed_at > since) changes.push_back(told.item);
+  }
 }
 
 // Whether the asker can be told by changes alone.
@@ -40,13 +86,11 @@
   update.lists = HoldsBase(log, input) ? list_part::kChanges : list_part::kAll;
   const uint64_t since =
       update.lists == list_part::kChanges ? input.held.count : 0;
-  for (const auto& [incarnation, told] : log.endpoints) {
-    if (told.changed_at > since) update.endpoints.push_back(told.item);
-  }
+  AddSince(log.endpoints, since, update.endpoints);
+  AddSince(log.warnings, since, update.warnings);
   if (update.lists == list_part::kChanges) {
-    for (const auto& told : log.gone) {
-      if (told.changed_at > since) update.gone.push_back(told.item);
-    }
+    AddGoneSince(log.gone, since, update.gone);
+    AddGoneSince(log.lifted, since, update.lifted);
   }
   update.has_members =
       update.lists == list_part::kAll || log.members_changed_at > since;
@@ -60,9 +104,7 @@
   update.weights_part = has_base ? list_part::kChanges : list_part::kAll;
   update.weights_count = log.weights_count;
   const uint64_t since = has_base ? input.held_weights : 0;
-  for (const auto& [key, told] : log.weights) {
-    if (told.changed_at > since) update.weights.push_back(told.item);
-  }
+  AddSince(log.weights, since, update.weights);
 }
 
 bool LacksWeights(const view_log& log, const view_request& input) {
@@ -83,27 +125,20 @@
 
 bool TellEndpoints(view_log& log, const std::vector<endpoint>& endpoints) {
   const uint64_t next = log.count + 1;
-  bool is_changed = false;
-  std::set<std::string> listed;
-  for (const endpoint& item : endpoints) {
-    listed.insert(item.incarnation);
-    auto& told = log.endpoints[item.incarnation];
-    const bool is_told = told.changed_at != 0 && told.item == item;
-    if (is_told) continue;
-    told = {item, next};
-    is_changed = true;
-  }
-  for (auto told = log.endpoints.begin(); told != log.endpoints.end();) {
-    if (listed.count(told->first) != 0) {
-      ++told;
-      continue;
-    }
-    log.gone.push_back({told->first, next});
-    told = log.endpoints.erase(told);
-    is_changed = true;
-  }
+  const bool is_changed = TellItems(log.endpoints, log.gone, endpoints,
+                                    &endpoint::incarnation, next);
+  if (!is_changed) return false;
+  ForgetOldest(log, log.gone);
+  log.count = next;
+  return true;
+}
+
+bool TellWarnings(view_log& log, const std::vector<request_warning>& warnings) {
+  const uint64_t next = log.count + 1;
+  const bool is_changed = TellItems(log.warnings, log.lifted, warnings,
+                                    &request_warning::digest, next);
   if (!is_changed) return false;
-  ForgetOldest(log);
+  ForgetOldest(log, log.lifted);
   log.count = next;
   return true;
 }
--- a/packages/fleet/view_log.h
+++ b/packages/fleet/view_log.h
@@ -26,11 +26,13 @@
 
 struct view_log {
   uint64_t term = 0;
-  // Endpoints and members, which every process is told.
+  // Endpoints, warnings and members, which every process is told.
   uint64_t count = 1;
   std::map<std::string, told_item<endpoint>> endpoints;  // by incarnation
   // Endpoints that are gone, in the order in which they went.
   std::vector<told_item<std::string>> gone;
+  std::map<std::string, told_item<request_warning>> warnings;  // by digest
+  std::vector<told_item<std::string>> lifted;  // digests, as they went
   // Changes are known from this count on; who holds less gets the lists whole.
   uint64_t complete_from = 0;
   view_members members;
@@ -47,6 +49,7 @@
 
 // Take what is to be told now. True when it differs from what was told before.
 bool TellEndpoints(view_log& log, const std::vector<endpoint>& endpoints);
+bool TellWarnings(view_log& log, const std::vector<request_warning>& warnings);
 bool TellMembers(view_log& log, const view_members& members);
 bool TellWeights(view_log& log,
                  const std::vector<engine_weights_entry>& weights);
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -17,6 +17,12 @@
 // tight loop would only load the instances that hold it.
 constexpr milliseconds kRetryPause{40};
 
+// News of crashes is worth telling for as long as the request may come again;
+// its teller tries anew after that. One try is well below the time in which all
+// instances are to know.
+constexpr milliseconds kNewsTime{5000};
+constexpr milliseconds kNewsPatience{500};
+
 time_point Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -129,4 +135,11 @@
   co_return answer;
 }
 
+awaitable<bool> TellCrashNews(leader_caller& caller, fleet::crash_news news) {
+  const envelope answer = co_await caller.Ask(
+      kCrashNewsMethod, core::EncodeBinary(news),
+      std::chrono::steady_clock::now() + kNewsTime, kNewsPatience);
+  co_return answer.outcome == call_outcome::kDone;
+}
+
 }  // namespace hickorywood::peering
--- a/packages/peering/leader_caller.h
+++ b/packages/peering/leader_caller.h
@@ -58,6 +58,11 @@
   local_handler local_;
 };
 
+// Tells the control leader of requests under which endpoints ended. False: it
+// may not have heard.
+boost::asio::awaitable<bool> TellCrashNews(leader_caller& caller,
+                                           fleet::crash_news news);
+
 }  // namespace hickorywood::peering
 
 #endif  // HICKORYWOOD_PEERING_LEADER_CALLER_H_
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -14,6 +14,7 @@
 #include "core/binary.h"
 #include "core/json.h"
 #include "fleet/configuration.h"
+#include "fleet/request_warning.h"
 #include "steps/step.h"
 
 namespace hickorywood::peering {
@@ -30,6 +31,11 @@
 constexpr char kPutConfigurationMethod[] = "put_configuration";
 constexpr char kGetConfigurationMethod[] = "get_configuration";
 constexpr char kPublishVersionMethod[] = "publish_version";
+// What a process has seen of requests under which endpoints ended; what the
+// leader holds of them all; and an operator's word that one may be sent.
+constexpr char kCrashNewsMethod[] = "crash_news";
+constexpr char kWarningsMethod[] = "warnings";
+constexpr char kLiftMethod[] = "lift";
 constexpr char kOpenStepMethod[] = "open_step";
 constexpr char kReadResultsMethod[] = "read_results";
 constexpr char kReadTaskMethod[] = "read_task";
@@ -99,6 +105,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(configuration_text, config,
                                                 text)
 
+struct warning_list {
+  std::vector<fleet::request_warning> warnings;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(warning_list, warnings)
+
 struct read_results_request {
   std::string step;
   uint64_t after = 0;
--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -16,6 +16,7 @@
 using core::event_id;
 using core::LogEvent;
 using core::milliseconds;
+using core::time_point;
 
 // A sound endpoint accepts within a few ms, also from another zone.
 constexpr milliseconds kProbeTimeout{300};
@@ -26,6 +27,11 @@
 // One that listens again at the second probe has started anew, and its
 // heartbeat comes within about a second, or has never ended.
 constexpr milliseconds kSuccessorTime{3000};
+// Pause before the leader is told again after a try that failed.
+constexpr milliseconds kTellPause{100};
+constexpr std::chrono::seconds kHousePeriod{10};
+// Ends that this process can tell a new leader of.
+constexpr size_t kMostOwnReports = 1024;
 // Requests that are named for one end: more than endpoints run at once. Bounds
 // what a caller with many connections can make an instance remember.
 constexpr size_t kMostRequests = 256;
@@ -43,8 +49,55 @@
 
 crash_watch::crash_watch(asio::io_context& loop,
                          const core::runtime_clock& clock,
-                         net::connection_pool& pool, const fleet::view& view)
-    : loop_(loop), clock_(clock), pool_(pool), view_(view) {}
+                         net::connection_pool& pool, const fleet::view& view,
+                         teller tell)
+    : loop_(loop),
+      clock_(clock),
+      pool_(pool),
+      view_(view),
+      tell_(std::move(tell)) {}
+
+void crash_watch::Start() {
+  asio::co_spawn(loop_, KeepTelling(), asio::detached);
+  asio::co_spawn(loop_, KeepHouse(), asio::detached);
+}
+
+// --- What may be sent.
+
+std::string crash_watch::DigestOf(const request_identity& input) const {
+  const std::string& key = view_.members.digest_key;
+  return key.empty() ? "" : quarantine::DigestOf(key, input);
+}
+
+verdict crash_watch::Check(const request_identity& input) const {
+  if (IsQuiet()) return {};
+  return CheckDigest(DigestOf(input));
+}
+
+verdict crash_watch::CheckDigest(const std::string& digest) const {
+  verdict found;
+  found.digest = digest;
+  found.standing = StandingOf(ledger_, digest, clock_.Now());
+  if (found.standing == request_standing::kQuarantined) {
+    found.left = std::chrono::ceil<milliseconds>(
+        ledger_.suspects.at(digest).until - clock_.Now());
+  }
+  return found;
+}
+
+void crash_watch::NoteServed(const request_identity& input) {
+  if (IsQuiet()) return;
+  const std::string digest = DigestOf(input);
+  if (!HasEnds(ledger_, digest)) return;
+  Release(ledger_, digest, release_reason::kServed, clock_.Now());
+  std::erase_if(own_reports_, [&digest](const own_report& item) {
+    return item.report.digest == digest;
+  });
+  outbox_.served.push_back(digest);
+  outbox_filled_.Notify();
+}
+
+// --- What has ended.
 
 // Whether a later start has the place of one that is gone from the list.
 bool crash_watch::HasSuccessor(const fleet::endpoint& gone) const {
@@ -58,8 +111,8 @@
 
 void crash_watch::NoteBroken(const request_identity& input,
                              const fleet::endpoint& target) {
-  const std::string& key = view_.members.digest_key;
-  if (key.empty()) return;
+  const std::string digest = DigestOf(input);
+  if (digest.empty()) return;
   const fleet::endpoint* const listed = FindEndpoint(view_, target.incarnation);
   const bool has_successor = HasSuccessor(target);
   // One that said that it is going may end at any time.
@@ -69,18 +122,18 @@
   if (is_leaving) return;
   const auto [found, is_new] = broken_.try_emplace(target.incarnation);
   broken_endpoint& entry = found->second;
-  std::string digest = DigestOf(key, input);
-  const bool is_known = std::find(entry.digests.begin(), entry.digests.end(),
-                                  digest) != entry.digests.end();
-  if (!is_known && entry.digests.size() < kMostRequests) {
-    entry.digests.push_back(std::move(digest));
+  const bool is_known = std::any_of(
+      entry.victims.begin(), entry.victims.end(),
+      [&digest](const victim& item) { return item.digest == digest; });
+  if (!is_known && entry.victims.size() < kMostRequests) {
+    entry.victims.push_back({digest, std::string(input.customer)});
   }
+  if (is_new) entry.endpoint = target;
   if (has_successor) {
     NoteEnded(target.incarnation);
     return;
   }
   if (!is_new) return;
-  entry.endpoint = target;
   entry.give_up_at = clock_.Now() + kSuccessorTime;
   asio::co_spawn(loop_, Watch(target.incarnation, target.address),
                  asio::detached);
@@ -106,22 +159,104 @@
   broken_.erase(incarnation);
 }
 
+void crash_watch::NoteEnded(const std::string& incarnation) {
+  const auto found = broken_.find(incarnation);
+  if (found == broken_.end()) return;
+  const broken_endpoint ended = std::move(found->second);
+  broken_.erase(found);
+  const time_point now = clock_.Now();
+  for (const victim& item : ended.victims) {
+    LogEvent(event_id::kEndpointEndedUnderRequest, {{"digest", item.digest},
+                                                    {"customer", item.customer},
+                                                    {"endpoint", incarnation}});
+    const fleet::crash_report report{item.digest, item.customer, incarnation};
+    NoteEnd(ledger_, report, now);
+    own_reports_.push_back({report, now});
+    if (own_reports_.size() > kMostOwnReports) own_reports_.pop_front();
+    outbox_.reports.push_back(report);
+  }
+  outbox_filled_.Notify();
+}
+
+// --- What others are told, and tell.
+
 void crash_watch::OnView() {
   std::vector<std::string> ended;
   for (const auto& [incarnation, entry] : broken_) {
     if (HasSuccessor(entry.endpoint)) ended.push_back(incarnation);
   }
   for (const std::string& incarnation : ended) NoteEnded(incarnation);
+  TakeWarnings();
 }
 
-void crash_watch::NoteEnded(const std::string& incarnation) {
-  const auto found = broken_.find(incarnation);
-  if (found == broken_.end()) return;
-  const broken_endpoint ended = std::move(found->second);
-  broken_.erase(found);
-  for (const std::string& digest : ended.digests) {
-    LogEvent(event_id::kEndpointEndedUnderRequest,
-             {{"digest", digest}, {"endpoint", incarnation}});
+void crash_watch::TakeWarnings() {
+  const bool is_new_term = view_.version.term != seen_term_;
+  seen_term_ = view_.version.term;
+  if (is_new_term) TellAgain();
+  if (view_.warnings == seen_warnings_) return;
+  const std::vector<fleet::request_warning> before =
+      std::exchange(seen_warnings_, view_.warnings);
+  const time_point now = clock_.Now();
+  auto old = before.begin();
+  for (const fleet::request_warning& item : seen_warnings_) {
+    while (old != before.end() && old->digest < item.digest) ++old;
+    const bool is_same = old != before.end() && *old == item;
+    if (!is_same) Adopt(ledger_, item, now);
+  }
+  // A new leader may not know yet what the one before had told.
+  if (is_new_term) return;
+  for (const fleet::request_warning& item : before) {
+    const bool is_listed =
+        std::binary_search(seen_warnings_.begin(), seen_warnings_.end(), item,
+                           [](const auto& left, const auto& right) {
+                             return left.digest < right.digest;
+                           });
+    if (is_listed) continue;
+    Release(ledger_, item.digest, release_reason::kServed, now);
+  }
+}
+
+void crash_watch::TellAgain() {
+  outbox_.reports.clear();
+  for (const own_report& item : own_reports_) {
+    outbox_.reports.push_back(item.report);
+  }
+  if (!outbox_.reports.empty()) outbox_filled_.Notify();
+}
+
+awaitable<void> crash_watch::KeepTelling() {
+  for (;;) {
+    if (outbox_.reports.empty() && outbox_.served.empty()) {
+      co_await outbox_filled_.WaitUntil(time_point::max());
+      continue;
+    }
+    fleet::crash_news news = std::exchange(outbox_, {});
+    const bool is_told = co_await tell_(news);
+    if (is_told) continue;
+    // Behind what came in meanwhile: the order does not matter.
+    outbox_.reports.insert(outbox_.reports.end(), news.reports.begin(),
+                           news.reports.end());
+    outbox_.served.insert(outbox_.served.end(), news.served.begin(),
+                          news.served.end());
+    if (outbox_.reports.size() > kMostOwnReports) {
+      outbox_.reports.resize(kMostOwnReports);
+    }
+    if (outbox_.served.size() > kMostOwnReports) {
+      outbox_.served.resize(kMostOwnReports);
+    }
+    co_await net::Sleep(kTellPause);
+  }
+}
+
+awaitable<void> crash_watch::KeepHouse() {
+  for (;;) {
+    co_await net::Sleep(kHousePeriod);
+    const time_point now = clock_.Now();
+    Expire(ledger_, now);
+    while (!own_reports_.empty() &&
+           now - own_reports_.front().at >= ledger_.options.memory) {
+      own_reports_.pop_front();
+    }
   }
 }
 
--- a/packages/quarantine/crash_watch.h
+++ b/packages/quarantine/crash_watch.h
@@ -1,53 +1,100 @@
 #ifndef HICKORYWOOD_QUARANTINE_CRASH_WATCH_H_
 #define HICKORYWOOD_QUARANTINE_CRASH_WATCH_H_
 
-// Tells endpoints that ended from connections that merely broke, and names the
-// requests that were running there. One for each process that sends requests to
-// endpoints.
+// One process's part in holding back requests that take endpoints down: tells
+// endpoints that ended from connections that merely broke, reports the requests
+// that were running there to the control leader, and knows which requests must
+// not be sent.
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "core/clock.h"
+#include "fleet/request_warning.h"
 #include "fleet/view.h"
 #include "net/connection_pool.h"
+#include "net/event.h"
+#include "quarantine/crash_ledger.h"
 #include "quarantine/request_digest.h"
 
 namespace hickorywood::quarantine {
 
+// How a request stands.
+struct verdict {
+  request_standing standing = request_standing::kClear;
+  std::string digest;  // empty: no request is suspected, so none was made
+  core::milliseconds left{0};  // of its quarantine
+};
+
 class crash_watch {
  public:
+  // Brings news to the control leader. False: it may not have arrived.
+  using teller = std::function<boost::asio::awaitable<bool>(fleet::crash_news)>;
+
   crash_watch(boost::asio::io_context& loop, const core::runtime_clock& clock,
-              net::connection_pool& pool, const fleet::view& view);
+              net::connection_pool& pool, const fleet::view& view, teller tell);
 
+  void Start();
   // The view changed.
   void OnView();
 
   // The connection to `target` broke under a request before its answer was
   // whole. Not for silence: who does not answer may be at work.
   void NoteBroken(const request_identity& input, const fleet::endpoint& target);
+  // An endpoint answered the request and goes on.
+  void NoteServed(const request_identity& input);
+
+  // While nothing is suspected no request is looked at.
+  bool IsQuiet() const { return ledger_.suspects.empty(); }
+  verdict Check(const request_identity& input) const;
+  verdict CheckDigest(const std::string& digest) const;
+  // Empty while the control group has drawn no key.
+  std::string DigestOf(const request_identity& input) const;
 
  private:
+  struct victim {
+    std::string digest;
+    std::string customer;
+  };
   // An endpoint whose connections broke, and the requests that ran there.
   struct broken_endpoint {
     fleet::endpoint endpoint;
-    std::vector<std::string> digests;
+    std::vector<victim> victims;
     core::time_point give_up_at{};
   };
+  struct own_report {
+    fleet::crash_report report;
+    core::time_point at{};
+  };
 
   boost::asio::awaitable<void> Watch(std::string incarnation,
                                      std::string address);
+  boost::asio::awaitable<void> KeepTelling();
+  boost::asio::awaitable<void> KeepHouse();
   void NoteEnded(const std::string& incarnation);
   bool HasSuccessor(const fleet::endpoint& gone) const;
+  void TakeWarnings();
+  void TellAgain();
 
   boost::asio::io_context& loop_;
   const core::runtime_clock& clock_;
   net::connection_pool& pool_;
   const fleet::view& view_;
+  const teller tell_;
   std::map<std::string, broken_endpoint> broken_;  // by incarnation
+  crash_ledger ledger_;
+  // What this process has seen, for a leader that does not know it.
+  std::deque<own_report> own_reports_;
+  fleet::crash_news outbox_;
+  net::event outbox_filled_;
+  // Of the view that was looked at last.
+  uint64_t seen_term_ = 0;
+  std::vector<fleet::request_warning> seen_warnings_;
 };
 
 }  // namespace hickorywood::quarantine
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -1,6 +1,7 @@
 #include "routing/request_sender.h"
 
 #include <algorithm>
+#include <boost/asio/this_coro.hpp>
 #include <random>
 #include <set>
 #include <utility>
@@ -68,6 +69,8 @@
   int failed_answers = 0;
   std::optional<net::response> best;  // usable answer so far
   std::string problem;
+  bool is_suspected = false;
+  std::optional<milliseconds> quarantined_for;
   net::event changed;
 
   void CancelAll() {
@@ -108,11 +111,30 @@
   if (state.refusals > kMostRefusals) return false;
   const int count = state.running + state.may_have_run;
   if (count >= state.terms.where.max_attempts) return false;
+  if (state.quarantined_for || (state.is_suspected && count > 0)) return false;
   const bool may_repeat =
       state.terms.where.kind == fleet::route_kind::kIdempotent;
   return may_repeat || count == 0;
 }
 
+bool request_sender::IsSendable(
+    race& state, const quarantine::request_identity& identity) const {
+  const quarantine::verdict found = crashes_.Check(identity);
+  state.is_suspected =
+      found.standing == quarantine::request_standing::kSuspected;
+  if (found.standing != quarantine::request_standing::kQuarantined) {
+    return true;
+  }
+  state.quarantined_for = found.left;
+  state.problem = "endpoints end under this request; it is held back";
+  LogEvent(event_id::kRequestRefused,
+           {{"request", state.terms.id},
+            {"digest", found.digest},
+            {"reason", state.problem},
+            {"ms", std::to_string(found.left.count())}});
+  return false;
+}
+
 awaitable<send_outcome> request_sender::Send(const net::request& input,
                                              const send_terms& terms) {
   const auto state = std::make_shared<race>();
@@ -125,14 +147,19 @@
   const canceller guard{state};
   state->terms = terms;
   state->service = std::string(fleet::DrawService(terms.where, DrawShare()));
+  const quarantine::request_identity identity = quarantine::IdentityOf(input);
   for (;;) {
     const bool is_time = state->running == 0 || clock_.Now() >= state->hedge_at;
-    if (is_time && MayStart(*state)) StartAttempt(state, input);
+    const bool is_due = is_time && MayStart(*state);
+    // What ended under the attempts before may have changed how it stands.
+    if (is_due && IsSendable(*state, identity) && MayStart(*state)) {
+      StartAttempt(state, input);
+    }
     if (state->running == 0) break;
     const bool may_hedge = MayStart(*state) && clock_.Now() < state->hedge_at;
     co_await state->changed.WaitUntil(
         may_hedge ? std::min(terms.deadline, state->hedge_at) : terms.deadline);
-    TakeResults(*state);
+    TakeResults(*state, identity);
     const bool is_over = state->best && state->best->status < 500;
     if (is_over || clock_.Now() >= terms.deadline) break;
   }
@@ -145,6 +172,7 @@
   outcome.refusals = state->refusals;
   outcome.endpoints = state->tried.size();
   outcome.problem = state->problem;
+  outcome.quarantined_for = state->quarantined_for;
   co_return outcome;
 }
 
@@ -213,7 +241,13 @@
   } else {
     result.may_have_run = call.how != net::progress::kNotSent;
     NoteFailure(book_, target.incarnation, now);
-    if (result.may_have_run && !call.is_timeout) {
+    // Ending it was our own doing where the caller left or another copy won.
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    const bool is_cancelled =
+        cancellation.cancelled() != asio::cancellation_type::none;
+    const bool is_broken =
+        result.may_have_run && !call.is_timeout && !is_cancelled;
+    if (is_broken) {
       crashes_.NoteBroken(quarantine::IdentityOf(output), target);
     }
   }
@@ -230,7 +264,8 @@
   co_return result;
 }
 
-void request_sender::TakeResults(race& state) {
+void request_sender::TakeResults(race& state,
+                                 const quarantine::request_identity& identity) {
   std::vector<attempt_result> results = std::move(state.results);
   state.results.clear();
   for (attempt_result& result : results) {
@@ -241,6 +276,7 @@
       ++state.refusals;
     }
     if (!result.is_usable) continue;
+    crashes_.NoteServed(identity);
     if (result.answer.status == 500) ++state.failed_answers;
     // The endpoint's own failure is handed on only when nothing better comes.
     const bool is_better = !state.best || result.answer.status < 500;
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -51,6 +51,8 @@
   int refusals = 0;        // endpoints that did not run it
   size_t endpoints = 0;    // that were tried
   std::string problem;     // why no further one was tried
+  // Endpoints end under this request, and it is sent to none for as long.
+  std::optional<std::chrono::milliseconds> quarantined_for;
 };
 
 class request_sender {
@@ -81,8 +83,11 @@
   boost::asio::awaitable<attempt_result> Attempt(std::shared_ptr<race> state,
                                                  fleet::endpoint target,
                                                  net::request output);
-  static void TakeResults(race& state);
+  void TakeResults(race& state, const quarantine::request_identity& identity);
   bool MayStart(const race& state) const;
+  // Takes the request's standing into the race. False: it must not be sent.
+  bool IsSendable(race& state,
+                  const quarantine::request_identity& identity) const;
 
   boost::asio::io_context& loop_;
   const core::runtime_clock& clock_;
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -278,8 +278,9 @@
   const steps::step& step = found->second;
   const time_point now = clock_.Now();
   for (const uint32_t i : where.order) {
-    const task_run& task = where.tasks[i];
+    task_run& task = where.tasks[i];
     if (task.stage != task_stage::kWaiting || task.not_before > now) continue;
+    if (IsHeldBack({id, i}, task)) continue;
     // The rest starts as engines answer.
     if (!RunnerFor("", pass)) return;
     candidate item;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -84,6 +84,8 @@
     uint64_t committed_events = 0;  // of the text, kept by the data group
     bool is_whole_committed = false;
     core::time_point whole_at{};
+    std::string digest;  // of its request; empty: nobody has asked yet
+    bool is_held_back = false;
   };
   struct step_run {
     std::vector<task_run> tasks;
@@ -173,6 +175,9 @@
   void EndRun(const std::shared_ptr<run>& ended, run_end how);
   void NoteEngine(const std::string& incarnation, run_end how);
   void NoteBroken(const run& ended, const task_run& task);
+  void NoteServed(const task_key& key);
+  // Whether engines ended under the task, so that it must wait.
+  bool IsHeldBack(const task_key& key, task_run& task);
   // The text of a task is whole: it is scored, or finished.
   void TakeWholeText(const task_key& key);
   void OnScored(const task_key& key, reward_end how, const std::string& score);
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -253,6 +253,10 @@
                                      {"how", WordOf(how)},
                                      {"events", Text(task->text.events)},
                                      {"ms", std::to_string(took.count())}});
+  const bool is_answered = how == run_end::kComplete ||
+                           how == run_end::kFailed ||
+                           how == run_end::kImpossible;
+  if (is_answered) NoteServed(ended->key);
   switch (how) {
     case run_end::kComplete:
       if (ended->events_at_start == 0) {
@@ -289,6 +293,42 @@
   SchedulePump();
 }
 
+namespace {
+
+quarantine::request_identity IdentityOf(const steps::submission& step,
+                                        const steps::task& task) {
+  return {step.host, "POST", task.path, task.body};
+}
+
+}  // namespace
+
+bool dispatcher::IsHeldBack(const task_key& key, task_run& task) {
+  if (crashes_.IsQuiet()) {
+    task.is_held_back = false;
+    return false;
+  }
+  if (task.digest.empty()) {
+    const steps::submission& step = state_.Find(key.step)->input;
+    task.digest = crashes_.DigestOf(IdentityOf(step, step.tasks.at(key.task)));
+  }
+  const bool was_held_back = task.is_held_back;
+  task.is_held_back = crashes_.CheckDigest(task.digest).standing ==
+                      quarantine::request_standing::kQuarantined;
+  if (task.is_held_back && !was_held_back) {
+    LogEvent(event_id::kTaskHeldBack, {{"step", key.step},
+                                       {"task", Text(key.task)},
+                                       {"digest", task.digest}});
+  }
+  return task.is_held_back;
+}
+
+void dispatcher::NoteServed(const task_key& key) {
+  const steps::step* const step = state_.Find(key.step);
+  if (step == nullptr) return;
+  const steps::task& spec = step->input.tasks.at(key.task);
+  crashes_.NoteServed(IdentityOf(step->input, spec));
+}
+
 // A run that brought its text forward has not taken its engine down by being
 // begun, and the next one goes on after it.
 void dispatcher::NoteBroken(const run& ended, const task_run& task) {
@@ -296,8 +336,7 @@
   const bool has_gained = task.text.events > ended.events_at_start;
   if (step == nullptr || has_gained) return;
   const steps::task& spec = step->input.tasks.at(ended.key.task);
-  crashes_.NoteBroken({step->input.host, "POST", spec.path, spec.body},
-                      ended.engine);
+  crashes_.NoteBroken(IdentityOf(step->input, spec), ended.engine);
 }
 
 void dispatcher::NoteEngine(const std::string& incarnation, run_end how) {
--- a/packages/store/reward_caller.cc
+++ b/packages/store/reward_caller.cc
@@ -17,6 +17,15 @@
 // Where a route says nothing of the time that its requests may take.
 constexpr milliseconds kDefaultTime{2000};
 
+// A quarantine may be lifted before its time.
+constexpr milliseconds kQuarantinePoll{1000};
+
+milliseconds PauseAfter(const routing::send_outcome& outcome) {
+  return outcome.quarantined_for
+             ? std::min(*outcome.quarantined_for, kQuarantinePoll)
+             : kRetryPause;
+}
+
 bool IsScored(const routing::send_outcome& outcome) {
   return outcome.answer && outcome.answer->status / 100 == 2;
 }
@@ -153,7 +162,7 @@
             {"problem", outcome.problem},
             {"ms", std::to_string(took.count())}});
   job->is_sent = false;
-  job->not_before = now + kRetryPause;
+  job->not_before = now + PauseAfter(outcome);
   if (!is_scored && !is_given_up) return;
   const task_key key = job->job.key;
   jobs_.erase(key);
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -67,7 +67,10 @@
         caller(pool, node.seeds),
         follower(caller, FollowerOptions(node)),
         service(io, runtime, group, state, ServiceOptions(node)),
-        crashes(io, runtime, pool, follower.View()),
+        crashes(io, runtime, pool, follower.View(),
+                [this](fleet::crash_news news) {
+                  return peering::TellCrashNews(caller, std::move(news));
+                }),
         sender(io, runtime, pool, wire, follower.View(), crashes, node.zone),
         dispatch(io, runtime, group, state, pool, sender, crashes, wire,
                  follower.View()),
@@ -183,6 +186,7 @@
   impl_->service.Start();
   impl_->dispatch.Start();
   impl_->runner.Start();
+  impl_->crashes.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
 }
--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -41,7 +41,9 @@
 // Seen: one request ended twelve endpoints, all three of its service four times
 // over; meanwhile everyone else heard that no endpoint is there. Its client
 // sent it again under a new id and at another entry, and the endpoints came
-// back as new ones, so nothing remembered what had happened.
+// back as new ones. Cause: attempts were counted by request id at one entry, so
+// nothing remembered what a request had done. Proved by HK5007, which names
+// requests by content: one digest with all the ends.
 TEST(CrashingRequestTest, IsNotSentOnAfterItHasEndedThreeEndpoints) {
   deployment fleet;
   StartWithThreeEndpoints(fleet);
@@ -50,6 +52,50 @@
   }
   EXPECT_GE(fleet.Endpoints().Crashes(), kEndsAllowed);
   EXPECT_LE(fleet.Endpoints().Crashes(), kEndsAllowed + kSendsAllowed);
+  for (const std::string entry : {"e1", "e2"}) {
+    const auto refusal =
+        fleet.PlainWithBody(entry, "again-" + entry, deployment::kCrashBody);
+    EXPECT_EQ(refusal.status, 429);
+    EXPECT_NE(refusal.body.find("held back"), std::string::npos);
+    EXPECT_GT(std::stod(refusal.Header("Retry-After")), 0);
+  }
+}
+
+// The control instances are killed one after the other and all at once, and an
+// entry is started anew: what was learned of the request is not lost with the
+// leader that gathered it.
+TEST(CrashingRequestTest, StaysHeldBackWhenLeadersAndEntriesAreLost) {
+  deployment fleet;
+  StartWithThreeEndpoints(fleet);
+  for (int round = 0; round < kRounds; ++round) {
+    SendAndWait(fleet, std::to_string(round));
+  }
+  const int crashes = fleet.Endpoints().Crashes();
+  const auto expect_held_back = [&](const std::string& when) {
+    for (const std::string entry : {"e1", "e2"}) {
+      EXPECT_EQ(fleet.PlainWithBody(entry, entry + when, deployment::kCrashBody)
+                    .status,
+                429)
+          << when;
+    }
+  };
+  int version = 1;
+  for (const std::string& control : fleet.Controls()) {
+    fleet.KillNode(control);
+    ASSERT_TRUE(fleet.PutConfiguration(++version, true));
+    expect_held_back("without-" + control);
+    fleet.StartNode(control);
+  }
+  fleet.KillNode("e1");
+  fleet.StartNode("e1");
+  ASSERT_TRUE(WaitUntil([&] { return fleet.IsReady("e1"); }));
+  expect_held_back("after-restart");
+  for (const std::string& control : fleet.Controls()) fleet.KillNode(control);
+  expect_held_back("without-control");
+  for (const std::string& control : fleet.Controls()) fleet.StartNode(control);
+  ASSERT_TRUE(WaitUntil([&] { return fleet.VersionAt("c1") == version; }));
+  expect_held_back("after-control");
+  EXPECT_EQ(fleet.Endpoints().Crashes(), crashes);
 }
 
 // A task of a step takes down each engine that begins it; the step's other
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -22,6 +22,7 @@
   view_sources Sources() {
     view_sources sources;
     sources.endpoints = [this] { return endpoints; };
+    sources.warnings = [] { return std::vector<fleet::request_warning>{}; };
     sources.members = [] { return fleet::view_members{}; };
     sources.weights = [this] { return weights; };
     sources.config = [this]() -> const fleet::configuration& { return config; };
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -104,7 +104,11 @@
   net::connection_pool pool_{loop_};
   const std::unique_ptr<fleet::protocol> wire_ = platform::MakeProtocol();
   fleet::view view_;
-  quarantine::crash_watch crashes_{loop_, clock_, pool_, view_};
+  quarantine::crash_watch crashes_{
+      loop_, clock_, pool_, view_,
+      [](fleet::crash_news) -> boost::asio::awaitable<bool> {
+        co_return true;
+      }};
   routing::request_sender sender_{loop_, clock_,   pool_, *wire_,
                                   view_, crashes_, "z"};
   reward_caller caller_{loop_, clock_, sender_, *wire_, view_};
