A new leader that has heard less does not free a request

Cause: a new leader that followed nothing is told the ends by each entry that saw some. After the first of these it lists the request with two ends and no quarantine, and the entries took that as its word over their own.

Change: that the leader has no quarantine counts only where it knows all the ends that are known here; and an instance tells a new leader what its list lacks, of all that it knows, not only of what it saw itself. Why it holds: ends only add up at the leader until it has as many as any instance, and then it judges as that instance did.

--- a/packages/quarantine/crash_ledger.cc
+++ b/packages/quarantine/crash_ledger.cc
@@ -19,9 +19,13 @@
 // Doublings of the quarantine; the bound of its length is reached before.
 constexpr int kMostDoublings = 16;
 
+bool IsAmong(const std::vector<std::string>& ends,
+             const std::string& incarnation) {
+  return std::find(ends.begin(), ends.end(), incarnation) != ends.end();
+}
+
 bool Holds(const suspect& item, const std::string& incarnation) {
-  return std::find(item.ends.begin(), item.ends.end(), incarnation) !=
-         item.ends.end();
+  return IsAmong(item.ends, incarnation);
 }
 
 void Unindex(crash_ledger& ledger, const std::string& digest,
@@ -270,12 +274,18 @@
     Erase(ledger, LeastOf(ledger));
   }
   suspect& item = ledger.suspects[warning.digest];
+  const bool knows_less = std::any_of(item.ends.begin(), item.ends.end(),
+                                      [&warning](const std::string& end) {
+                                        return !IsAmong(warning.ends, end);
+                                      });
   item.customer = warning.customer;
   for (const std::string& end : warning.ends) {
     item.forgiven.erase(end);
     if (!Holds(item, end)) AddEnd(ledger, warning.digest, item, end);
   }
   item.changed_at = now;
+  const bool stays = item.is_quarantined && knows_less;
+  if (stays && !warning.is_quarantined) return;
   item.is_quarantined = warning.is_quarantined;
   item.length = seconds(warning.length_s);
   item.until = now + item.length;
--- a/packages/quarantine/crash_ledger.h
+++ b/packages/quarantine/crash_ledger.h
@@ -111,6 +111,8 @@
 std::vector<fleet::request_warning> ListWarnings(const crash_ledger& ledger);
 
 // Takes the word of the control leader. Its quarantine counts anew from here.
+// That it has none counts only where it knows all that is known here: a new
+// leader may have heard of some ends and not of others.
 void Adopt(crash_ledger& ledger, const fleet::request_warning& warning,
            core::time_point now);
 
--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -30,8 +30,9 @@
 // Pause before the leader is told again after a try that failed.
 constexpr milliseconds kTellPause{100};
 constexpr std::chrono::seconds kHousePeriod{10};
-// Ends that this process can tell a new leader of.
-constexpr size_t kMostOwnReports = 1024;
+// Ends that wait to be told: about 100 KB, which each instance may send to a
+// new leader.
+constexpr size_t kMostReports = 1024;
 // Requests that are named for one end: more than endpoints run at once. Bounds
 // what a caller with many connections can make an instance remember.
 constexpr size_t kMostRequests = 256;
@@ -90,9 +91,6 @@
   const std::string digest = DigestOf(input);
   if (!HasEnds(ledger_, digest)) return;
   Release(ledger_, digest, release_reason::kServed, clock_.Now());
-  std::erase_if(own_reports_, [&digest](const own_report& item) {
-    return item.report.digest == digest;
-  });
   outbox_.served.push_back(digest);
   outbox_filled_.Notify();
 }
@@ -171,8 +169,6 @@
                                                     {"endpoint", incarnation}});
     const fleet::crash_report report{item.digest, item.customer, incarnation};
     NoteEnd(ledger_, report, now);
-    own_reports_.push_back({report, now});
-    if (own_reports_.size() > kMostOwnReports) own_reports_.pop_front();
     outbox_.reports.push_back(report);
   }
   outbox_filled_.Notify();
@@ -192,7 +188,7 @@
 void crash_watch::TakeWarnings() {
   const bool is_new_term = view_.version.term != seen_term_;
   seen_term_ = view_.version.term;
-  if (is_new_term) TellAgain();
+  if (is_new_term) TellWhatTheLeaderLacks();
   if (view_.warnings == seen_warnings_) return;
   const std::vector<fleet::request_warning> before =
       std::exchange(seen_warnings_, view_.warnings);
@@ -211,17 +207,31 @@
                            [](const auto& left, const auto& right) {
                              return left.digest < right.digest;
                            });
-    if (is_listed) continue;
-    Release(ledger_, item.digest, release_reason::kServed, now);
+    if (!is_listed) Release(ledger_, item.digest, release_reason::kServed, now);
   }
 }
 
-void crash_watch::TellAgain() {
+// A leader begins with what it followed itself, which may be nothing after all
+// control instances were lost.
+void crash_watch::TellWhatTheLeaderLacks() {
+  std::map<std::string_view, const std::vector<std::string>*> told;
+  for (const fleet::request_warning& item : view_.warnings) {
+    told[item.digest] = &item.ends;
+  }
   outbox_.reports.clear();
-  for (const own_report& item : own_reports_) {
-    outbox_.reports.push_back(item.report);
+  for (const auto& [digest, item] : ledger_.suspects) {
+    const auto known = told.find(digest);
+    for (const std::string& end : item.ends) {
+      const bool is_told =
+          known != told.end() &&
+          std::find(known->second->begin(), known->second->end(), end) !=
+              known->second->end();
+      if (is_told) continue;
+      if (outbox_.reports.size() >= kMostReports) return;
+      outbox_.reports.push_back({digest, item.customer, end});
+    }
   }
-  if (!outbox_.reports.empty()) outbox_filled_.Notify();
+  outbox_filled_.Notify();
 }
 
 awaitable<void> crash_watch::KeepTelling() {
@@ -238,11 +248,11 @@
                            news.reports.end());
     outbox_.served.insert(outbox_.served.end(), news.served.begin(),
                           news.served.end());
-    if (outbox_.reports.size() > kMostOwnReports) {
-      outbox_.reports.resize(kMostOwnReports);
+    if (outbox_.reports.size() > kMostReports) {
+      outbox_.reports.resize(kMostReports);
     }
-    if (outbox_.served.size() > kMostOwnReports) {
-      outbox_.served.resize(kMostOwnReports);
+    if (outbox_.served.size() > kMostReports) {
+      outbox_.served.resize(kMostReports);
     }
     co_await net::Sleep(kTellPause);
   }
@@ -251,12 +261,7 @@
 awaitable<void> crash_watch::KeepHouse() {
   for (;;) {
     co_await net::Sleep(kHousePeriod);
-    const time_point now = clock_.Now();
-    Expire(ledger_, now);
-    while (!own_reports_.empty() &&
-           now - own_reports_.front().at >= ledger_.options.memory) {
-      own_reports_.pop_front();
-    }
+    Expire(ledger_, clock_.Now());
   }
 }
 
--- a/packages/quarantine/crash_watch.h
+++ b/packages/quarantine/crash_watch.h
@@ -8,7 +8,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -67,10 +66,6 @@
     std::vector<victim> victims;
     core::time_point give_up_at{};
   };
-  struct own_report {
-    fleet::crash_report report;
-    core::time_point at{};
-  };
 
   boost::asio::awaitable<void> Watch(std::string incarnation,
                                      std::string address);
@@ -79,7 +74,7 @@
   void NoteEnded(const std::string& incarnation);
   bool HasSuccessor(const fleet::endpoint& gone) const;
   void TakeWarnings();
-  void TellAgain();
+  void TellWhatTheLeaderLacks();
 
   boost::asio::io_context& loop_;
   const core::runtime_clock& clock_;
@@ -88,8 +83,6 @@
   const teller tell_;
   std::map<std::string, broken_endpoint> broken_;  // by incarnation
   crash_ledger ledger_;
-  // What this process has seen, for a leader that does not know it.
-  std::deque<own_report> own_reports_;
   fleet::crash_news outbox_;
   net::event outbox_filled_;
   // Of the view that was looked at last.
--- a/tests/unit/quarantine/crash_ledger_test.cc
+++ b/tests/unit/quarantine/crash_ledger_test.cc
@@ -146,6 +146,16 @@
   EXPECT_EQ(ListWarnings(successor), ListWarnings(ledger_));
 }
 
+// A new leader has heard of two ends from one entry and not yet of the others.
+// Its word must not free what this instance knows better.
+TEST_F(CrashLedgerTest, LeaderThatKnowsLessFreesNothing) {
+  EndAll("cause", {"a", "b", "c"});
+  Adopt(ledger_, {"cause", "customer", {"a", "b"}}, now_);
+  EXPECT_TRUE(IsQuarantined("cause"));
+  Adopt(ledger_, {"cause", "customer", {"a", "b", "c"}}, now_);
+  EXPECT_FALSE(IsQuarantined("cause"));
+}
+
 // A customer sends ever new requests that end endpoints. The book stays within
 // its bound, and what others are held back for stays in it.
 TEST_F(CrashLedgerTest, HostileCustomerPushesOutOnlyItsOwn) {
