The key of request digests is there before the first entry serves

Callers saw: the first rounds of a crashing request right after a deployment's first start did not count (seven ends where six are the most allowed, once in IsNotSentOnAfterItHasEndedThreeEndpoints). Cause: the key was drawn up to half a second after the leader began to serve, and without it an end is named to nobody. Change: the leader commits the key before the first configuration, without which no entry serves.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -287,6 +287,8 @@
              {{"version", version}, {"held", std::to_string(held)}});
     co_return Done();
   }
+  // Entries serve from their first configuration on, and need the key by then.
+  co_await DrawDigestKey();
   put_configuration_command command;
   command.config = std::move(input->config);
   command.text = std::move(input->text);
