Operators list the requests that are held back, and lift one by hand

hickoryctl quarantine and hickoryctl lift DIGEST at a control instance (GET and DELETE /hickory/v1/quarantine): until now a request whose fault was mended at the endpoints had to wait for its quarantine to pass. A lift reaches every entry with the next view (CrashingRequestTest.IsServedAfterAnOperatorLiftedIt).

--- a/packages/controller/control_api.cc
+++ b/packages/controller/control_api.cc
@@ -16,6 +16,9 @@
 using peering::envelope;
 
 constexpr milliseconds kRetryAfter{200};
+// The operators' own paths, the same on every platform.
+constexpr std::string_view kQuarantinePath = "/hickory/v1/quarantine";
+constexpr int kNotFound = 404;
 
 }  // namespace
 
@@ -43,7 +46,39 @@
   co_return wire_.EncodeAcknowledgement("");
 }
 
+awaitable<net::response> control_api::ListQuarantine() {
+  const envelope answer = co_await caller_.Ask(
+      peering::kWarningsMethod, "",
+      std::chrono::steady_clock::now() + kPatience, kOneTry);
+  const auto held =
+      answer.outcome == call_outcome::kDone
+          ? core::DecodeBinary<peering::warning_list>(answer.payload)
+          : std::optional<peering::warning_list>();
+  if (!held) co_return FailureOf(answer);
+  net::response list;
+  list.headers = {{"Content-Type", "application/json"}};
+  list.body = nlohmann::json(*held).dump();
+  co_return list;
+}
+
+awaitable<net::response> control_api::AnswerQuarantine(
+    const net::request& input) {
+  const std::string_view path = net::PathOf(input.target);
+  if (input.method == "GET" && path == kQuarantinePath) {
+    co_return co_await ListQuarantine();
+  }
+  const bool names_one = path.size() > kQuarantinePath.size() + 1;
+  if (input.method != "DELETE" || !names_one) {
+    co_return wire_.EncodeFailure(kNotFound, "no such path", std::nullopt);
+  }
+  const std::string digest(path.substr(kQuarantinePath.size() + 1));
+  co_return co_await Forward(peering::kLiftMethod, peering::EncodeName(digest));
+}
+
 awaitable<net::response> control_api::Answer(const net::request& input) {
+  if (input.target.starts_with(kQuarantinePath)) {
+    co_return co_await AnswerQuarantine(input);
+  }
   fleet::control_call call = wire_.DecodeControlCall(input);
   if (auto* bad = std::get_if<fleet::malformed_call>(&call)) {
     core::LogEvent(core::event_id::kRequestRefused,
--- a/packages/controller/control_api.h
+++ b/packages/controller/control_api.h
@@ -23,6 +23,10 @@
 
  private:
   boost::asio::awaitable<net::response> Answer(const net::request& input);
+  // Requests that are held back: listed, or one of them lifted.
+  boost::asio::awaitable<net::response> AnswerQuarantine(
+      const net::request& input);
+  boost::asio::awaitable<net::response> ListQuarantine();
   boost::asio::awaitable<net::response> Forward(std::string method,
                                                 std::string payload);
   net::response FailureOf(const peering::envelope& answer) const;
--- a/packages/hickoryctl/commands.cc
+++ b/packages/hickoryctl/commands.cc
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds kTimeout{5000};
 constexpr std::chrono::milliseconds kSubmitTimeout{20000};
+constexpr char kQuarantinePath[] = "/hickory/v1/quarantine";
 
 json ParseBody(const reply& answer) {
   json tree = json::parse(answer.body, nullptr, false);
@@ -199,6 +200,29 @@
   return kExitOk;
 }
 
+int ShowQuarantine(const server& target, bool as_json) {
+  const reply answer = Ask(target, "GET", kQuarantinePath, "", kTimeout);
+  if (!IsGood(answer)) return FailureOf(answer);
+  if (as_json) {
+    std::puts(answer.body.c_str());
+    return kExitOk;
+  }
+  for (const json& item : ParseBody(answer)["warnings"]) {
+    std::printf("%s  customer %s  %s  quarantines %lld  ended under it: %s\n",
+                item.value("digest", "").c_str(),
+                item.value("customer", "").c_str(),
+                item.value("is_quarantined", false) ? "held back" : "suspected",
+                item.value("quarantines", 0LL), Join(item["ends"]).c_str());
+  }
+  return kExitOk;
+}
+
+int LiftQuarantine(const server& target, const std::string& digest) {
+  const reply answer =
+      Ask(target, "DELETE", kQuarantinePath + ("/" + digest), "", kTimeout);
+  return PrintPlain(answer, "lifted");
+}
+
 int ShowStatus(const server& target, bool as_json) {
   const reply answer = Ask(target, "GET", "/v1/status", "", kTimeout);
   if (!IsGood(answer)) return FailureOf(answer);
--- a/packages/hickoryctl/commands.h
+++ b/packages/hickoryctl/commands.h
@@ -41,6 +41,11 @@
 int SetSite(const server& target, const std::string& site, bool is_excluded);
 int SaveSnapshot(const server& target, const std::string& file);
 
+// Of a control instance on a platform. The requests under which endpoints
+// ended; and the word that one of them may be sent again.
+int ShowQuarantine(const server& target, bool as_json);
+int LiftQuarantine(const server& target, const std::string& digest);
+
 // `html`: also writes a page with plots to that file.
 int ReportBurn(const server& target, const std::string& html, bool as_json);
 
--- a/packages/hickoryctl/main.cc
+++ b/packages/hickoryctl/main.cc
@@ -51,7 +51,11 @@
     "  hickoryctl exclude|include SITE                    let changes pass "
     "without a site\n"
     "  hickoryctl snapshot FILE                           save the control "
-    "state\n\n"
+    "state\n"
+    "  hickoryctl quarantine                              requests that end "
+    "endpoints (at a control instance)\n"
+    "  hickoryctl lift DIGEST                             let one of them be "
+    "sent again\n\n"
     "Exit codes: 0 done, 1 failed, 2 findings or wrong use, 3 conflict, 4 "
     "held, 5 no answer.";
 
@@ -80,6 +84,7 @@
     if (command == "status") return ctl::ShowStatus(target, as_json);
     if (command == "bootstrap") return ctl::Bootstrap(target);
     if (command == "drain") return ctl::Drain(target);
+    if (command == "quarantine") return ctl::ShowQuarantine(target, as_json);
     return WrongUse();
   }
   if (words.size() != 2) return WrongUse();
@@ -93,6 +98,7 @@
          absl::GetFlag(FLAGS_based_on)},
         as_json);
   }
+  if (command == "lift") return ctl::LiftQuarantine(target, argument);
   if (command == "explain") return ctl::Explain(target, argument, as_json);
   if (command == "report" && argument == "burn") {
     return ctl::ReportBurn(target, absl::GetFlag(FLAGS_html), as_json);
--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -98,6 +98,31 @@
   EXPECT_EQ(fleet.Endpoints().Crashes(), crashes);
 }
 
+// The endpoints' owners have mended what the request did, and an operator lifts
+// its quarantine: it is served at every entry.
+TEST(CrashingRequestTest, IsServedAfterAnOperatorLiftedIt) {
+  deployment fleet;
+  StartWithThreeEndpoints(fleet);
+  for (int round = 0; round < kRounds; ++round) {
+    SendAndWait(fleet, std::to_string(round));
+  }
+  const auto held = fleet.Quarantine("c2");
+  ASSERT_EQ(held.size(), 1U);
+  EXPECT_EQ(held[0]["customer"], "h");
+  EXPECT_TRUE(held[0]["is_quarantined"]);
+  fleet.Endpoints().CrashOnBody("");
+  EXPECT_FALSE(fleet.Lift("c3", "another"));
+  ASSERT_TRUE(fleet.Lift("c3", held[0]["digest"]));
+  for (const std::string entry : {"e1", "e2"}) {
+    EXPECT_TRUE(WaitUntil([&] {
+      return fleet
+                 .PlainWithBody(entry, "mended-" + entry,
+                                deployment::kCrashBody)
+                 .status == 200;
+    }));
+  }
+}
+
 // A task of a step takes down each engine that begins it; the step's other
 // tasks must get their results from engines that stay up.
 TEST(CrashingRequestTest, TaskIsHeldBackAndTheOthersComplete) {
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -258,6 +258,21 @@
   return held.is_object() ? held.value("version", 0) : 0;
 }
 
+json deployment::Quarantine(const std::string& control) {
+  const json held =
+      web_.GetJson(Address(control, control_port_), "/hickory/v1/quarantine");
+  return held.is_object() ? held["warnings"] : json::array();
+}
+
+bool deployment::Lift(const std::string& control, const std::string& digest) {
+  transport::http_request input;
+  input.method = "DELETE";
+  input.url = "http://" + Address(control, control_port_) +
+              "/hickory/v1/quarantine/" + digest;
+  input.total_timeout = kCallTimeout;
+  return web_.Send(std::move(input)).status / 100 == 2;
+}
+
 transport::http_request deployment::MakePlain(const std::string& entry,
                                               const std::string& request_id,
                                               const std::string& body) const {
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -52,6 +52,10 @@
   // What a control instance says is in force; 0: it can't tell.
   int VersionAt(const std::string& control);
 
+  // The requests that a control instance says are held back or suspected.
+  nlohmann::json Quarantine(const std::string& control);
+  bool Lift(const std::string& control, const std::string& digest);
+
   transport::http_response Plain(const std::string& entry,
                                  const std::string& request_id);
   transport::http_response PlainWithBody(const std::string& entry,
--- a/tests/unit/fleet/view_log_test.cc
+++ b/tests/unit/fleet/view_log_test.cc
@@ -76,6 +76,29 @@
   EXPECT_TRUE(TellWeights(log, {{"i-0", "m", 4, true}}));
 }
 
+// A request that takes endpoints down is named to all, and taken off again,
+// without the list of endpoints being sent anew.
+TEST(ViewLogTest, WarningsAreToldAndLiftedAlone) {
+  view_log log;
+  BeginTerm(log, 1);
+  TellEndpoints(log, MakeEndpoints(3));
+  view held;
+  Follow(held, log);
+  request_warning first{"d1", "customer", {"a", "b", "c"}, true, 600, 1};
+  request_warning second{"d2", "customer", {"a", "b"}};
+  ASSERT_TRUE(TellWarnings(log, {first, second}));
+  EXPECT_FALSE(TellWarnings(log, {first, second}));
+  const view_update update = MakeUpdate(log, RequestOf(held));
+  EXPECT_TRUE(update.endpoints.empty());
+  ASSERT_TRUE(ApplyUpdate(held, update));
+  EXPECT_EQ(held.warnings, (std::vector<request_warning>{first, second}));
+  second.ends.push_back("d");
+  ASSERT_TRUE(TellWarnings(log, {second}));
+  Follow(held, log);
+  EXPECT_EQ(held.warnings, std::vector<request_warning>{second});
+  EXPECT_EQ(held.endpoints.size(), 3U);
+}
+
 // A process held a version of a leader that is gone. Its successor counts anew,
 // so that the same count says nothing: everything is told whole.
 TEST(ViewLogTest, AnotherTermIsToldWhole) {
