A digest's head tells most requests apart; the cost of holding back is measured

While any request is suspected each one is looked at. Change: digests begin with a head that leaves the body's bytes out, and only requests whose head stands in the book are read whole. Endpoints are found by their order in the view, as a reset of all connections asks for each.

--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -8,7 +8,7 @@
 #include "figures.h"
 
 ABSL_FLAG(std::string, part, "",
-          "control, entry, routing, rollout or store; empty: all");
+          "control, entry, routing, rollout, store or quarantine; empty: all");
 ABSL_FLAG(std::string, out, "figures.txt", "file for the figures");
 
 int main(int argc, char** argv) {
@@ -26,5 +26,8 @@
     hickorywood::bench::MeasureRollout(out);
   }
   if (part.empty() || part == "store") hickorywood::bench::MeasureStore(out);
+  if (part.empty() || part == "quarantine") {
+    hickorywood::bench::MeasureQuarantine(out);
+  }
   return 0;
 }
--- a/bench/figures.h
+++ b/bench/figures.h
@@ -43,6 +43,7 @@
 void MeasureRollout(figures& out);
 void MeasureOverload(figures& out);
 void MeasureStore(figures& out);
+void MeasureQuarantine(figures& out);
 
 }  // namespace hickorywood::bench
 
--- a/packages/quarantine/crash_ledger.cc
+++ b/packages/quarantine/crash_ledger.cc
@@ -16,6 +16,8 @@
 constexpr size_t kMostEndsKept = 16;
 // Ends that are remembered as forgiven, so that late news of them don't count.
 constexpr size_t kMostForgiven = 64;
+// Part of a customer's suspects that makes room at once.
+constexpr size_t kEvictedPart = 16;
 // Doublings of the quarantine; the bound of its length is reached before.
 constexpr int kMostDoublings = 16;
 
@@ -45,28 +47,28 @@
   ledger.suspects.erase(found);
 }
 
-// The suspect that tells least: of the customer that has most of them, first
-// those that nothing counts against any more, then the one with the fewest ends
-// and the oldest. So a customer with ever new requests pushes out its own.
-std::string LeastOf(const crash_ledger& ledger) {
+// Makes room for one more. Of the customer that has most suspects those that
+// tell least go: first what nothing counts against any more, then what has the
+// fewest ends and is oldest. So a customer with ever new requests pushes out
+// its own. A share at a time, since finding them goes over the whole book.
+void MakeRoom(crash_ledger& ledger) {
+  if (ledger.suspects.size() < ledger.options.most_requests) return;
   std::map<std::string_view, size_t> counts;
   for (const auto& item : ledger.suspects) ++counts[item.second.customer];
   const auto most = std::max_element(counts.begin(), counts.end(),
                                      [](const auto& left, const auto& right) {
                                        return left.second < right.second;
                                      });
-  const auto rank = [](const suspect& item) {
-    return std::make_tuple(item.is_quarantined, item.ends.size(),
-                           item.changed_at);
-  };
-  const std::pair<const std::string, suspect>* least = nullptr;
-  for (const auto& item : ledger.suspects) {
-    if (item.second.customer != most->first) continue;
-    const bool is_less =
-        least == nullptr || rank(item.second) < rank(least->second);
-    if (is_less) least = &item;
+  using rank = std::tuple<bool, size_t, time_point, std::string>;
+  std::vector<rank> ranks;
+  for (const auto& [digest, item] : ledger.suspects) {
+    if (item.customer != most->first) continue;
+    ranks.emplace_back(item.is_quarantined, item.ends.size(), item.changed_at,
+                       digest);
   }
-  return least->first;
+  std::sort(ranks.begin(), ranks.end());
+  const size_t leaving = std::max<size_t>(1, ranks.size() / kEvictedPart);
+  for (size_t i = 0; i < leaving; ++i) Erase(ledger, std::get<3>(ranks[i]));
 }
 
 void AddEnd(crash_ledger& ledger, const std::string& digest, suspect& item,
@@ -181,8 +183,8 @@
     const bool is_old = known->second.forgiven.count(report.incarnation) != 0 ||
                         Holds(known->second, report.incarnation);
     if (is_old) return changes;
-  } else if (ledger.suspects.size() >= ledger.options.most_requests) {
-    Erase(ledger, LeastOf(ledger));
+  } else {
+    MakeRoom(ledger);
   }
   suspect& item = ledger.suspects[report.digest];
   item.customer = report.customer;
@@ -252,6 +254,11 @@
                                          : request_standing::kClear;
 }
 
+bool HasHead(const crash_ledger& ledger, const std::string& head) {
+  const auto next = ledger.suspects.lower_bound(head);
+  return next != ledger.suspects.end() && next->first.starts_with(head);
+}
+
 bool HasEnds(const crash_ledger& ledger, const std::string& digest) {
   const auto found = ledger.suspects.find(digest);
   return found != ledger.suspects.end() && !found->second.ends.empty();
@@ -269,10 +276,7 @@
 
 void Adopt(crash_ledger& ledger, const fleet::request_warning& warning,
            time_point now) {
-  const bool is_new = ledger.suspects.count(warning.digest) == 0;
-  if (is_new && ledger.suspects.size() >= ledger.options.most_requests) {
-    Erase(ledger, LeastOf(ledger));
-  }
+  if (ledger.suspects.count(warning.digest) == 0) MakeRoom(ledger);
   suspect& item = ledger.suspects[warning.digest];
   const bool knows_less = std::any_of(item.ends.begin(), item.ends.end(),
                                       [&warning](const std::string& end) {
--- a/packages/quarantine/crash_ledger.h
+++ b/packages/quarantine/crash_ledger.h
@@ -103,6 +103,9 @@
 request_standing StandingOf(const crash_ledger& ledger,
                             const std::string& digest, core::time_point now);
 
+// Whether the book has a request whose digest begins so.
+bool HasHead(const crash_ledger& ledger, const std::string& head);
+
 // Whether any end counts against the request.
 bool HasEnds(const crash_ledger& ledger, const std::string& digest);
 
--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -39,11 +39,14 @@
 
 const fleet::endpoint* FindEndpoint(const fleet::view& view,
                                     const std::string& incarnation) {
-  const auto found = std::find_if(view.endpoints.begin(), view.endpoints.end(),
-                                  [&incarnation](const fleet::endpoint& item) {
-                                    return item.incarnation == incarnation;
-                                  });
-  return found == view.endpoints.end() ? nullptr : &*found;
+  const auto found = std::lower_bound(
+      view.endpoints.begin(), view.endpoints.end(), incarnation,
+      [](const fleet::endpoint& item, const std::string& sought) {
+        return item.incarnation < sought;
+      });
+  const bool is_listed =
+      found != view.endpoints.end() && found->incarnation == incarnation;
+  return is_listed ? &*found : nullptr;
 }
 
 }  // namespace
@@ -70,8 +73,15 @@
   return key.empty() ? "" : quarantine::DigestOf(key, input);
 }
 
+// A body can have megabytes, and most requests are told from those in the book
+// by the rest.
+bool crash_watch::MayBeKnown(const request_identity& input) const {
+  if (IsQuiet()) return false;
+  return HasHead(ledger_, DigestHeadOf(view_.members.digest_key, input));
+}
+
 verdict crash_watch::Check(const request_identity& input) const {
-  if (IsQuiet()) return {};
+  if (!MayBeKnown(input)) return {};
   return CheckDigest(DigestOf(input));
 }
 
@@ -87,7 +97,7 @@
 }
 
 void crash_watch::NoteServed(const request_identity& input) {
-  if (IsQuiet()) return;
+  if (!MayBeKnown(input)) return;
   const std::string digest = DigestOf(input);
   if (!HasEnds(ledger_, digest)) return;
   Release(ledger_, digest, release_reason::kServed, clock_.Now());
--- a/packages/quarantine/crash_watch.h
+++ b/packages/quarantine/crash_watch.h
@@ -72,6 +72,8 @@
   boost::asio::awaitable<void> KeepTelling();
   boost::asio::awaitable<void> KeepHouse();
   void NoteEnded(const std::string& incarnation);
+  // Whether the request can be one of those in the book.
+  bool MayBeKnown(const request_identity& input) const;
   bool HasSuccessor(const fleet::endpoint& gone) const;
   void TakeWarnings();
   void TellWhatTheLeaderLacks();
--- a/packages/quarantine/request_digest.cc
+++ b/packages/quarantine/request_digest.cc
@@ -16,6 +16,8 @@
 // Two requests out of 2^64 would have to meet for one to be taken for the
 // other.
 constexpr size_t kDigestBytes = 16;
+// Enough to be rare among the requests that are suspected at one time.
+constexpr size_t kHeadBytes = 8;
 
 using mac_state = std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)>;
 
@@ -34,13 +36,33 @@
   return state;
 }
 
+void AddNumber(const mac_state& state, uint64_t number) {
+  EVP_MAC_update(state.get(), BytesOf(&number), sizeof number);
+}
+
 // The length goes before the bytes, so that no two sets of fields read alike.
 void AddField(const mac_state& state, std::string_view field) {
-  const uint64_t size = field.size();
-  EVP_MAC_update(state.get(), BytesOf(&size), sizeof size);
+  AddNumber(state, field.size());
   EVP_MAC_update(state.get(), BytesOf(field.data()), field.size());
 }
 
+mac_state StartDigest(std::string_view key, const request_identity& input) {
+  mac_state state = StartMac(key);
+  AddField(state, absl::AsciiStrToLower(std::string(input.customer)));
+  AddField(state, input.method);
+  AddField(state, input.target);
+  AddNumber(state, input.body.size());
+  return state;
+}
+
+std::string Finish(const mac_state& state, size_t bytes) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> whole{};
+  size_t size = 0;
+  EVP_MAC_final(state.get(), whole.data(), &size, whole.size());
+  const std::string cut(reinterpret_cast<const char*>(whole.data()), bytes);
+  return absl::BytesToHexString(cut);
+}
+
 }  // namespace
 
 request_identity IdentityOf(const net::request& input) {
@@ -48,18 +70,14 @@
           input.body};
 }
 
+std::string DigestHeadOf(std::string_view key, const request_identity& input) {
+  return Finish(StartDigest(key, input), kHeadBytes);
+}
+
 std::string DigestOf(std::string_view key, const request_identity& input) {
-  const mac_state state = StartMac(key);
-  AddField(state, absl::AsciiStrToLower(std::string(input.customer)));
-  AddField(state, input.method);
-  AddField(state, input.target);
+  const mac_state state = StartDigest(key, input);
   AddField(state, input.body);
-  std::array<unsigned char, EVP_MAX_MD_SIZE> whole{};
-  size_t size = 0;
-  EVP_MAC_final(state.get(), whole.data(), &size, whole.size());
-  const std::string cut(reinterpret_cast<const char*>(whole.data()),
-                        kDigestBytes);
-  return absl::BytesToHexString(cut);
+  return DigestHeadOf(key, input) + Finish(state, kDigestBytes);
 }
 
 }  // namespace hickorywood::quarantine
--- a/packages/quarantine/request_digest.h
+++ b/packages/quarantine/request_digest.h
@@ -25,9 +25,15 @@
 // customer is the host that it is addressed to.
 request_identity IdentityOf(const net::request& input);
 
-// 32 hex digits: HMAC-SHA256 under a key that only the system's instances
-// hold, cut to 128 bits. Bodies can be short or known, so a plain hash in a log
-// or a message would let anyone who reads it guess them.
+// Digests are HMAC-SHA256 under a key that only the system's instances hold.
+// Bodies can be short or known, so a plain hash in a log or a message would let
+// anyone who reads it guess them.
+
+// The head of a digest, 16 hex digits, of all but the body's bytes: its size
+// stands for them. Tells most requests apart without reading their bodies.
+std::string DigestHeadOf(std::string_view key, const request_identity& input);
+
+// 48 hex digits: the head, and 128 bits of the whole.
 std::string DigestOf(std::string_view key, const request_identity& input);
 
 }  // namespace hickorywood::quarantine
--- a/tests/unit/quarantine/crash_watch_test.cc
+++ b/tests/unit/quarantine/crash_watch_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -52,6 +53,10 @@
     item.address = "127.0.0.1:" + std::to_string(listening->Port());
     if (listens) listeners_.push_back(std::move(listening));
     view_.endpoints.push_back(item);
+    std::sort(view_.endpoints.begin(), view_.endpoints.end(),
+              [](const auto& left, const auto& right) {
+                return left.incarnation < right.incarnation;
+              });
     return item;
   }
 
@@ -116,7 +121,7 @@
 // A planned end cuts what its endpoint did not finish; that blames nobody.
 TEST_F(CrashWatchTest, EndpointThatLeavesDoesNotCount) {
   const fleet::endpoint draining = List("draining", false);
-  view_.endpoints.back().state = fleet::endpoint_state::kDraining;
+  view_.endpoints[0].state = fleet::endpoint_state::kDraining;
   watch_.NoteBroken(kRequest, draining);
   const fleet::endpoint left = List("left", false);
   view_.endpoints.pop_back();
--- a/tests/unit/quarantine/request_digest_test.cc
+++ b/tests/unit/quarantine/request_digest_test.cc
@@ -53,6 +53,19 @@
   EXPECT_NE(DigestOf("other", IdentityOf(input)), Digest(input));
 }
 
+// What is cheap to compute must not tell a request from itself.
+TEST(RequestDigestTest, HeadBeginsTheDigestAndLeavesOutTheBody) {
+  const net::request input = MakeRequest("id");
+  net::request same_size = MakeRequest("id");
+  same_size.body = "clap";
+  const std::string head = DigestHeadOf(kKey, IdentityOf(input));
+  EXPECT_TRUE(Digest(input).starts_with(head));
+  EXPECT_TRUE(Digest(same_size).starts_with(head));
+  net::request longer = MakeRequest("id");
+  longer.body = "clips";
+  EXPECT_FALSE(Digest(longer).starts_with(head));
+}
+
 RC_GTEST_PROP(RequestDigestTest, FieldsDoNotRunIntoEachOther,
               (const std::string& left, const std::string& right)) {
   RC_PRE(!right.empty());
