An endpoint that ends right after its connections were reset is noticed

Found by reading: for 3 s after a broken connection to an endpoint that was found to listen, further breaks there were added to the first one and nobody probed again. An end in that time was missed unless the successor was listed within it, and then it named requests of before the end too. Callers would have seen a crashing request sent on once more. Change: once its probes are over, the next break is looked at anew, by itself. CrashWatchTest.EndRightAfterAResetNamesWhatRanThen; it does not compile on the code before (Probing()).

--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -128,26 +128,29 @@
       listed == nullptr ? !has_successor
                         : listed->state == fleet::endpoint_state::kDraining;
   if (is_leaving) return;
-  const auto [found, is_new] = broken_.try_emplace(target.incarnation);
-  broken_endpoint& entry = found->second;
+  ForgetSound();
+  broken_endpoint& entry = broken_[target.incarnation];
+  if (!entry.is_probed) entry = {target};
   const bool is_known = std::any_of(
       entry.victims.begin(), entry.victims.end(),
       [&digest](const victim& item) { return item.digest == digest; });
   if (!is_known && entry.victims.size() < kMostRequests) {
     entry.victims.push_back({digest, std::string(input.customer)});
   }
-  if (is_new) entry.endpoint = target;
   if (has_successor) {
     NoteEnded(target.incarnation);
     return;
   }
-  if (!is_new) return;
+  if (entry.is_probed) return;
+  entry.is_probed = true;
   entry.give_up_at = clock_.Now() + kSuccessorTime;
-  asio::co_spawn(loop_, Watch(target.incarnation, target.address),
+  asio::co_spawn(loop_, Probe(target.incarnation, target.address),
                  asio::detached);
 }
 
-awaitable<void> crash_watch::Watch(std::string incarnation,
+// One that listens at the last probe stays on the list: its successor may be
+// what listens. What breaks there after that is looked at anew.
+awaitable<void> crash_watch::Probe(std::string incarnation,
                                    std::string address) {
   for (int probe = 0; probe < kProbes; ++probe) {
     const net::connect_outcome outcome =
@@ -160,11 +163,19 @@
     co_await net::Sleep(kProbePause);
   }
   const auto found = broken_.find(incarnation);
-  if (found == broken_.end()) co_return;
-  const auto left =
-      std::chrono::ceil<milliseconds>(found->second.give_up_at - clock_.Now());
-  if (left > milliseconds(0)) co_await net::Sleep(left);
-  broken_.erase(incarnation);
+  if (found != broken_.end()) found->second.is_probed = false;
+}
+
+size_t crash_watch::Probing() const {
+  return static_cast<size_t>(
+      std::count_if(broken_.begin(), broken_.end(),
+                    [](const auto& item) { return item.second.is_probed; }));
+}
+
+void crash_watch::ForgetSound() {
+  std::erase_if(broken_, [now = clock_.Now()](const auto& item) {
+    return !item.second.is_probed && now >= item.second.give_up_at;
+  });
 }
 
 void crash_watch::NoteEnded(const std::string& incarnation) {
@@ -187,6 +198,7 @@
 // --- What others are told, and tell.
 
 void crash_watch::OnView() {
+  ForgetSound();
   std::vector<std::string> ended;
   for (const auto& [incarnation, entry] : broken_) {
     if (HasSuccessor(entry.endpoint)) ended.push_back(incarnation);
--- a/packages/quarantine/crash_watch.h
+++ b/packages/quarantine/crash_watch.h
@@ -48,6 +48,8 @@
   // An endpoint answered the request and goes on.
   void NoteServed(const request_identity& input);
 
+  // Endpoints that are being asked whether they listen.
+  size_t Probing() const;
   // While nothing is suspected no request is looked at.
   bool IsQuiet() const { return ledger_.suspects.empty(); }
   verdict Check(const request_identity& input) const;
@@ -64,11 +66,13 @@
   struct broken_endpoint {
     fleet::endpoint endpoint;
     std::vector<victim> victims;
+    bool is_probed = false;  // its probes are under way
     core::time_point give_up_at{};
   };
 
-  boost::asio::awaitable<void> Watch(std::string incarnation,
+  boost::asio::awaitable<void> Probe(std::string incarnation,
                                      std::string address);
+  void ForgetSound();
   boost::asio::awaitable<void> KeepTelling();
   boost::asio::awaitable<void> KeepHouse();
   void NoteEnded(const std::string& incarnation);
--- a/tests/unit/quarantine/crash_watch_test.cc
+++ b/tests/unit/quarantine/crash_watch_test.cc
@@ -107,6 +107,21 @@
   EXPECT_EQ(reports_[0].incarnation, "ended");
 }
 
+// Connections are reset, and right after that the endpoint ends under another
+// request: only that one was running there.
+TEST_F(CrashWatchTest, EndRightAfterAResetNamesWhatRanThen) {
+  const fleet::endpoint target = List("a", true);
+  watch_.NoteBroken(kRequest, target);
+  const request_identity later{kCustomer, "POST", "/clips/8", "clip"};
+  const std::string digest = watch_.DigestOf(later);
+  ASSERT_TRUE(RunUntil([this] { return watch_.Probing() == 0; }));
+  listeners_.clear();
+  watch_.NoteBroken(later, target);
+  ASSERT_TRUE(RunUntil([this] { return !reports_.empty(); }));
+  ASSERT_EQ(reports_.size(), 1U);
+  EXPECT_EQ(reports_[0].digest, digest);
+}
+
 // An endpoint is back so soon that a probe finds its successor.
 TEST_F(CrashWatchTest, EndpointWithASuccessorHasEnded) {
   const fleet::endpoint gone = List("a", true);
