--- a/packages/quarantine/request_digest.cc
+++ b/packages/quarantine/request_digest.cc
@@ -26,12 +26,12 @@
 }
 
 mac_state StartMac(std::string_view key) {
-  static EVP_MAC* const algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  static EVP_MAC* const kAlgorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
   char hash[] = "SHA256";
   const std::array<OSSL_PARAM, 2> terms = {
       OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, hash, 0),
       OSSL_PARAM_construct_end()};
-  mac_state state(EVP_MAC_CTX_new(algorithm), &EVP_MAC_CTX_free);
+  mac_state state(EVP_MAC_CTX_new(kAlgorithm), &EVP_MAC_CTX_free);
   EVP_MAC_init(state.get(), BytesOf(key.data()), key.size(), terms.data());
   return state;
 }
--- a/tests/unit/quarantine/request_digest_test.cc
+++ b/tests/unit/quarantine/request_digest_test.cc
@@ -69,7 +69,8 @@
 RC_GTEST_PROP(RequestDigestTest, FieldsDoNotRunIntoEachOther,
               (const std::string& left, const std::string& right)) {
   RC_PRE(!right.empty());
-  const request_identity one{"c", "POST", left + right, ""};
+  const std::string joined = left + right;
+  const request_identity one{"c", "POST", joined, ""};
   const request_identity two{"c", "POST", left, right};
   RC_ASSERT(DigestOf(kKey, one) != DigestOf(kKey, two));
 }
