--- a/packages/quarantine/crash_ledger.h
+++ b/packages/quarantine/crash_ledger.h
@@ -41,7 +41,7 @@
   // How long ends count after the latest of them, or after a quarantine. Well
   // above the time in which a client tries again.
   std::chrono::seconds memory{600};
-  // Requests in the book: about 2 MB.
+  // Requests in the book: about 6 MB.
   size_t most_requests = 4096;
 };
 
