Logs say what a caller heard of a task's body, and whose answer came over a connection

No decision changes.

- HK6017 at each read of a task's body: the entry logs status and bytes, the store that leads whether the task has a result and its step is ended.
- HK3010 where the answer of another instance can't be read: it was turned into "unavailable" without a line.
- HK5006 gives a reason in each case, and status 0 where no whole answer came.

--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -156,6 +156,8 @@
       {event_id::kRequestQuarantined, kWarning, "routing",
        "request quarantined"},
       {event_id::kQuarantineLifted, kInfo, "routing", "quarantine lifted"},
+      {event_id::kForeignAnswer, kWarning, "routing",
+       "answer of another request"},
       {event_id::kStepOpened, kInfo, "rollout", "step opened"},
       {event_id::kStepTakenOver, kWarning, "rollout", "step taken over"},
       {event_id::kStepClosed, kInfo, "rollout", "step closed"},
@@ -175,6 +177,7 @@
        "runs ended without their leader"},
       {event_id::kRunnerLost, kWarning, "rollout", "runs of a store lost"},
       {event_id::kTaskHeldBack, kWarning, "rollout", "task held back"},
+      {event_id::kTaskBodyRead, kInfo, "rollout", "body of a task read"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -71,6 +71,7 @@
   kEndpointEndedUnderRequest = 5007,
   kRequestQuarantined = 5008,
   kQuarantineLifted = 5009,
+  kForeignAnswer = 5010,
   kStepOpened = 6001,
   kStepTakenOver = 6002,
   kStepClosed = 6003,
@@ -87,6 +88,7 @@
   kRunsWithoutLeader = 6014,
   kRunnerLost = 6015,
   kTaskHeldBack = 6016,
+  kTaskBodyRead = 6017,
 };
 
 struct event_info {
--- a/packages/entry/step_gateway.cc
+++ b/packages/entry/step_gateway.cc
@@ -114,8 +114,16 @@
   if (answer.outcome == call_outcome::kUnknown) {
     answer.outcome = call_outcome::kUnavailable;
   }
-  if (answer.outcome != call_outcome::kDone) co_return FailureOf(answer);
-  co_return wire_.EncodeTaskBody(answer.payload);
+  net::response reply = answer.outcome == call_outcome::kDone
+                            ? wire_.EncodeTaskBody(answer.payload)
+                            : FailureOf(answer);
+  LogEvent(event_id::kTaskBodyRead,
+           {{"step", input.step},
+            {"task", input.task},
+            {"status", std::to_string(reply.status)},
+            {"bytes", std::to_string(answer.payload.size())},
+            {"reason", answer.reason}});
+  co_return reply;
 }
 
 awaitable<net::response> step_gateway::End(fleet::end_step_call input) {
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/events.h"
 #include "core/reason.h"
 #include "net/address.h"
 
@@ -235,8 +236,8 @@
 namespace {
 
 // Reads answers until the one that is expected. False: none came whole.
-awaitable<bool> ReadExpected(connection& from, const call_options& options,
-                             call_result& result) {
+awaitable<bool> ReadExpected(connection& from, const std::string& address,
+                             const call_options& options, call_result& result) {
   for (;;) {
     const bool has_head =
         co_await from.ReadHead(result.answer, options.deadline);
@@ -253,6 +254,12 @@
     const bool is_other = !options.expected.name.empty() && !mark.empty() &&
                           mark != options.expected.value;
     if (!is_other) co_return true;
+    core::LogEvent(core::event_id::kForeignAnswer,
+                   {{"request", options.expected.value},
+                    {"found", std::string(mark)},
+                    {"status", std::to_string(result.answer.status)},
+                    {"address", address},
+                    {"reused", from.IsReused() ? "true" : "false"}});
   }
 }
 
@@ -270,9 +277,10 @@
   result.how = progress::kMaybeSent;
   bool is_whole = co_await open->Write(input, options.deadline);
   if (is_whole) {
-    is_whole = co_await ReadExpected(*open, options, result);
+    is_whole = co_await ReadExpected(*open, address, options, result);
   }
   if (!is_whole) {
+    result.answer = response{.status = 0};
     result.error = open->Error();
     result.is_timeout = std::chrono::steady_clock::now() >= options.deadline;
     co_return result;
--- a/packages/net/connection_pool.h
+++ b/packages/net/connection_pool.h
@@ -107,7 +107,7 @@
 
 struct call_result {
   progress how = progress::kNotSent;
-  response answer;
+  response answer{.status = 0};  // status 0: no whole answer came
   std::string error;
   bool is_timeout = false;
 };
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/binary.h"
+#include "core/events.h"
 #include "net/event.h"
 
 namespace hickorywood::peering {
@@ -95,8 +96,12 @@
       co_await net::Call(pool_, address, input, options);
   envelope answer;
   if (result.how == net::progress::kAnswered && result.answer.status == 200) {
-    answer =
-        core::DecodeBinary<envelope>(result.answer.body).value_or(envelope{});
+    const auto told = core::DecodeBinary<envelope>(result.answer.body);
+    if (told) co_return *told;
+    core::LogEvent(core::event_id::kPeerMessageMalformed,
+                   {{"method", method},
+                    {"address", address},
+                    {"reason", core::LastReason().text}});
     co_return answer;
   }
   const bool is_sent = result.how != net::progress::kNotSent;
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -40,6 +40,14 @@
   return std::max(delay, kShortestHedge);
 }
 
+// Why an attempt brought no usable answer, in words.
+std::string ProblemOf(const net::call_result& call,
+                      const fleet::answer_marks& marks) {
+  if (call.how != net::progress::kAnswered) return call.error;
+  if (marks.is_not_run) return "the endpoint did not run it";
+  return "the answer bears no mark of its endpoint";
+}
+
 }  // namespace
 
 double DrawShare() {
@@ -257,7 +265,7 @@
               {"endpoint", target.incarnation},
               {"status", std::to_string(call.answer.status)},
               {"may_have_run", result.may_have_run ? "true" : "false"},
-              {"reason", call.error},
+              {"reason", ProblemOf(call, marks)},
               {"ms", std::to_string(Since(started, now).count())}});
   }
   result.answer = std::move(call.answer);
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -172,8 +172,16 @@
   if (!input) co_return Malformed();
   const steps::step* where = state_.Find(input->step);
   if (where == nullptr) co_return NoSuch("step");
-  for (const steps::task& task : where->input.tasks) {
-    if (task.id == input->task) co_return Done(task.body);
+  for (uint32_t i = 0; i < where->input.tasks.size(); ++i) {
+    const steps::task& task = where->input.tasks[i];
+    if (task.id != input->task) continue;
+    LogEvent(event_id::kTaskBodyRead,
+             {{"step", input->step},
+              {"task", input->task},
+              {"has_result", steps::HasResult(*where, i) ? "true" : "false"},
+              {"is_ended", where->is_ended ? "true" : "false"},
+              {"bytes", std::to_string(task.body.size())}});
+    co_return Done(task.body);
   }
   co_return NoSuch("task");
 }
