--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -304,6 +304,12 @@
   return step + "-t" + std::to_string(task);
 }
 
+std::string deployment::BodyOf(const std::string& step, int task) {
+  std::string body = TaskId(step, task);
+  for (int byte = 0; byte < 256; ++byte) body += static_cast<char>(byte);
+  return body;
+}
+
 std::string deployment::RewardId(const std::string& step, int task) {
   return TaskId(step, task) + "-reward";
 }
@@ -321,7 +327,7 @@
         {{"id", id},
          {"path", "/s/run"},
          {"headers", json::object()},
-         {"body", Base64(i == crashing ? kCrashBody : id)},
+         {"body", Base64(i == crashing ? kCrashBody : BodyOf(step, i))},
          {"tokens", 10},
          {"group", id}});
     if (!with_rewards) continue;
@@ -347,6 +353,13 @@
   });
 }
 
+transport::http_response deployment::ReadBody(const std::string& entry,
+                                              const std::string& step,
+                                              int task) {
+  return web_.Get(Address(entry, callers_port_),
+                  "/v1/items/" + step + "?id=" + TaskId(step, task));
+}
+
 json deployment::WaitForResults(const std::string& entry,
                                 const std::string& step, size_t count) {
   json page;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -73,10 +73,16 @@
   nlohmann::json WaitForResults(const std::string& entry,
                                 const std::string& step, size_t count);
 
+  // The body of a task as one entry answers it.
+  transport::http_response ReadBody(const std::string& entry,
+                                    const std::string& step, int task);
+
   static constexpr char kSpareControl[] = "c4";
   // Of requests that take down what runs them, once the stand-ins are told.
   static constexpr char kCrashBody[] = "crash";
   static std::string TaskId(const std::string& step, int task);
+  // The body that a task is submitted with; it holds every byte value.
+  static std::string BodyOf(const std::string& step, int task);
   static std::string RewardId(const std::string& step, int task);
   const std::vector<std::string>& Stores() const { return stores_; }
   const std::vector<std::string>& Controls() const { return controls_; }
