A task's body that was dropped is not found, and no longer answered as an empty one

What callers saw: a read of a task's body was answered 200 with other bytes (none), once the task's result was listed or its step was ended.

Cause: absence was stored as an empty value. The data group drops what runs a task when the task has its result or its step is ended, by clearing its fields; a read could not tell that from a task that was submitted without a body, and answered what the field held.

Change: a task holds its request as an optional value, and who uses it has to say what happens without it: a read answers 404, as for a body that nobody may ask for; no task is started, no digest is made and no score is asked for from a request that is gone (the old code would have used its empty fields there). In the log and in messages the fields stand where they stood, so that entries of earlier releases are read; without the path there is no request.

Why it holds: the state that was answered wrongly can't be written down any more.

--- a/packages/fleet/protocol.h
+++ b/packages/fleet/protocol.h
@@ -167,8 +167,10 @@
                                       const dispatch_terms& terms) const = 0;
   // The header that names the request in requests and in answers.
   virtual net::header RequestIdHeader(const std::string& id) const = 0;
+  // `task`: id of the task that `input` runs.
   virtual net::request EncodeTask(const steps::submission& step,
-                                  const steps::task& task,
+                                  const std::string& task,
+                                  const steps::task_request& input,
                                   const dispatch_terms& terms) const = 0;
   // A reward request as a caller would send it.
   virtual net::request EncodeReward(
@@ -178,9 +180,9 @@
   virtual std::optional<uint64_t> EventVersion(
       const std::string& field, const std::string& value) const = 0;
   // The number of output tokens that the caller expects of a task, or 0.
-  virtual int64_t ExpectedTokens(const steps::task& task) const = 0;
+  virtual int64_t ExpectedTokens(const steps::task_request& input) const = 0;
   // The longest output that a task may have, in tokens, or 0.
-  virtual int64_t LargestOutput(const steps::task& task) const = 0;
+  virtual int64_t LargestOutput(const steps::task_request& input) const = 0;
 
   virtual net::request EncodeOrder(const load_order& order) const = 0;
   virtual order_outcome DecodeOrderAnswer(int status) const = 0;
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -7,16 +7,6 @@
 namespace hickorywood::steps {
 namespace {
 
-// What nobody asks for once a task has its result or its step is ended. It
-// would stay in each snapshot until the step's retention has passed.
-void DropInput(task& item) {
-  item.body.clear();
-  item.body.shrink_to_fit();
-  item.headers.clear();
-  item.path.clear();
-  item.reward = reward_request{};
-}
-
 void LeaveOnDisk(task_result& item) {
   if (item.index == 0 || item.output.empty()) return;
   item.bytes_on_disk = item.output.size();
@@ -26,6 +16,22 @@
 
 }  // namespace
 
+void to_json(nlohmann::json& tree, const task& input) {
+  tree =
+      input.request ? nlohmann::json(*input.request) : nlohmann::json::object();
+  tree["id"] = input.id;
+  tree["group"] = input.group;
+  tree["tokens"] = input.tokens;
+}
+
+void from_json(const nlohmann::json& tree, task& output) {
+  output.id = tree.value("id", "");
+  output.group = tree.value("group", "");
+  output.tokens = tree.value("tokens", int64_t{0});
+  output.request.reset();
+  if (tree.contains("path")) output.request = tree.get<task_request>();
+}
+
 bool OpenStep(step_book& book, submission input, int64_t now_ms,
               uint64_t index) {
   const std::string id = input.id;
@@ -52,7 +58,9 @@
     const bool is_known = item.task < where.input.tasks.size();
     if (!is_known || HasResult(where, item.task)) continue;
     where.progress.erase(item.task);
-    DropInput(where.input.tasks[item.task]);
+    // Nothing is run any more, and it would be held until the step is
+    // forgotten.
+    where.input.tasks[item.task].request.reset();
     item.index = index;
     where.results.push_back(std::move(item));
     ++taken;
@@ -88,7 +96,7 @@
   step& where = found->second;
   where.is_ended = true;
   where.progress.clear();
-  for (task& item : where.input.tasks) DropInput(item);
+  for (task& item : where.input.tasks) item.request.reset();
   return true;
 }
 
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,20 +27,30 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(reward_request, id, host, path,
                                                 body)
 
-// One generation of a step.
-struct task {
-  std::string id;  // of the request that runs it
+// What runs a task.
+struct task_request {
   std::string path;
   net::header_list headers;
   std::string body;
-  std::string group;   // tasks of one group share their prompt
-  int64_t tokens = 0;  // of the prompt and the longest output together
   reward_request reward;
 
   bool HasReward() const { return !reward.id.empty(); }
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task, id, path, headers, body,
-                                                group, tokens, reward)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_request, path, headers,
+                                                body, reward)
+
+// One generation of a step.
+struct task {
+  std::string id;      // of the request that runs it
+  std::string group;   // tasks of one group share their prompt
+  int64_t tokens = 0;  // of the prompt and the longest output together
+  // Empty: it was dropped, since the task has its result or its step is ended.
+  std::optional<task_request> request;
+};
+// The fields of the request stand beside those of the task. Without them it was
+// dropped.
+void to_json(nlohmann::json& tree, const task& input);
+void from_json(const nlohmann::json& tree, task& output);
 
 // What a trainer submits.
 struct submission {
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -177,7 +177,8 @@
   fresh.opened_at = clock_.Now() - age;
   fresh.tasks.resize(where.input.tasks.size());
   for (const steps::task& task : where.input.tasks) {
-    fresh.expected.push_back(wire_.ExpectedTokens(task));
+    fresh.expected.push_back(task.request ? wire_.ExpectedTokens(*task.request)
+                                          : 0);
   }
   fresh.order = steps::OrderTasks(fresh.expected);
   for (const steps::task_result& result : where.results) {
@@ -225,13 +226,22 @@
   return &found->second.tasks.at(key.task);
 }
 
+// What runs a task; nullptr: it was dropped, and nothing runs the task any
+// more.
+const steps::task_request* dispatcher::RequestOf(const task_key& key) const {
+  const steps::step* step = state_.Find(key.step);
+  if (step == nullptr) return nullptr;
+  const auto& request = step->input.tasks.at(key.task).request;
+  return request ? &*request : nullptr;
+}
+
 // The terms of a task under the configuration in force now; nullptr: it has no
 // route any more.
 const fleet::route* dispatcher::RouteOf(const task_key& key) const {
-  const steps::step* step = state_.Find(key.step);
-  if (step == nullptr) return nullptr;
-  return fleet::FindRoute(view_.config, step->input.host,
-                          step->input.tasks.at(key.task).path);
+  const steps::task_request* const input = RequestOf(key);
+  if (input == nullptr) return nullptr;
+  return fleet::FindRoute(view_.config, state_.Find(key.step)->input.host,
+                          input->path);
 }
 
 // --- Starting runs.
@@ -286,8 +296,9 @@
     candidate item;
     item.key = {id, i};
     item.step = &step;
+    item.input = RequestOf(item.key);
     item.terms = RouteOf(item.key);
-    if (item.terms == nullptr) continue;
+    if (item.input == nullptr || item.terms == nullptr) continue;
     const int64_t longest = where.expected[where.order.front()];
     item.is_long = steps::IsLong(where.expected[i], longest);
     if (!TryStart(item, pass)) return;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -132,6 +132,7 @@
     task_key key;
     bool is_long = true;
     const steps::step* step = nullptr;
+    const steps::task_request* input = nullptr;
     const fleet::route* terms = nullptr;
   };
 
@@ -192,6 +193,9 @@
   void CancelRuns(const std::string& step);
   void CancelAll();
   task_run* FindTask(const task_key& key);
+  const steps::task_request* RequestOf(const task_key& key) const;
+  std::optional<quarantine::request_identity> IdentityOf(
+      const task_key& key) const;
   const fleet::route* RouteOf(const task_key& key) const;
   std::vector<std::string> StepsByAge() const;
 
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -28,17 +28,16 @@
 // that will be listed: a score of anything less would be another text's.
 void dispatcher::TakeWholeText(const task_key& key) {
   task_run* const task = FindTask(key);
-  const steps::step* step = state_.Find(key.step);
-  if (task == nullptr || step == nullptr) return;
-  const steps::task& spec = step->input.tasks.at(key.task);
+  const steps::task_request* const input = RequestOf(key);
+  if (task == nullptr || input == nullptr) return;
   task->text.is_whole = true;
-  if (!spec.HasReward()) {
+  if (!input->HasReward()) {
     Finish(key, true);
     return;
   }
   task->stage = task_stage::kScoring;
   task->whole_at = clock_.Now();
-  rewards_.Add({key, spec.reward, steps_.at(key.step).opened_at});
+  rewards_.Add({key, input->reward, steps_.at(key.step).opened_at});
   SchedulePump();
 }
 
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -66,7 +66,8 @@
   terms.time_left = kTaskTime;
   terms.endpoint = self.engine.name;
   if (text.events > 0) terms.last_event = text.events;
-  net::request input = wire_.EncodeTask(step, step.tasks[item.key.task], terms);
+  net::request input =
+      wire_.EncodeTask(step, step.tasks[item.key.task].id, *item.input, terms);
   run_order order;
   order.run = self.id;
   order.incarnation = self.engine.incarnation;
@@ -293,23 +294,24 @@
   SchedulePump();
 }
 
-namespace {
-
-quarantine::request_identity IdentityOf(const steps::submission& step,
-                                        const steps::task& task) {
-  return {step.host, "POST", task.path, task.body};
+// Empty where its request was dropped.
+std::optional<quarantine::request_identity> dispatcher::IdentityOf(
+    const task_key& key) const {
+  const steps::task_request* const input = RequestOf(key);
+  if (input == nullptr) return std::nullopt;
+  return quarantine::request_identity{state_.Find(key.step)->input.host, "POST",
+                                      input->path, input->body};
 }
 
-}  // namespace
-
 bool dispatcher::IsHeldBack(const task_key& key, task_run& task) {
   if (crashes_.IsQuiet()) {
     task.is_held_back = false;
     return false;
   }
   if (task.digest.empty()) {
-    const steps::submission& step = state_.Find(key.step)->input;
-    task.digest = crashes_.DigestOf(IdentityOf(step, step.tasks.at(key.task)));
+    const auto identity = IdentityOf(key);
+    if (!identity) return false;
+    task.digest = crashes_.DigestOf(*identity);
   }
   const bool was_held_back = task.is_held_back;
   task.is_held_back = crashes_.CheckDigest(task.digest).standing ==
@@ -323,20 +325,16 @@
 }
 
 void dispatcher::NoteServed(const task_key& key) {
-  const steps::step* const step = state_.Find(key.step);
-  if (step == nullptr) return;
-  const steps::task& spec = step->input.tasks.at(key.task);
-  crashes_.NoteServed(IdentityOf(step->input, spec));
+  const auto identity = IdentityOf(key);
+  if (identity) crashes_.NoteServed(*identity);
 }
 
 // A run that brought its text forward has not taken its engine down by being
 // begun, and the next one goes on after it.
 void dispatcher::NoteBroken(const run& ended, const task_run& task) {
-  const steps::step* const step = state_.Find(ended.key.step);
+  const auto identity = IdentityOf(ended.key);
   const bool has_gained = task.text.events > ended.events_at_start;
-  if (step == nullptr || has_gained) return;
-  const steps::task& spec = step->input.tasks.at(ended.key.task);
-  crashes_.NoteBroken(IdentityOf(step->input, spec), ended.engine);
+  if (identity && !has_gained) crashes_.NoteBroken(*identity, ended.engine);
 }
 
 void dispatcher::NoteEngine(const std::string& incarnation, run_end how) {
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -180,8 +180,10 @@
               {"task", input->task},
               {"has_result", steps::HasResult(*where, i) ? "true" : "false"},
               {"is_ended", where->is_ended ? "true" : "false"},
-              {"bytes", std::to_string(task.body.size())}});
-    co_return Done(task.body);
+              {"bytes",
+               std::to_string(task.request ? task.request->body.size() : 0)}});
+    if (!task.request) co_return NoSuch("body any more");
+    co_return Done(task.request->body);
   }
   co_return NoSuch("task");
 }
--- a/tests/unit/platform/protocol_test.cc
+++ b/tests/unit/platform/protocol_test.cc
@@ -193,18 +193,20 @@
   EXPECT_EQ(step->wanted_groups, 12);
   ASSERT_EQ(step->tasks.size(), 1U);
   const steps::task& task = step->tasks[0];
-  EXPECT_EQ(task.body.size(), 8U);
-  EXPECT_EQ(wire_->ExpectedTokens(task), 120);
-  EXPECT_EQ(wire_->LargestOutput(task), 400);
+  ASSERT_TRUE(task.request);
+  EXPECT_EQ(task.request->body.size(), 8U);
+  EXPECT_EQ(wire_->ExpectedTokens(*task.request), 120);
+  EXPECT_EQ(wire_->LargestOutput(*task.request), 400);
 
   fleet::dispatch_terms terms;
   terms.time_left = milliseconds(900);
   terms.endpoint = "i-1";
   terms.last_event = 5;
-  const net::request run = wire_->EncodeTask(*step, task, terms);
+  const net::request run =
+      wire_->EncodeTask(*step, task.id, *task.request, terms);
   EXPECT_EQ(run.method, "POST");
   EXPECT_EQ(run.target, "/s/3/91");
-  EXPECT_EQ(run.body, task.body);
+  EXPECT_EQ(run.body, task.request->body);
   EXPECT_EQ(net::Find(run.headers, "Host"), "h");
   EXPECT_EQ(net::Find(run.headers, "X-Request-Id"), "t1");
   EXPECT_EQ(net::Find(run.headers, "X-Model"), "m");
@@ -220,9 +222,9 @@
   input.headers = {{"Host", "h"}, {"X-Request-Id", "lot-1"}};
   const auto step = wire_->DecodeSubmission(input);
   ASSERT_TRUE(step);
-  ASSERT_TRUE(step->tasks[0].HasReward());
-  EXPECT_FALSE(step->tasks[1].HasReward());
-  const net::request call = wire_->EncodeReward(step->tasks[0].reward);
+  ASSERT_TRUE(step->tasks[0].request->HasReward());
+  EXPECT_FALSE(step->tasks[1].request->HasReward());
+  const net::request call = wire_->EncodeReward(step->tasks[0].request->reward);
   EXPECT_EQ(call.method, "POST");
   EXPECT_EQ(call.target, "/r/5");
   EXPECT_EQ(net::Find(call.headers, "Host"), "h2");
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "core/binary.h"
 #include "steps/event_text.h"
 #include "steps/reward_choice.h"
 #include "steps/step.h"
@@ -17,6 +18,7 @@
   for (size_t i = 0; i < tasks; ++i) {
     task item;
     item.id = id + "-" + std::to_string(i);
+    item.request.emplace();
     input.tasks.push_back(item);
   }
   return input;
@@ -64,7 +66,9 @@
 TEST(StepBookTest, WholeTextIsKnownUntilItsScoreIsThere) {
   step_book book;
   submission input = MakeSubmission("s", 2);
-  for (task& item : input.tasks) item.reward = {"r", "h", "/r/", "body"};
+  for (task& item : input.tasks) {
+    item.request->reward = {"r", "h", "/r/", "body"};
+  }
   OpenStep(book, input, 0, 1);
   generated_text text;
   text.events = 2;
@@ -81,10 +85,37 @@
   scored.score = "mark";
   AddResults(book, "s", {scored}, 2);
   EXPECT_EQ(ReadPage(book.at("s"), 0, 1000).results[0].score, "mark");
-  EXPECT_FALSE(book.at("s").input.tasks[0].HasReward());
-  EXPECT_TRUE(book.at("s").input.tasks[1].HasReward());
+  EXPECT_FALSE(book.at("s").input.tasks[0].request);
+  EXPECT_TRUE(book.at("s").input.tasks[1].request->HasReward());
   EndStep(book, "s");
-  EXPECT_FALSE(book.at("s").input.tasks[1].HasReward());
+  EXPECT_FALSE(book.at("s").input.tasks[1].request);
+}
+
+// Guards against a dropped request that comes back as an empty one from a
+// snapshot or a message, and against one of an earlier release that is lost.
+TEST(StepBookTest, DroppedRequestIsToldFromAnEmptyOne) {
+  task empty;
+  empty.id = "t";
+  empty.request.emplace();
+  const auto kept = core::DecodeBinary<task>(core::EncodeBinary(empty));
+  ASSERT_TRUE(kept && kept->request);
+  EXPECT_TRUE(kept->request->body.empty());
+  empty.request.reset();
+  const auto dropped = core::DecodeBinary<task>(core::EncodeBinary(empty));
+  ASSERT_TRUE(dropped);
+  EXPECT_EQ(dropped->id, "t");
+  EXPECT_FALSE(dropped->request);
+  const nlohmann::json earlier = {{"id", "t"},
+                                  {"path", "/s/"},
+                                  {"headers", nlohmann::json::array()},
+                                  {"body", "b"},
+                                  {"group", "g"},
+                                  {"tokens", 3},
+                                  {"reward", nlohmann::json::object()}};
+  const auto read = core::DecodeBinary<task>(core::EncodeBinary(earlier));
+  ASSERT_TRUE(read && read->request);
+  EXPECT_EQ(read->request->body, "b");
+  EXPECT_EQ(read->group, "g");
 }
 
 // Trainers wait for whole groups: the call whose group lacks the least is
