Second answers reach other callers on each path, reproduced (red)

Callers of endpoints that answer twice may get the second answer to a request before theirs. A server of the tests answers each request twice: the second answer names no request, the one that it repeats, or another one; it is whole, cut, or without a length; it comes in one piece with the first, 1 ms to 2 s later (while the connection is idle, or taken again and at work), or right before the answer to the next request; ids are new or repeated. Red on the code as it is, each with real sockets:

- plain calls through the pool: 48 foreign answers taken, those that name no request, and those to a request whose id comes again;
- calls between instances: 54 answers of earlier calls taken; calls have no id;

They are of the same class, an answer that is believed without evidence, and each is mended on its own.

--- /dev/null
+++ b/tests/unit/net/second_answer_test.cc
@@ -0,0 +1,114 @@
+// Calls to servers that answer twice: early, late, to nobody, cut, without a
+// length, over connections that are used again. A call gets its own whole
+// answer or none.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <list>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "net/connection_pool.h"
+#include "net/event.h"
+#include "unit/net/stuttering_server.h"
+
+namespace hickorywood::net {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::io_context;
+using core::milliseconds;
+
+constexpr int kCalls = 3;
+// A call that failed is made again; the failure closed its connection.
+constexpr int kTries = 3;
+// Longer than any request is at work.
+constexpr milliseconds kSlack{300};
+constexpr milliseconds kLimit{60000};
+constexpr char kIdHeader[] = "X-Request-Id";
+
+std::string OwnAnswer(const request& input, int count, bool is_second) {
+  return std::string(is_second ? "second" : "first") + " answer to " +
+         std::string(Find(input.headers, kIdHeader)) + " at " + input.target +
+         ", arrived as number " + std::to_string(count);
+}
+
+// A series of calls to one server.
+struct series {
+  stutter script;
+  bool repeats_id = false;  // all calls have the same id
+  bool waits = false;       // until the second answer lies in the connection
+  int answered = 0;
+  std::vector<std::string> wrong;
+  bool is_over = false;
+};
+
+awaitable<void> MakeCalls(io_context& loop, series& self) {
+  stuttering_server server(loop, self.script, OwnAnswer);
+  connection_pool pool(loop);
+  for (int i = 0; i < kCalls; ++i) {
+    request input;
+    const std::string id = self.repeats_id ? "r" : "r" + std::to_string(i);
+    input.target = "/" + std::to_string(i);
+    input.headers = {{kIdHeader, id}};
+    for (int attempt = 0; attempt < kTries; ++attempt) {
+      call_options options;
+      options.deadline =
+          std::chrono::steady_clock::now() + self.script.work + kSlack;
+      options.connect_deadline = options.deadline;
+      options.expected = {kIdHeader, id};
+      const call_result result =
+          co_await Call(pool, server.Address(), input, options);
+      if (result.how != progress::kAnswered) continue;
+      ++self.answered;
+      const std::string own = OwnAnswer(input, server.Requests(), false);
+      if (result.answer.body != own) self.wrong.push_back(result.answer.body);
+      break;
+    }
+    if (self.waits) co_await Sleep(self.script.delay + milliseconds(20));
+  }
+  self.is_over = true;
+}
+
+std::string Describe(const series& self) {
+  std::ostringstream text;
+  text << self.script << (self.repeats_id ? ", same id again" : "")
+       << (self.waits ? ", while idle" : "");
+  return text.str();
+}
+
+// Guards against a second answer that is taken for the answer to the next
+// request of its connection.
+TEST(SecondAnswerTest, CallsGetTheirOwnAnswerOrNone) {
+  io_context loop;
+  std::list<series> all;
+  for (const stutter& script : AllStutters()) {
+    for (const bool repeats_id : {false, true}) {
+      for (const bool waits : {false, true}) {
+        all.push_back({script, repeats_id, waits});
+      }
+    }
+  }
+  size_t over = 0;
+  for (series& one : all) {
+    boost::asio::co_spawn(loop, MakeCalls(loop, one),
+                          [&loop, &over, &all](const std::exception_ptr&) {
+                            if (++over == all.size()) loop.stop();
+                          });
+  }
+  loop.run_for(kLimit);
+  for (const series& one : all) {
+    EXPECT_TRUE(one.is_over) << Describe(one);
+    EXPECT_EQ(one.answered, kCalls) << Describe(one);
+    for (const std::string& body : one.wrong) {
+      ADD_FAILURE() << Describe(one) << ": " << body;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace hickorywood::net
--- /dev/null
+++ b/tests/unit/net/stuttering_server.cc
@@ -0,0 +1,193 @@
+#include "unit/net/stuttering_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+#include "net/event.h"
+
+namespace hickorywood::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+// Names the request in requests and answers, of callers and of our instances.
+constexpr const char* kIdHeaders[] = {"X-Request-Id", "X-Call-Id"};
+// How late second answers come.
+constexpr milliseconds kDelays[] = {milliseconds(1), milliseconds(20),
+                                    milliseconds(200), milliseconds(2000)};
+// A request is at work for this much longer than the second answer is late.
+constexpr milliseconds kMargin{30};
+
+std::string Encode(const request& input, const std::string& body,
+                   named_request named, answer_form form) {
+  std::string head =
+      "HTTP/1.1 200 OK\r\nX-Response-Stamp: signed\r\nX-Weight-Versions: 1\r\n";
+  for (const char* name : kIdHeaders) {
+    const std::string id(Find(input.headers, name));
+    if (id.empty() || named == named_request::kNone) continue;
+    const bool is_other = named == named_request::kOther;
+    head += std::string(name) + ": " + (is_other ? "nobody-sent-it" : id);
+    head += "\r\n";
+  }
+  if (form != answer_form::kUnframed) {
+    head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  const size_t size = form == answer_form::kCut ? body.size() / 2 : body.size();
+  return head + "\r\n" + body.substr(0, size);
+}
+
+const char* Word(named_request named) {
+  switch (named) {
+    case named_request::kNone:
+      return "names none";
+    case named_request::kRepeated:
+      return "names the request that it repeats";
+    case named_request::kOther:
+      return "names another request";
+  }
+  return "";
+}
+
+const char* Word(answer_form form) {
+  switch (form) {
+    case answer_form::kWhole:
+      return "whole";
+    case answer_form::kCut:
+      return "cut";
+    case answer_form::kUnframed:
+      return "without a length";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const stutter& input) {
+  out << Word(input.named) << ", " << Word(input.form) << ", ";
+  switch (input.moment) {
+    case second_moment::kBehind:
+      return out << "right behind";
+    case second_moment::kLate:
+      return out << input.delay.count() << " ms late";
+    case second_moment::kBeforeNext:
+      return out << "before the next answer";
+  }
+  return out;
+}
+
+std::vector<stutter> AllStutters() {
+  std::vector<stutter> all;
+  for (const auto named : {named_request::kNone, named_request::kRepeated,
+                           named_request::kOther}) {
+    for (const auto form :
+         {answer_form::kWhole, answer_form::kCut, answer_form::kUnframed}) {
+      all.push_back({named, form, second_moment::kBehind});
+      all.push_back({named, form, second_moment::kBeforeNext});
+      for (const milliseconds delay : kDelays) {
+        all.push_back(
+            {named, form, second_moment::kLate, delay, delay + kMargin});
+      }
+    }
+  }
+  return all;
+}
+
+struct stuttering_server::impl : std::enable_shared_from_this<impl> {
+  impl(asio::io_context& io, stutter plan, answer_maker make)
+      : loop(io),
+        script(plan),
+        answer(std::move(make)),
+        acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+
+  awaitable<void> Accept();
+  awaitable<void> Serve(std::shared_ptr<tcp::socket> socket);
+  awaitable<void> WriteLate(std::shared_ptr<tcp::socket> socket,
+                            std::string bytes);
+
+  asio::io_context& loop;
+  const stutter script;
+  const answer_maker answer;
+  tcp::acceptor acceptor;
+  int requests = 0;
+};
+
+awaitable<void> stuttering_server::impl::Accept() {
+  const auto self = shared_from_this();
+  for (;;) {
+    auto [failure, socket] = co_await acceptor.async_accept(kNoThrow);
+    if (failure) co_return;
+    asio::co_spawn(loop,
+                   Serve(std::make_shared<tcp::socket>(std::move(socket))),
+                   asio::detached);
+  }
+}
+
+awaitable<void> stuttering_server::impl::WriteLate(
+    std::shared_ptr<tcp::socket> socket, std::string bytes) {
+  co_await Sleep(script.delay);
+  co_await asio::async_write(*socket, asio::buffer(bytes), kNoThrow);
+}
+
+awaitable<void> stuttering_server::impl::Serve(
+    std::shared_ptr<tcp::socket> socket) {
+  const auto self = shared_from_this();
+  boost::beast::flat_buffer buffer;
+  std::string held_back;  // second answer to the request before
+  for (;;) {
+    http::request<http::string_body> message;
+    const auto [failure, size] =
+        co_await http::async_read(*socket, buffer, message, kNoThrow);
+    if (failure) co_return;
+    const int count = ++requests;
+    request input;
+    input.target = std::string(message.target());
+    input.body = message.body();
+    for (const auto& field : message) {
+      input.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    if (count > 1) co_await Sleep(script.work);
+    const named_request own =
+        script.names_own ? named_request::kRepeated : named_request::kNone;
+    std::string bytes = std::exchange(held_back, "");
+    bytes +=
+        Encode(input, answer(input, count, false), own, answer_form::kWhole);
+    const std::string second =
+        Encode(input, answer(input, count, true), script.named, script.form);
+    if (script.moment == second_moment::kBehind) bytes += second;
+    if (script.moment == second_moment::kBeforeNext) held_back = second;
+    co_await asio::async_write(*socket, asio::buffer(bytes), kNoThrow);
+    if (script.moment == second_moment::kLate) {
+      asio::co_spawn(loop, WriteLate(socket, second), asio::detached);
+    }
+  }
+}
+
+stuttering_server::stuttering_server(asio::io_context& loop, stutter script,
+                                     answer_maker answer)
+    : impl_(std::make_shared<impl>(loop, script, std::move(answer))) {
+  asio::co_spawn(loop, impl_->Accept(), asio::detached);
+}
+
+stuttering_server::~stuttering_server() { impl_->acceptor.close(); }
+
+std::string stuttering_server::Address() const {
+  return "127.0.0.1:" + std::to_string(impl_->acceptor.local_endpoint().port());
+}
+
+int stuttering_server::Requests() const { return impl_->requests; }
+
+}  // namespace hickorywood::net
--- /dev/null
+++ b/tests/unit/net/stuttering_server.h
@@ -0,0 +1,72 @@
+#ifndef HICKORYWOOD_TESTS_UNIT_NET_STUTTERING_SERVER_H_
+#define HICKORYWOOD_TESTS_UNIT_NET_STUTTERING_SERVER_H_
+
+// A server on plain sockets that answers each request twice, as scripted.
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "net/message.h"
+
+namespace hickorywood::net {
+
+// The request that a second answer names.
+enum class named_request { kNone, kRepeated, kOther };
+
+enum class answer_form {
+  kWhole,
+  kCut,       // ends before the length that it names
+  kUnframed,  // names no length and leaves the connection open
+};
+
+enum class second_moment {
+  kBehind,      // in one piece with the first answer
+  kLate,        // `delay` after it
+  kBeforeNext,  // before the answer to the next request of the connection
+};
+
+struct stutter {
+  named_request named = named_request::kRepeated;
+  answer_form form = answer_form::kWhole;
+  second_moment moment = second_moment::kBehind;
+  std::chrono::milliseconds delay{0};
+  // Time that a request takes; the first one takes none.
+  std::chrono::milliseconds work{0};
+  bool names_own = true;  // the first answers name their requests
+};
+std::ostream& operator<<(std::ostream& out, const stutter& input);
+
+// All ways of a second answer: whom it names, its form, when it comes.
+std::vector<stutter> AllStutters();
+
+class stuttering_server {
+ public:
+  // The bytes of the body that answers the request number `count`, from 1, as
+  // the first or the second answer.
+  using answer_maker = std::function<std::string(const request& input,
+                                                 int count, bool is_second)>;
+
+  stuttering_server(boost::asio::io_context& loop, stutter script,
+                    answer_maker answer);
+  ~stuttering_server();
+  stuttering_server(const stuttering_server&) = delete;
+  stuttering_server& operator=(const stuttering_server&) = delete;
+
+  std::string Address() const;
+  // Requests that arrived.
+  int Requests() const;
+
+  struct impl;
+
+ private:
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace hickorywood::net
+
+#endif  // HICKORYWOOD_TESTS_UNIT_NET_STUTTERING_SERVER_H_
--- /dev/null
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -0,0 +1,113 @@
+// Calls between the system's own instances, where an answer could be read as
+// the answer to another call.
+
+#include "peering/leader_caller.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <list>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "core/binary.h"
+#include "unit/net/stuttering_server.h"
+
+namespace hickorywood::peering {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::io_context;
+using core::milliseconds;
+
+constexpr int kCalls = 3;
+constexpr int kTries = 3;
+constexpr milliseconds kSlack{300};
+constexpr milliseconds kLimit{60000};
+
+std::string Payload(const net::request& input, int count, bool is_second) {
+  return std::string(is_second ? "second" : "first") + " answer to " +
+         input.body + ", arrived as number " + std::to_string(count);
+}
+
+std::string Answer(const net::request& input, int count, bool is_second) {
+  envelope answer;
+  answer.outcome = call_outcome::kDone;
+  answer.payload = Payload(input, count, is_second);
+  return core::EncodeBinary(answer);
+}
+
+struct series {
+  net::stutter script;
+  int answered = 0;
+  std::vector<std::string> wrong;
+  bool is_over = false;
+};
+
+awaitable<void> MakeCalls(io_context& loop, series& self) {
+  net::stuttering_server peer(loop, self.script, Answer);
+  net::connection_pool pool(loop);
+  leader_caller caller(pool, {});
+  for (int i = 0; i < kCalls; ++i) {
+    net::request input;
+    input.body = "payload " + std::to_string(i);
+    for (int attempt = 0; attempt < kTries; ++attempt) {
+      const core::time_point deadline =
+          std::chrono::steady_clock::now() + self.script.work + kSlack;
+      const envelope answer = co_await caller.AskOne(peer.Address(), "method",
+                                                     input.body, deadline);
+      if (answer.outcome != call_outcome::kDone) continue;
+      ++self.answered;
+      const std::string own = Payload(input, peer.Requests(), false);
+      if (answer.payload != own) self.wrong.push_back(answer.payload);
+      break;
+    }
+  }
+  self.is_over = true;
+}
+
+// Runs all series at once.
+void RunAll(std::list<series>& all) {
+  io_context loop;
+  size_t over = 0;
+  for (series& one : all) {
+    boost::asio::co_spawn(loop, MakeCalls(loop, one),
+                          [&loop, &over, &all](const std::exception_ptr&) {
+                            if (++over == all.size()) loop.stop();
+                          });
+  }
+  loop.run_for(kLimit);
+  for (const series& one : all) {
+    std::ostringstream name;
+    name << one.script;
+    EXPECT_TRUE(one.is_over) << name.str();
+    EXPECT_EQ(one.answered, kCalls) << name.str();
+    for (const std::string& payload : one.wrong) {
+      ADD_FAILURE() << name.str() << ": " << payload;
+    }
+  }
+}
+
+// Guards against a body, a page of results or a view that belongs to another
+// call.
+TEST(LeaderCallerTest, SecondAnswersBelongToNoCall) {
+  std::list<series> all;
+  for (const net::stutter& script : net::AllStutters()) all.push_back({script});
+  RunAll(all);
+}
+
+// Guards against instances that can't talk to those of the release before,
+// whose answers name no call.
+TEST(LeaderCallerTest, PeersThatNameNoCallAreHeard) {
+  std::list<series> all;
+  for (net::stutter script : net::AllStutters()) {
+    script.names_own = false;
+    all.push_back({script});
+  }
+  RunAll(all);
+}
+
+}  // namespace
+}  // namespace hickorywood::peering
