An answer is taken only with evidence that it is the request's own

What callers could see: the second answer to a request before theirs, where an endpoint answers twice and its second answer names no request, or names one whose id comes again.

Cause: the pool took what came next over a connection for the answer to the request that was written last, unless it named another one. An answer without a name, a repeated id and a call without an id had no evidence at all. Looking at a connection before it is used finds only what has arrived by then.

Change, in net/call.h: an answer belongs to a request if it names it, or if it is the first on its connection. One that names another request is passed over, where its end can be told; anything else ends the connection, and whether the request ran stays open. A connection is used again only if its answer named its request, and carries each id once, for a second answer to that id would bear the right name. Interim answers (1xx) are no answers: one was taken for the answer, and the answer itself waited for the next request.

--- a/packages/controller/weight_keeper.cc
+++ b/packages/controller/weight_keeper.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/events.h"
+#include "net/call.h"
 
 namespace hickorywood::controller {
 namespace {
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -132,8 +132,11 @@
     if (found == nullptr) break;
     const fleet::endpoint target = *found;
     tried.insert(target.incarnation);
+    net::acquire_terms terms_of_connection;
+    terms_of_connection.needs_fresh = true;
     std::unique_ptr<net::connection> open = co_await pool_.Acquire(
-        target.address, clock_.Now() + routing::kConnectTimeout, true);
+        target.address, clock_.Now() + routing::kConnectTimeout,
+        std::move(terms_of_connection));
     if (!open) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
       continue;
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -11,6 +11,7 @@
 #include "consensus/members.h"
 #include "core/binary.h"
 #include "core/events.h"
+#include "net/call.h"
 #include "peering/messages.h"
 
 namespace hickorywood::group {
--- /dev/null
+++ b/packages/net/call.cc
@@ -0,0 +1,106 @@
+#include "net/call.h"
+
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "core/events.h"
+#include "core/reason.h"
+
+namespace hickorywood::net {
+namespace {
+
+using boost::asio::awaitable;
+using core::time_point;
+
+// A second answer beyond this is not worth reading to its end.
+constexpr size_t kMostForeignBytes = 1024 * 1024;
+
+void LogForeign(const connection& from, const header& id,
+                const response& head) {
+  core::LogEvent(core::event_id::kForeignAnswer,
+                 {{"request", id.value},
+                  {"found", std::string(Find(head.headers, id.name))},
+                  {"status", std::to_string(head.status)},
+                  {"address", from.Address()},
+                  {"reused", from.IsReused() ? "true" : "false"}});
+}
+
+// Reads a body to its end and forgets it.
+awaitable<bool> PassOver(connection& from, time_point deadline) {
+  std::string body;
+  body_state state = body_state::kMore;
+  while (state == body_state::kMore && body.size() <= kMostForeignBytes) {
+    state = co_await from.ReadSome(body, deadline);
+  }
+  co_return state == body_state::kEnd;
+}
+
+awaitable<bool> ReadWhole(connection& from, const call_options& options,
+                          response& answer) {
+  const bool has_head =
+      co_await ReadOwnHead(from, options.expected, options.deadline, answer);
+  if (!has_head) co_return false;
+  body_state state = body_state::kMore;
+  while (state == body_state::kMore) {
+    state = co_await from.ReadSome(answer.body, options.deadline);
+    if (answer.body.size() > options.body_limit) co_return false;
+  }
+  co_return state == body_state::kEnd;
+}
+
+}  // namespace
+
+awaitable<bool> ReadOwnHead(connection& from, const header& id,
+                            time_point deadline, response& head) {
+  bool is_first = !from.IsReused();
+  for (;;) {
+    const bool has_head = co_await from.ReadHead(head, deadline);
+    if (!has_head) co_return false;
+    const std::string_view found = Find(head.headers, id.name);
+    if (!found.empty() && found == id.value) {
+      from.MarkNamed();
+      co_return true;
+    }
+    if (found.empty() && is_first) co_return true;
+    LogForeign(from, id, head);
+    // Behind an answer whose end can't be told, the next one can't be found.
+    const bool may_follow = !found.empty() && from.IsFramed();
+    const bool is_passed = may_follow && co_await PassOver(from, deadline);
+    if (!is_passed) {
+      from.SetError("an answer that may belong to another request");
+      co_return false;
+    }
+    is_first = false;
+  }
+}
+
+awaitable<call_result> Call(connection_pool& pool, const std::string& address,
+                            const request& input, const call_options& options) {
+  call_result result;
+  acquire_terms terms;
+  terms.needs_fresh = options.needs_fresh;
+  terms.request_id = options.expected.value;
+  std::unique_ptr<connection> open = co_await pool.Acquire(
+      address, options.connect_deadline, std::move(terms));
+  if (!open) {
+    result.error = core::LastReason().text;
+    co_return result;
+  }
+  result.how = progress::kMaybeSent;
+  bool is_whole = co_await open->Write(input, options.deadline);
+  if (is_whole) {
+    is_whole = co_await ReadWhole(*open, options, result.answer);
+  }
+  if (!is_whole) {
+    result.answer = response{.status = 0};
+    result.error = open->Error();
+    result.is_timeout = std::chrono::steady_clock::now() >= options.deadline;
+    co_return result;
+  }
+  result.how = progress::kAnswered;
+  pool.Release(std::move(open));
+  co_return result;
+}
+
+}  // namespace hickorywood::net
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -2,17 +2,21 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
-#include "core/events.h"
 #include "core/reason.h"
 #include "net/address.h"
 
@@ -29,6 +33,7 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr uint32_t kAnswerHeaderBytes = 64 * 1024;
 
 class pooled_connection : public connection {
@@ -45,10 +50,22 @@
     co_return true;
   }
 
-  const std::string& Address() const { return address_; }
+  const std::string& Address() const override { return address_; }
   bool IsReused() const override { return is_reused_; }
   bool IsRefused() const { return is_refused_; }
   const std::string& Error() const override { return error_; }
+  void SetError(std::string why) override { error_ = std::move(why); }
+  void MarkNamed() override { is_named_ = true; }
+  bool IsFramed() const override { return !parser_->need_eof(); }
+
+  bool HasCarried(const std::string& request_id) const {
+    const size_t hash = std::hash<std::string>{}(request_id);
+    return std::find(carried_.begin(), carried_.end(), hash) != carried_.end();
+  }
+  void NoteCarried(const std::string& request_id) {
+    carried_.push_back(std::hash<std::string>{}(request_id));
+  }
+  size_t Carried() const { return carried_.size(); }
 
   awaitable<bool> Write(const request& output, time_point deadline) override {
     http::request<http::string_body> message;
@@ -71,13 +88,16 @@
   }
 
   awaitable<bool> ReadHead(response& head, time_point deadline) override {
-    parser_.emplace();
-    parser_->header_limit(kAnswerHeaderBytes);
-    parser_->body_limit(boost::none);
+    is_named_ = false;
     stream_.expires_at(deadline);
-    const auto [failure, count] =
-        co_await http::async_read_header(stream_, buffer_, *parser_, kNoThrow);
-    if (failure) co_return Fail(failure);
+    do {
+      parser_.emplace();
+      parser_->header_limit(kAnswerHeaderBytes);
+      parser_->body_limit(boost::none);
+      const auto [failure, count] = co_await http::async_read_header(
+          stream_, buffer_, *parser_, kNoThrow);
+      if (failure) co_return Fail(failure);
+    } while (IsInterim(parser_->get().result_int()));
     const auto& message = parser_->get();
     head.status = static_cast<int>(message.result_int());
     head.headers.clear();
@@ -103,7 +123,8 @@
 
   // Whether another request may go over it.
   bool IsReusable() {
-    if (!parser_ || !parser_->is_done() || !parser_->get().keep_alive()) {
+    if (!is_named_ || !parser_ || !parser_->is_done() ||
+        !parser_->get().keep_alive()) {
       return false;
     }
     // Bytes after a whole answer belong to no request.
@@ -121,6 +142,11 @@
   void MarkReused() { is_reused_ = true; }
 
  private:
+  // The answer itself comes behind it (RFC 9110, section 15.2).
+  static bool IsInterim(unsigned status) {
+    return status / 100 == 1 && status != kSwitchingProtocols;
+  }
+
   // No deadline needs no timer, and a stream has many reads.
   void SetDeadline(time_point deadline) {
     if (deadline == time_point::max()) {
@@ -147,6 +173,8 @@
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string error_;
+  std::vector<size_t> carried_;  // hashes of the ids of its requests
+  bool is_named_ = false;
   bool is_reused_ = false;
   bool is_refused_ = false;
 };
@@ -162,20 +190,26 @@
   impl(asio::io_context& io, pool_options settings)
       : loop(io), options(settings) {}
 
-  std::unique_ptr<pooled_connection> TakeIdle(const std::string& address) {
+  // The idle connection that was used last and may carry the request. Those
+  // that are of no use any more are closed.
+  std::unique_ptr<pooled_connection> TakeIdle(const std::string& address,
+                                              const std::string& request_id) {
     const auto found = idle.find(address);
     if (found == idle.end()) return nullptr;
+    std::deque<idle_connection>& waiting = found->second;
     const time_point now = std::chrono::steady_clock::now();
-    while (!found->second.empty()) {
-      idle_connection candidate = std::move(found->second.back());
-      found->second.pop_back();
-      const bool is_fresh = now - candidate.since < options.idle_limit;
-      if (is_fresh && candidate.item->IsQuiet()) {
-        return std::move(candidate.item);
-      }
+    std::unique_ptr<pooled_connection> taken;
+    for (size_t i = waiting.size(); i > 0 && !taken; --i) {
+      const auto candidate =
+          waiting.begin() + static_cast<std::ptrdiff_t>(i - 1);
+      const bool is_usable = now - candidate->since < options.idle_limit &&
+                             candidate->item->IsQuiet();
+      if (is_usable && candidate->item->HasCarried(request_id)) continue;
+      if (is_usable) taken = std::move(candidate->item);
+      waiting.erase(candidate);
     }
-    idle.erase(found);
-    return nullptr;
+    if (waiting.empty()) idle.erase(found);
+    return taken;
   }
 
   asio::io_context& loop;
@@ -189,12 +223,14 @@
 connection_pool::~connection_pool() = default;
 
 awaitable<std::unique_ptr<connection>> connection_pool::Acquire(
-    const std::string& address, time_point deadline, bool needs_fresh) {
+    std::string address, time_point deadline, acquire_terms terms) {
   const std::shared_ptr<impl> state = impl_;
   std::unique_ptr<pooled_connection> made;
-  if (!needs_fresh) made = state->TakeIdle(address);
+  const bool needs_fresh = terms.needs_fresh || terms.request_id.empty();
+  if (!needs_fresh) made = state->TakeIdle(address, terms.request_id);
   if (made) {
     made->MarkReused();
+    made->NoteCarried(terms.request_id);
     co_return made;
   }
   const auto where = ParseAddress(address);
@@ -205,6 +241,7 @@
     core::SetLastReason(core::reason_code::kUnavailable, made->Error());
     co_return nullptr;
   }
+  made->NoteCarried(terms.request_id);
   co_return made;
 }
 
@@ -223,7 +260,9 @@
 void connection_pool::Release(std::unique_ptr<connection> used) {
   auto* const item = static_cast<pooled_connection*>(used.release());
   std::unique_ptr<pooled_connection> held(item);
-  if (item == nullptr || !item->IsReusable()) return;
+  const bool is_kept = item != nullptr && item->IsReusable() &&
+                       item->Carried() < impl_->options.requests_per_connection;
+  if (!is_kept) return;
   std::deque<idle_connection>& waiting = impl_->idle[item->Address()];
   if (waiting.size() >= impl_->options.idle_per_address) waiting.pop_front();
   waiting.push_back({std::move(held), std::chrono::steady_clock::now()});
@@ -233,61 +272,4 @@
   impl_->idle.erase(address);
 }
 
-namespace {
-
-// Reads answers until the one that is expected. False: none came whole.
-awaitable<bool> ReadExpected(connection& from, const std::string& address,
-                             const call_options& options, call_result& result) {
-  for (;;) {
-    const bool has_head =
-        co_await from.ReadHead(result.answer, options.deadline);
-    if (!has_head) co_return false;
-    result.answer.body.clear();
-    body_state state = body_state::kMore;
-    while (state == body_state::kMore) {
-      state = co_await from.ReadSome(result.answer.body, options.deadline);
-      if (result.answer.body.size() > options.body_limit) co_return false;
-    }
-    if (state == body_state::kBroken) co_return false;
-    const std::string_view mark =
-        Find(result.answer.headers, options.expected.name);
-    const bool is_other = !options.expected.name.empty() && !mark.empty() &&
-                          mark != options.expected.value;
-    if (!is_other) co_return true;
-    core::LogEvent(core::event_id::kForeignAnswer,
-                   {{"request", options.expected.value},
-                    {"found", std::string(mark)},
-                    {"status", std::to_string(result.answer.status)},
-                    {"address", address},
-                    {"reused", from.IsReused() ? "true" : "false"}});
-  }
-}
-
-}  // namespace
-
-awaitable<call_result> Call(connection_pool& pool, const std::string& address,
-                            const request& input, const call_options& options) {
-  call_result result;
-  std::unique_ptr<connection> open = co_await pool.Acquire(
-      address, options.connect_deadline, options.needs_fresh);
-  if (!open) {
-    result.error = core::LastReason().text;
-    co_return result;
-  }
-  result.how = progress::kMaybeSent;
-  bool is_whole = co_await open->Write(input, options.deadline);
-  if (is_whole) {
-    is_whole = co_await ReadExpected(*open, address, options, result);
-  }
-  if (!is_whole) {
-    result.answer = response{.status = 0};
-    result.error = open->Error();
-    result.is_timeout = std::chrono::steady_clock::now() >= options.deadline;
-    co_return result;
-  }
-  result.how = progress::kAnswered;
-  pool.Release(std::move(open));
-  co_return result;
-}
-
 }  // namespace hickorywood::net
--- a/packages/net/connection_pool.h
+++ b/packages/net/connection_pool.h
@@ -8,24 +8,15 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
-#include <cstdint>
-#include <map>
+#include <cstddef>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "core/clock.h"
 #include "net/message.h"
 
 namespace hickorywood::net {
 
-// How far a request got.
-enum class progress {
-  kNotSent,    // no byte of it left this process
-  kMaybeSent,  // it may have arrived; there is no whole answer
-  kAnswered,   // a whole answer was received
-};
-
 enum class body_state {
   kMore,
   kEnd,     // the body is whole
@@ -45,12 +36,21 @@
   // Reads the status line and the headers of the next answer.
   virtual boost::asio::awaitable<bool> ReadHead(response& head,
                                                 core::time_point deadline) = 0;
+  // Whether the answer whose head was read last names the length of its body,
+  // or ends it by a mark. Any other ends with its connection.
+  virtual bool IsFramed() const = 0;
   // Adds to `piece` what has arrived of the body. kBroken once `deadline` has
   // passed without news; the end of time: it waits for ever.
   virtual boost::asio::awaitable<body_state> ReadSome(
       std::string& piece, core::time_point deadline) = 0;
   // Why the last call failed.
   virtual const std::string& Error() const = 0;
+  virtual void SetError(std::string why) = 0;
+  virtual const std::string& Address() const = 0;
+  // The answer whose head was read last names the request that it belongs to.
+  // Without this a connection is not used again: a late second answer could not
+  // be told from the next one.
+  virtual void MarkNamed() = 0;
 };
 
 // What became of an attempt to connect.
@@ -64,6 +64,18 @@
   // Kept unused for this long at most; below what endpoints commonly allow.
   std::chrono::milliseconds idle_limit{4000};
   size_t idle_per_address = 64;
+  // A connection remembers the ids of all the requests that it carried, so the
+  // number of these bounds its memory.
+  size_t requests_per_connection = 512;
+};
+
+// Which connection a request may go over.
+struct acquire_terms {
+  bool needs_fresh = false;
+  // Id of the request; empty: it has none, and needs a fresh connection. One
+  // that carried a request of this id is not taken: a second answer to that
+  // request would bear the same name.
+  std::string request_id;
 };
 
 class connection_pool {
@@ -74,14 +86,14 @@
   connection_pool(const connection_pool&) = delete;
   connection_pool& operator=(const connection_pool&) = delete;
 
-  // An idle connection to `address`, or a new one. Empty with the reason when
-  // it can't be made by `deadline`.
+  // An idle connection to `address`, or a new one. `terms` is a variable that
+  // is moved in, see handler in listener.h. Empty with the reason when it can't
+  // be made by `deadline`.
   boost::asio::awaitable<std::unique_ptr<connection>> Acquire(
-      const std::string& address, core::time_point deadline,
-      bool needs_fresh = false);
+      std::string address, core::time_point deadline, acquire_terms terms);
   // Gives back a connection whose answer was read to its end. It is closed
-  // instead where the other side asked for that or has sent more than its
-  // answer.
+  // instead where the other side asked for that, has sent more than its answer,
+  // or did not name the request that it answered.
   void Release(std::unique_ptr<connection> used);
   // Opens a connection to `address` and closes it again.
   boost::asio::awaitable<connect_outcome> Probe(const std::string& address,
@@ -95,30 +107,6 @@
   std::shared_ptr<impl> impl_;
 };
 
-struct call_options {
-  core::time_point connect_deadline{};
-  core::time_point deadline{};  // of the whole answer
-  bool needs_fresh = false;
-  size_t body_limit = 64 * 1024 * 1024;
-  // An answer that carries this header with another value belongs to an earlier
-  // request and is passed over. Empty name: not checked.
-  header expected;
-};
-
-struct call_result {
-  progress how = progress::kNotSent;
-  response answer{.status = 0};  // status 0: no whole answer came
-  std::string error;
-  bool is_timeout = false;
-};
-
-// One request with its whole answer. Sent once, whatever happens: repeating is
-// the caller's decision.
-boost::asio::awaitable<call_result> Call(connection_pool& pool,
-                                         const std::string& address,
-                                         const request& input,
-                                         const call_options& options);
-
 }  // namespace hickorywood::net
 
 #endif  // HICKORYWOOD_NET_CONNECTION_POOL_H_
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -5,6 +5,7 @@
 
 #include "core/binary.h"
 #include "core/events.h"
+#include "net/call.h"
 #include "net/event.h"
 
 namespace hickorywood::peering {
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/events.h"
+#include "net/call.h"
 #include "net/event.h"
 #include "net/spawn.h"
 
--- a/packages/store/task_runner.cc
+++ b/packages/store/task_runner.cc
@@ -52,11 +52,13 @@
 }
 
 awaitable<run_end> task_runner::Run(std::shared_ptr<active_run> self) {
+  const net::request input = RequestOf(self->order);
+  net::acquire_terms terms;
+  terms.request_id = wire_.RequestId(input);
   std::unique_ptr<net::connection> open = co_await pool_.Acquire(
-      self->order.address, clock_.Now() + kConnectTimeout);
+      self->order.address, clock_.Now() + kConnectTimeout, std::move(terms));
   if (!open) co_return run_end::kNotRun;
   const time_point deadline = clock_.Now() + kFirstEventTimeout;
-  const net::request input = RequestOf(self->order);
   const bool is_written = co_await open->Write(input, deadline);
   if (!is_written) co_return run_end::kBroken;
   net::response head;
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "net/event.h"
+#include "net/call.h"
 #include "platform/protocol.h"
 #include "unit/net/stuttering_server.h"
 
--- a/tests/unit/net/connection_pool_test.cc
+++ b/tests/unit/net/connection_pool_test.cc
@@ -27,8 +27,9 @@
 
 // Reads the stream of `address` until it ends or breaks.
 awaitable<int> ReadAll(connection_pool& pool, std::string address) {
+  acquire_terms terms;
   std::unique_ptr<connection> open =
-      co_await pool.Acquire(address, In(milliseconds(2000)));
+      co_await pool.Acquire(address, In(milliseconds(2000)), std::move(terms));
   if (!open) co_return -1;
   request input;
   input.target = "/stream";
--- a/tests/unit/net/second_answer_test.cc
+++ b/tests/unit/net/second_answer_test.cc
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "net/connection_pool.h"
+#include "net/call.h"
 #include "net/event.h"
 #include "unit/net/stuttering_server.h"
 
@@ -110,5 +110,77 @@
   }
 }
 
+// Makes calls one after the other and returns how many got their own answer,
+// and over how many connections.
+struct call_count {
+  int answered = 0;
+  int connections = 0;
+};
+
+call_count CallSeveralTimes(const stutter& script,
+                            const std::vector<std::string>& ids,
+                            pool_options limits = {}) {
+  io_context loop;
+  stuttering_server server(loop, script, OwnAnswer);
+  connection_pool pool(loop, limits);
+  call_count count;
+  const auto call_all = [&]() -> awaitable<void> {
+    for (const std::string& id : ids) {
+      request input;
+      input.target = "/";
+      if (!id.empty()) input.headers = {{kIdHeader, id}};
+      call_options options;
+      options.deadline = std::chrono::steady_clock::now() + kLimit;
+      options.connect_deadline = options.deadline;
+      options.expected = {kIdHeader, id};
+      const call_result result =
+          co_await Call(pool, server.Address(), input, options);
+      const std::string own = OwnAnswer(input, server.Requests(), false);
+      if (result.answer.body == own) ++count.answered;
+    }
+    count.connections = server.Connections();
+    loop.stop();
+  };
+  boost::asio::co_spawn(loop, call_all(), boost::asio::detached);
+  loop.run_for(kLimit);
+  return count;
+}
+
+// Guards against a new connection for each call where answers prove whose they
+// are, and against reuse where they don't.
+TEST(SecondAnswerTest, ConnectionsAreReusedWhereAnswersNameTheirRequests) {
+  stutter script;
+  script.moment = second_moment::kNever;
+  call_count count = CallSeveralTimes(script, {"a", "b", "c", "d"});
+  EXPECT_EQ(count.answered, 4);
+  EXPECT_EQ(count.connections, 1);
+  // A second answer to the first "a" would name the last one too.
+  count = CallSeveralTimes(script, {"a", "b", "a", "b"});
+  EXPECT_EQ(count.answered, 4);
+  EXPECT_EQ(count.connections, 2);
+  count = CallSeveralTimes(script, {"", "", ""});
+  EXPECT_EQ(count.answered, 3);
+  EXPECT_EQ(count.connections, 3);
+  pool_options limits;
+  limits.requests_per_connection = 2;
+  count = CallSeveralTimes(script, {"a", "b", "c", "d"}, limits);
+  EXPECT_EQ(count.connections, 2);
+  script.names_own = false;
+  count = CallSeveralTimes(script, {"a", "b", "c"});
+  EXPECT_EQ(count.answered, 3);
+  EXPECT_EQ(count.connections, 3);
+}
+
+// Guards against an interim answer that is taken for the answer, which then
+// waits in the connection for the next request.
+TEST(SecondAnswerTest, InterimAnswersArePassedOver) {
+  stutter script;
+  script.moment = second_moment::kNever;
+  script.sends_interim = true;
+  const call_count count = CallSeveralTimes(script, {"a", "b", "c"});
+  EXPECT_EQ(count.answered, 3);
+  EXPECT_EQ(count.connections, 1);
+}
+
 }  // namespace
 }  // namespace hickorywood::net
--- a/tests/unit/net/stuttering_server.cc
+++ b/tests/unit/net/stuttering_server.cc
@@ -25,6 +25,8 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 // Names the request in requests and answers, of callers and of our instances.
 constexpr const char* kIdHeaders[] = {"X-Request-Id", "X-Call-Id"};
+constexpr char kInterim[] =
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n";
 // How late second answers come.
 constexpr milliseconds kDelays[] = {milliseconds(1), milliseconds(20),
                                     milliseconds(200), milliseconds(2000)};
@@ -78,6 +80,8 @@
 std::ostream& operator<<(std::ostream& out, const stutter& input) {
   out << Word(input.named) << ", " << Word(input.form) << ", ";
   switch (input.moment) {
+    case second_moment::kNever:
+      return out << "never";
     case second_moment::kBehind:
       return out << "right behind";
     case second_moment::kLate:
@@ -122,6 +126,7 @@
   const answer_maker answer;
   tcp::acceptor acceptor;
   int requests = 0;
+  int connections = 0;
 };
 
 awaitable<void> stuttering_server::impl::Accept() {
@@ -129,6 +134,7 @@
   for (;;) {
     auto [failure, socket] = co_await acceptor.async_accept(kNoThrow);
     if (failure) co_return;
+    ++connections;
     asio::co_spawn(loop,
                    Serve(std::make_shared<tcp::socket>(std::move(socket))),
                    asio::detached);
@@ -163,6 +169,7 @@
     const named_request own =
         script.names_own ? named_request::kRepeated : named_request::kNone;
     std::string bytes = std::exchange(held_back, "");
+    if (script.sends_interim) bytes += kInterim;
     bytes +=
         Encode(input, answer(input, count, false), own, answer_form::kWhole);
     const std::string second =
@@ -190,4 +197,6 @@
 
 int stuttering_server::Requests() const { return impl_->requests; }
 
+int stuttering_server::Connections() const { return impl_->connections; }
+
 }  // namespace hickorywood::net
--- a/tests/unit/net/stuttering_server.h
+++ b/tests/unit/net/stuttering_server.h
@@ -25,6 +25,7 @@
 };
 
 enum class second_moment {
+  kNever,
   kBehind,      // in one piece with the first answer
   kLate,        // `delay` after it
   kBeforeNext,  // before the answer to the next request of the connection
@@ -37,7 +38,8 @@
   std::chrono::milliseconds delay{0};
   // Time that a request takes; the first one takes none.
   std::chrono::milliseconds work{0};
-  bool names_own = true;  // the first answers name their requests
+  bool names_own = true;       // the first answers name their requests
+  bool sends_interim = false;  // answers that tell of a later one come first
 };
 std::ostream& operator<<(std::ostream& out, const stutter& input);
 
@@ -58,8 +60,9 @@
   stuttering_server& operator=(const stuttering_server&) = delete;
 
   std::string Address() const;
-  // Requests that arrived.
+  // Requests that arrived, and connections.
   int Requests() const;
+  int Connections() const;
 
   struct impl;
 
