A run of a task takes only the stream of its own request

What callers could see: a result with the text of another task, complete and with its versions, where an engine answers twice.

Cause: a run read what came next over a connection as its stream and never looked at the request that the answer names.

A stream that can't be the run's own ends the run as broken, and the task runs elsewhere.

--- a/packages/store/task_runner.cc
+++ b/packages/store/task_runner.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/events.h"
+#include "net/call.h"
 #include "store/dispatch_limits.h"
 
 namespace hickorywood::store {
@@ -62,18 +62,10 @@
   const bool is_written = co_await open->Write(input, deadline);
   if (!is_written) co_return run_end::kBroken;
   net::response head;
-  const bool has_head = co_await open->ReadHead(head, deadline);
+  const net::header id = wire_.RequestIdHeader(wire_.RequestId(input));
+  const bool has_head = co_await net::ReadOwnHead(*open, id, deadline, head);
   if (!has_head) co_return run_end::kBroken;
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
-  const std::string id = wire_.RequestId(input);
-  if (marks.request_id != id) {
-    core::LogEvent(core::event_id::kForeignAnswer,
-                   {{"request", id},
-                    {"found", marks.request_id},
-                    {"status", std::to_string(head.status)},
-                    {"address", self->order.address},
-                    {"reused", open->IsReused() ? "true" : "false"}});
-  }
   if (marks.is_not_run) co_return run_end::kNotRun;
   if (head.status == 422) co_return run_end::kImpossible;
   if (head.status != 200 || !marks.IsSigned()) co_return run_end::kFailed;
