A stream hands on only an answer of its own that bears the endpoint's mark

What callers could get: a success on a stream route that no endpoint had marked, or one to another request.

Cause: streams wrote their request and handed on the head that came, whoever it named and without looking for the mark; plain requests checked both.

Change: the start of a stream is a function of its own, with the outcomes that its caller tells apart, and reads its head as all other paths do. What has no evidence is answered 502 (it may have run).

--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/events.h"
+#include "net/call.h"
 #include "net/event.h"
 #include "net/spawn.h"
 
@@ -107,6 +108,53 @@
   if (!is_timeout) crashes_.NoteBroken(input, target);
 }
 
+// How far a stream's request got at an endpoint.
+struct relay::stream_start {
+  enum class outcome {
+    kNotSent,
+    kNotRun,    // the endpoint says so
+    kNoAnswer,  // none that is the request's own and bears the endpoint's mark
+    kAnswered,  // `head` was read from `from`
+  };
+  outcome how = outcome::kNoAnswer;
+  std::unique_ptr<net::connection> from;
+  net::response head;
+};
+
+awaitable<relay::stream_start> relay::StartStream(const net::request& input,
+                                                  const fleet::endpoint& target,
+                                                  time_point deadline) {
+  stream_start begun;
+  net::acquire_terms connection;
+  // A reused connection can turn out dead after the request was written.
+  connection.needs_fresh = true;
+  connection.request_id = wire_.RequestId(input);
+  begun.from = co_await pool_.Acquire(target.address,
+                                      clock_.Now() + routing::kConnectTimeout,
+                                      std::move(connection));
+  if (!begun.from) {
+    begun.how = stream_start::outcome::kNotSent;
+    co_return begun;
+  }
+  fleet::dispatch_terms terms;
+  terms.time_left = Since(clock_.Now(), deadline);
+  terms.endpoint = target.name;
+  const net::request output = wire_.EncodeDispatch(input, terms);
+  const bool is_written = co_await begun.from->Write(output, deadline);
+  if (!is_written) co_return begun;
+  const net::header id = wire_.RequestIdHeader(wire_.RequestId(input));
+  const bool has_head =
+      co_await net::ReadOwnHead(*begun.from, id, deadline, begun.head);
+  if (!has_head) co_return begun;
+  const fleet::answer_marks marks = wire_.DecodeMarks(begun.head);
+  if (marks.is_not_run) {
+    begun.how = stream_start::outcome::kNotRun;
+  } else if (marks.IsSigned()) {
+    begun.how = stream_start::outcome::kAnswered;
+  }
+  co_return begun;
+}
+
 awaitable<void> relay::ServeStream(net::exchange& call,
                                    const fleet::route& where) {
   const net::request& input = call.Request();
@@ -132,42 +180,29 @@
     if (found == nullptr) break;
     const fleet::endpoint target = *found;
     tried.insert(target.incarnation);
-    net::acquire_terms terms_of_connection;
-    terms_of_connection.needs_fresh = true;
-    std::unique_ptr<net::connection> open = co_await pool_.Acquire(
-        target.address, clock_.Now() + routing::kConnectTimeout,
-        std::move(terms_of_connection));
-    if (!open) {
+    stream_start begun = co_await StartStream(input, target, deadline);
+    if (begun.how == stream_start::outcome::kNotSent) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
       continue;
     }
-    fleet::dispatch_terms terms;
-    terms.time_left = Since(clock_.Now(), deadline);
-    terms.endpoint = target.name;
-    net::response head;
-    const net::request output = wire_.EncodeDispatch(input, terms);
-    bool is_open = co_await open->Write(output, deadline);
-    if (is_open) {
-      is_open = co_await open->ReadHead(head, deadline);
+    if (begun.how == stream_start::outcome::kNotRun) {
+      routing::NoteFull(book, target.incarnation, clock_.Now());
+      continue;
     }
-    if (!is_open) {
+    if (begun.how == stream_start::outcome::kNoAnswer) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
       NoteBroken(identity, target, deadline);
       co_await call.Reply(
           wire_.EncodeFailure(502, "the endpoint gave no answer", {}));
       co_return;
     }
-    if (wire_.DecodeMarks(head).is_not_run) {
-      routing::NoteFull(book, target.incarnation, clock_.Now());
-      continue;
-    }
-    head.headers = net::EndToEnd(head.headers);
-    co_await call.BeginStream(std::move(head));
+    begun.head.headers = net::EndToEnd(begun.head.headers);
+    co_await call.BeginStream(std::move(begun.head));
     net::body_state state = net::body_state::kMore;
     bool has_body = false;
     while (state == net::body_state::kMore) {
       std::string piece;
-      state = co_await open->ReadSome(piece, deadline);
+      state = co_await begun.from->ReadSome(piece, deadline);
       has_body = has_body || !piece.empty();
       co_await call.WriteStream(std::move(piece));
     }
@@ -177,7 +212,7 @@
     if (state == net::body_state::kEnd) {
       crashes_.NoteServed(identity);
       co_await call.EndStream();
-      pool_.Release(std::move(open));
+      pool_.Release(std::move(begun.from));
     }
     co_return;
   }
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -36,6 +36,10 @@
   boost::asio::awaitable<net::response> Answer(const net::request& input,
                                                const fleet::route& where);
   net::response GiveUp(const routing::send_outcome& outcome) const;
+  struct stream_start;
+  boost::asio::awaitable<stream_start> StartStream(
+      const net::request& input, const fleet::endpoint& target,
+      core::time_point deadline);
   boost::asio::awaitable<void> ServeStream(net::exchange& call,
                                            const fleet::route& where);
   void NoteBroken(const quarantine::request_identity& input,
