Calls between instances have an id that their answers repeat

What callers could see: the body of another task, a page of another step, or a view of another time, where an answer came late or twice on a connection between our own processes.

Cause: these calls carried no id; whatever came next over the connection was read as the answer, and most of its fields have defaults.

Change: CallPeer names each call, ServePeer repeats the name, and links are used again (since the check of the pool they had a connection for each call). Instances of the release before name nothing and are heard over a connection a call. Consensus messages go the same way.

--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -11,8 +11,8 @@
 #include "consensus/members.h"
 #include "core/binary.h"
 #include "core/events.h"
-#include "net/call.h"
 #include "peering/messages.h"
+#include "peering/peer_call.h"
 
 namespace hickorywood::group {
 namespace {
@@ -148,17 +148,10 @@
   const bool is_large = output.kind == consensus::message_kind::kSnapshot;
   const core::time_point deadline =
       clock_.Now() + (is_large ? kSnapshotTimeout : kAppendTimeout);
-  net::request input;
-  input.target =
-      std::string(peering::kPeerPathPrefix) + peering::kConsensusMethod;
-  input.headers = {{"Content-Type", "application/msgpack"}};
-  input.body = core::EncodeBinary(output);
-  net::call_options options;
-  options.connect_deadline = deadline;
-  options.deadline = deadline;
   const consensus::member peer = output.to;
   const net::call_result result =
-      co_await net::Call(pool_, peer.node, input, options);
+      co_await peering::CallPeer(pool_, peer.node, peering::kConsensusMethod,
+                                 core::EncodeBinary(output), deadline);
   const bool is_answered =
       result.how == net::progress::kAnswered && result.answer.status == 200;
   const auto answers =
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -5,8 +5,8 @@
 
 #include "core/binary.h"
 #include "core/events.h"
-#include "net/call.h"
 #include "net/event.h"
+#include "peering/peer_call.h"
 
 namespace hickorywood::peering {
 namespace {
@@ -86,15 +86,8 @@
   if (local_ && address == own_address_) {
     co_return co_await local_(method, payload);
   }
-  net::request input;
-  input.target = kPeerPathPrefix + method;
-  input.headers = {{"Content-Type", "application/msgpack"}};
-  input.body = payload;
-  net::call_options options;
-  options.deadline = deadline;
-  options.connect_deadline = deadline;
   const net::call_result result =
-      co_await net::Call(pool_, address, input, options);
+      co_await CallPeer(pool_, address, method, payload, deadline);
   envelope answer;
   if (result.how == net::progress::kAnswered && result.answer.status == 200) {
     const auto told = core::DecodeBinary<envelope>(result.answer.body);
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <list>
 #include <sstream>
@@ -13,6 +14,8 @@
 #include <vector>
 
 #include "core/binary.h"
+#include "net/listener.h"
+#include "peering/peer_interface.h"
 #include "unit/net/stuttering_server.h"
 
 namespace hickorywood::peering {
@@ -109,5 +112,44 @@
   RunAll(all);
 }
 
+// Guards against a connection for each call between instances that do name the
+// call.
+TEST(LeaderCallerTest, ConnectionsToPeersAreReused) {
+  io_context loop;
+  net::listener peer(
+      loop, PeerListenerOptions("127.0.0.1:0"),
+      [](net::exchange& call) -> awaitable<void> {
+        return ServePeer(
+            call,
+            [](std::string payload) -> awaitable<std::string> {
+              co_return payload;
+            },
+            [](std::string method, std::string payload) -> awaitable<envelope> {
+              envelope answer;
+              answer.outcome = call_outcome::kDone;
+              answer.payload = method + payload;
+              co_return answer;
+            });
+      });
+  ASSERT_TRUE(peer.Start());
+  net::connection_pool pool(loop);
+  leader_caller caller(pool, {});
+  const std::string address = "127.0.0.1:" + std::to_string(peer.Port());
+  int answered = 0;
+  const auto call_all = [&]() -> awaitable<void> {
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string payload = std::to_string(i);
+      const envelope answer = co_await caller.AskOne(
+          address, "m", payload, std::chrono::steady_clock::now() + kLimit);
+      if (answer.payload == "m" + payload) ++answered;
+    }
+    loop.stop();
+  };
+  boost::asio::co_spawn(loop, call_all(), boost::asio::detached);
+  loop.run_for(kLimit);
+  EXPECT_EQ(answered, kCalls);
+  EXPECT_EQ(peer.Connections(), 1U);
+}
+
 }  // namespace
 }  // namespace hickorywood::peering
