--- a/packages/core/ids.cc
+++ b/packages/core/ids.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <atomic>
 #include <cstdio>
 #include <random>
 
@@ -25,6 +26,13 @@
   return Hex64(next()) + Hex64(next());
 }
 
+std::string SequentialId() {
+  static const uint32_t kProcess = std::random_device()();
+  static std::atomic<uint32_t> latest{0};
+  const uint64_t first_half = static_cast<uint64_t>(kProcess) << 32U;
+  return Hex64(first_half | ++latest);
+}
+
 uint64_t Hash64(std::string_view bytes) {
   return XXH3_64bits(bytes.data(), bytes.size());
 }
--- a/packages/core/ids.h
+++ b/packages/core/ids.h
@@ -10,6 +10,9 @@
 // 32 lower-case hex digits from the system's random source.
 std::string RandomId();
 
+// A short id that this process gives once. Others draw their own first half.
+std::string SequentialId();
+
 // XXH3 of `bytes`: for checksums against accidental damage and for spreading,
 // not against forgery.
 uint64_t Hash64(std::string_view bytes);
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -10,13 +10,14 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
 #include <vector>
 
+#include "core/ids.h"
 #include "core/reason.h"
 #include "net/address.h"
 
@@ -59,11 +60,11 @@
   bool IsFramed() const override { return !parser_->need_eof(); }
 
   bool HasCarried(const std::string& request_id) const {
-    const size_t hash = std::hash<std::string>{}(request_id);
+    const uint64_t hash = core::Hash64(request_id);
     return std::find(carried_.begin(), carried_.end(), hash) != carried_.end();
   }
   void NoteCarried(const std::string& request_id) {
-    carried_.push_back(std::hash<std::string>{}(request_id));
+    carried_.push_back(core::Hash64(request_id));
   }
   size_t Carried() const { return carried_.size(); }
 
@@ -173,7 +174,7 @@
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string error_;
-  std::vector<size_t> carried_;  // hashes of the ids of its requests
+  std::vector<uint64_t> carried_;  // hashes of the ids of its requests
   bool is_named_ = false;
   bool is_reused_ = false;
   bool is_refused_ = false;
