The own interface takes only answers that are its own, from endpoints and instances

What callers of the own interface could get: the second answer to an earlier call, from endpoints that answer twice and name no request; and its instances the answer to an earlier call between them, since these had no names.

A call's answer was refused only if it named another call; peer calls, with the body of a step's spec and of samples in their answers, named none.

The check stands in the client, at the end of the headers: an answer that names another request, or none over a reused connection, ends the transfer and its connection; a first answer without a name is taken, and its connection is not used again. libcurl can't pass a foreign answer over, so the call fails and is made again where it may be.

Calls, generations and peer calls are named; listeners repeat a call's name. Generations were safe before, for each chunk names its attempt; only a foreign 429 could be read as theirs. Engines that repeat no name get a connection for each generation.

--- a/packages/core/ids.h
+++ b/packages/core/ids.h
@@ -7,6 +7,10 @@
 
 namespace hickorywood::core {
 
+// The header that names a call between the system's own instances, in the call
+// and in its answer.
+constexpr char kCallIdHeader[] = "X-Call-Id";
+
 // 32 lower-case hex digits from the system's random source.
 std::string RandomId();
 
--- a/packages/hickoryd/call_service.cc
+++ b/packages/hickoryd/call_service.cc
@@ -287,7 +287,7 @@
   request.method = call->call.method;
   request.url = "http://" + endpoint.address + call->call.target;
   request.headers = call->call.headers;
-  request.headers.push_back({kRequestIdHeader, call->attempt_id});
+  request.name = {kRequestIdHeader, call->attempt_id};
   request.body = call->call.body;
   request.connect_timeout = call->routing.connect_timeout;
   request.total_timeout = TryTimeout(*call);
@@ -316,11 +316,6 @@
     HandleFailure(call, response, response.error);
     return;
   }
-  const std::string echoed = response.Header(kRequestIdHeader);
-  if (!echoed.empty() && echoed != call->attempt_id) {
-    HandleFailure(call, response, "the answer belongs to another request");
-    return;
-  }
   if (!HasCheckedEnd(response)) {
     HandleFailure(call, response, "the answer's end can't be checked");
     return;
--- a/packages/hickoryd/generation_service.cc
+++ b/packages/hickoryd/generation_service.cc
@@ -252,8 +252,8 @@
 
   transport::http_request request;
   request.url = "http://" + endpoint.latest.address + "/v1/completions";
-  request.headers = {{"Content-Type", "application/json"},
-                     {"X-Request-Id", item.attempt_id}};
+  request.headers = {{"Content-Type", "application/json"}};
+  request.name = {"X-Request-Id", item.attempt_id};
   request.body = transport::EncodeCompletionRequest(completion);
   request.connect_timeout =
       std::min(pool.progress_timeout, core::milliseconds(500));
--- a/packages/hickoryd/peer_links.cc
+++ b/packages/hickoryd/peer_links.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/ids.h"
 #include "core/reason.h"
 #include "transport/rpc.h"
 
@@ -74,6 +75,7 @@
   transport::http_request request;
   request.url = "http://" + *address + path;
   request.headers = {{"Content-Type", "application/json"}};
+  request.name = {core::kCallIdHeader, core::SequentialId()};
   if (!settings_.tokens.peers.empty()) {
     request.headers.push_back(
         {"Authorization", "Bearer " + settings_.tokens.peers});
--- a/packages/peering/peer_call.cc
+++ b/packages/peering/peer_call.cc
@@ -11,7 +11,7 @@
                                                   std::string method,
                                                   std::string payload,
                                                   core::time_point deadline) {
-  const net::header id{kCallIdHeader, core::SequentialId()};
+  const net::header id{core::kCallIdHeader, core::SequentialId()};
   net::request input;
   input.target = kPeerPathPrefix + method;
   input.headers = {{"Content-Type", "application/msgpack"}, id};
--- a/packages/peering/peer_call.h
+++ b/packages/peering/peer_call.h
@@ -12,9 +12,6 @@
 
 namespace hickorywood::peering {
 
-// Names a call, in the call and in its answer.
-constexpr char kCallIdHeader[] = "X-Call-Id";
-
 // Calls a method of the instance at `address`, once. An answer is taken only if
 // it names the call; instances of the release before name none and get a
 // connection for each call.
--- a/packages/peering/peer_interface.cc
+++ b/packages/peering/peer_interface.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "core/binary.h"
-#include "peering/peer_call.h"
+#include "core/ids.h"
 
 namespace hickorywood::peering {
 namespace {
@@ -39,8 +39,11 @@
       path.starts_with(kPrefix) ? path.substr(kPrefix.size()) : "");
   net::response answer;
   answer.headers = {{"Content-Type", "application/msgpack"}};
-  const std::string_view id = net::Find(call.Request().headers, kCallIdHeader);
-  if (!id.empty()) answer.headers.push_back({kCallIdHeader, std::string(id)});
+  const std::string_view id =
+      net::Find(call.Request().headers, core::kCallIdHeader);
+  if (!id.empty()) {
+    answer.headers.push_back({core::kCallIdHeader, std::string(id)});
+  }
   if (method.empty()) {
     answer.status = 404;
   } else if (method == kConsensusMethod) {
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -74,9 +74,40 @@
   return bytes.size();
 }
 
+bool IsReused(CURL* easy) {
+  long connects = 0;
+  curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects == 0;
+}
+
+// Whether an answer, of which all headers are there, is that of the request: it
+// names it, or it is the first on its connection. One without a name leaves
+// nothing by which a second one could be told, so its connection is closed.
+bool IsOwnAnswer(transfer& item) {
+  const http_header& name = item.request.name;
+  if (name.value.empty()) return true;
+  const std::string found = item.response.Header(name.name);
+  if (found == name.value) return true;
+  if (!found.empty() || IsReused(item.easy)) return false;
+  curl_easy_setopt(item.easy, CURLOPT_FORBID_REUSE, 1L);
+  return true;
+}
+
+// The lines of interim answers come here too (RFC 9110, section 15.2).
+bool IsInterim(CURL* easy) {
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  return status / 100 == 1;
+}
+
 size_t OnHeader(char* data, size_t size, size_t count, void* context) {
   auto& item = *static_cast<transfer*>(context);
   const std::string line(data, size * count);
+  if (line == "\r\n" && !IsInterim(item.easy)) {
+    // Anything but the size ends the transfer and its connection.
+    return IsOwnAnswer(item) ? line.size() : 0;
+  }
+  if (line.starts_with("HTTP/")) item.response.headers.clear();
   const size_t colon = line.find(':');
   if (colon == std::string::npos) return line.size();
   const size_t start = line.find_first_not_of(" \t", colon + 1);
@@ -140,6 +171,10 @@
     item->headers = curl_slist_append(
         item->headers, (header.name + ": " + header.value).c_str());
   }
+  if (!request.name.value.empty()) {
+    item->headers = curl_slist_append(
+        item->headers, (request.name.name + ": " + request.name.value).c_str());
+  }
   // Pistache closes the connection after the answer unless it is asked for; and
   // libcurl would hold back larger bodies for an interim answer that Pistache
   // does not give.
@@ -189,6 +224,9 @@
   response.how = HowFar(item->easy, code);
   response.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
   if (code != CURLE_OK) response.error = curl_easy_strerror(code);
+  if (code == CURLE_WRITE_ERROR) {
+    response.error = "an answer that may belong to another request";
+  }
   curl_multi_remove_handle(multi, item->easy);
   if (code == CURLE_OK) TellStatus(*item);
   item->done(std::move(response));
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -28,6 +28,9 @@
   std::string method = "POST";
   std::string url;  // "http://IP:PORT/path"
   std::vector<http_header> headers;
+  // The header by which the request and its answer name the request; empty: it
+  // has no name.
+  http_header name;
   std::string body;
   milliseconds connect_timeout{500};
   milliseconds total_timeout{
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "core/ids.h"
 #include "core/reason.h"
 
 namespace hickorywood::transport {
@@ -162,7 +163,7 @@
     if (is_answered_ || is_streaming_) return;
     is_streaming_ = true;
     std::string head = "HTTP/1.1 " + std::to_string(status) + " Streamed\r\n";
-    for (const http_header& header : headers) {
+    for (const http_header& header : WithCallId(headers)) {
       head += header.name + ": " + header.value + "\r\n";
     }
     head += "Content-Type: " + content_type +
@@ -196,9 +197,16 @@
     if (peer) peer->send(Pistache::RawBuffer(bytes, bytes.size()));
   }
 
+  // Another instance takes an answer only if it names its call.
+  std::vector<http_header> WithCallId(std::vector<http_header> headers) const {
+    std::string id = Header(core::kCallIdHeader);
+    if (!id.empty()) headers.push_back({core::kCallIdHeader, std::move(id)});
+    return headers;
+  }
+
   void AddHeaders(const std::vector<http_header>& headers,
                   const std::string& content_type) {
-    for (const http_header& header : headers) {
+    for (const http_header& header : WithCallId(headers)) {
       writer_.headers().add(
           std::make_shared<any_header>(header.name, header.value));
     }
--- /dev/null
+++ b/tests/unit/transport/second_answer_test.cc
@@ -0,0 +1,120 @@
+// The client of the own interface, before servers that answer twice.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <future>
+#include <list>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "transport/http_client.h"
+#include "unit/net/stuttering_server.h"
+
+namespace hickorywood::transport {
+namespace {
+
+constexpr int kCalls = 3;
+constexpr int kTries = 3;
+constexpr milliseconds kSlack{300};
+constexpr char kIdHeader[] = "X-Request-Id";
+
+std::string AnswerTo(const std::string& id, bool is_second) {
+  return std::string(is_second ? "second" : "first") + " answer to " + id;
+}
+
+// Calls to one server, one after the other, over a client of their own.
+struct series {
+  net::stutter script;
+  std::unique_ptr<net::stuttering_server> server;
+  int answered = 0;
+  std::vector<std::string> wrong;
+};
+
+http_response Call(http_client& client, const series& self,
+                   const std::string& id) {
+  http_request request;
+  request.url = "http://" + self.server->Address() + "/x";
+  request.name = {kIdHeader, id};
+  request.total_timeout = self.script.work + kSlack;
+  std::promise<http_response> promise;
+  client.Send(std::move(request), [&promise](http_response response) {
+    promise.set_value(std::move(response));
+  });
+  return promise.get_future().get();
+}
+
+void MakeCalls(series& self) {
+  http_client client;
+  client.Start();
+  for (int i = 0; i < kCalls; ++i) {
+    for (int attempt = 0; attempt < kTries; ++attempt) {
+      const std::string id = std::to_string(i) + "-" + std::to_string(attempt);
+      const http_response response = Call(client, self, id);
+      if (response.how != delivery::kAnswered) continue;
+      ++self.answered;
+      if (response.body != AnswerTo(id, false)) {
+        self.wrong.push_back(response.body);
+      }
+      break;
+    }
+  }
+}
+
+void RunAll(std::list<series>& all) {
+  boost::asio::io_context loop;
+  for (series& one : all) {
+    one.server = std::make_unique<net::stuttering_server>(
+        loop, one.script,
+        [](const net::request& input, int /*count*/, bool is_second) {
+          return AnswerTo(std::string(net::Find(input.headers, kIdHeader)),
+                          is_second);
+        });
+  }
+  const auto guard = boost::asio::make_work_guard(loop);
+  std::thread servers([&loop] { loop.run(); });
+  std::vector<std::future<void>> calls;
+  for (series& one : all) {
+    calls.push_back(std::async(std::launch::async, [&one] { MakeCalls(one); }));
+  }
+  for (std::future<void>& one : calls) one.get();
+  loop.stop();
+  servers.join();
+  for (series& one : all) {
+    one.server.reset();  // before its loop
+    std::ostringstream name;
+    name << one.script;
+    EXPECT_EQ(one.answered, kCalls) << name.str();
+    for (const std::string& body : one.wrong) {
+      ADD_FAILURE() << name.str() << ": " << body;
+    }
+  }
+}
+
+// Guards against callers of the own interface, and its instances, that take the
+// answer to an earlier call.
+TEST(HttpClientTest, SecondAnswersBelongToNoCall) {
+  std::list<series> all;
+  for (const net::stutter& script : net::AllStutters()) {
+    all.push_back({script});
+  }
+  RunAll(all);
+}
+
+// Guards against endpoints that name no request being refused for it.
+TEST(HttpClientTest, AnswersThatNameNoRequestComeOverFreshConnections) {
+  std::list<series> all;
+  for (net::stutter script : net::AllStutters()) {
+    if (script.moment == net::second_moment::kLate) continue;
+    script.names_own = false;
+    all.push_back({script});
+  }
+  RunAll(all);
+}
+
+}  // namespace
+}  // namespace hickorywood::transport
