An output that was left on disk is taken back only if it is the same one

What callers could read: for the output of a result, another text of the same size. An output of an ended step that only stands in the log was checked by its size alone when it was read again. Found by going through the paths on which stored bytes reach a caller; no case of it was seen, and the log's frames have checksums of their own. The test's second text of the same size was taken before.

--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -4,12 +4,16 @@
 #include <iterator>
 #include <utility>
 
+#include "core/ids.h"
+#include "core/reason.h"
+
 namespace hickorywood::steps {
 namespace {
 
 void LeaveOnDisk(task_result& item) {
   if (item.index == 0 || item.output.empty()) return;
   item.bytes_on_disk = item.output.size();
+  item.hash_on_disk = core::Hash64(item.output);
   // An assignment would keep the memory.
   std::string().swap(item.output);
 }
@@ -117,6 +121,19 @@
   }
 }
 
+bool TakeOutput(task_result& item, std::string output) {
+  const bool is_left_one = output.size() == item.bytes_on_disk &&
+                           core::Hash64(output) == item.hash_on_disk;
+  if (!is_left_one) {
+    core::SetLastReason(
+        core::reason_code::kCorrupt,
+        "entry " + std::to_string(item.index) + " does not hold the output");
+    return false;
+  }
+  item.output = std::move(output);
+  return true;
+}
+
 void ForgetSteps(step_book& book, int64_t limit_ms, int64_t oldest_ms) {
   std::erase_if(book, [&](const auto& item) {
     const step& where = item.second;
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -75,10 +75,11 @@
   // The mark of the endpoint that scored exactly this output; empty: the task
   // has no reward request, or was given up.
   std::string score;
-  // Where the result stands in the log, and the size of the output while it is
-  // only there. Of this process only, not encoded; 0: not known.
+  // Where the result stands in the log, and the size and the hash of the output
+  // while it is only there. Of this process only, not encoded; 0: not known.
   uint64_t index = 0;
   uint64_t bytes_on_disk = 0;
+  uint64_t hash_on_disk = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_result, task, is_complete,
                                                 output, versions, score)
@@ -132,6 +133,10 @@
 // two minutes are most of what a store holds.
 void LeaveOldOutputs(step_book& book, size_t budget);
 
+// Puts an output that was left on disk back into a result that is handed out.
+// False with reason kCorrupt when it is not the one that was left.
+bool TakeOutput(task_result& item, std::string output);
+
 // Drops the steps that were opened before `limit_ms` and are ended or older
 // than `oldest_ms`.
 void ForgetSteps(step_book& book, int64_t limit_ms, int64_t oldest_ms);
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -156,13 +156,7 @@
       outputs = std::move(*found);
       index = item.index;
     }
-    item.output = outputs[item.task];
-    if (item.output.size() != item.bytes_on_disk) {
-      core::SetLastReason(
-          core::reason_code::kCorrupt,
-          "entry " + std::to_string(index) + " does not hold the output");
-      return false;
-    }
+    if (!steps::TakeOutput(item, std::move(outputs[item.task]))) return false;
   }
   return true;
 }
--- a/tests/unit/store/step_state_test.cc
+++ b/tests/unit/store/step_state_test.cc
@@ -105,6 +105,23 @@
   EXPECT_EQ(state.Find("open")->results[0].output.size(), 10000U);
 }
 
+// Guards against a text of the same size that is handed out for the one that
+// was left on disk.
+TEST(StepStateTest, OnlyTheOutputThatWasLeftIsTakenBack) {
+  step_state state(0);
+  state.Apply(Open(1, "s"));
+  state.Apply(Result(2, "s", "one text"));
+  state.Apply(End(3, "s"));
+  steps::result_page page = steps::ReadPage(*state.Find("s"), 0, kBudget);
+  ASSERT_EQ(page.results.size(), 1U);
+  steps::task_result& item = page.results[0];
+  EXPECT_FALSE(steps::TakeOutput(item, ""));
+  EXPECT_FALSE(steps::TakeOutput(item, "two text"));
+  EXPECT_TRUE(item.output.empty());
+  EXPECT_TRUE(steps::TakeOutput(item, "one text"));
+  EXPECT_EQ(item.output, "one text");
+}
+
 // Without steps the snapshot stands where the log ends.
 TEST(StepStateTest, SnapshotOfNoStepsStandsAtTheEnd) {
   step_state state(kBudget);
