--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -7,8 +7,10 @@
 
 #include "figures.h"
 
-ABSL_FLAG(std::string, part, "",
-          "control, entry, routing, rollout, store or quarantine; empty: all");
+ABSL_FLAG(
+    std::string, part, "",
+    "control, entry, routing, rollout, store, quarantine or answers; empty: "
+    "all");
 ABSL_FLAG(std::string, out, "figures.txt", "file for the figures");
 
 int main(int argc, char** argv) {
@@ -29,5 +31,8 @@
   if (part.empty() || part == "quarantine") {
     hickorywood::bench::MeasureQuarantine(out);
   }
+  if (part.empty() || part == "answers") {
+    hickorywood::bench::MeasureAnswers(out);
+  }
   return 0;
 }
--- a/bench/figures.h
+++ b/bench/figures.h
@@ -44,6 +44,7 @@
 void MeasureOverload(figures& out);
 void MeasureStore(figures& out);
 void MeasureQuarantine(figures& out);
+void MeasureAnswers(figures& out);
 
 }  // namespace hickorywood::bench
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures. BENCH=control|entry|routing|rollout|store|quarantine picks a part. Figures go to build/bench/figures.txt.
+# Measures. BENCH=control|entry|routing|rollout|store|quarantine|answers picks a part. Figures go to build/bench/figures.txt.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
