--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <list>
@@ -28,6 +29,10 @@
 constexpr int kTries = 4;
 constexpr milliseconds kSlack{300};
 constexpr milliseconds kLimit{100000};
+// A copy is sent after half of the objective, while the request is at work.
+constexpr milliseconds kHedgedObjective{40};
+constexpr milliseconds kHedgedWork{60};
+constexpr int kHedgedRequests = 4;
 // Plain requests follow streams over the connections of those.
 constexpr route_kind kKinds[] = {route_kind::kStream, route_kind::kIdempotent,
                                  route_kind::kNonIdempotent,
@@ -36,8 +41,8 @@
 // An entry before one endpoint.
 class entry_stand_in {
  public:
-  entry_stand_in(io_context& loop, const std::string& endpoint,
-                 milliseconds timeout)
+  entry_stand_in(io_context& loop, const std::vector<std::string>& endpoints,
+                 milliseconds timeout, milliseconds objective)
       : pool_(loop),
         crashes_(loop, clock_, pool_, view_,
                  [](fleet::crash_news) -> awaitable<bool> { co_return true; }),
@@ -46,15 +51,17 @@
                   [this](net::exchange& call) { return Serve(call); }) {
     route_.services = {{"echo", 1}};
     route_.timeout_ms = timeout.count();
-    route_.objective_ms = timeout.count();
+    route_.objective_ms = objective.count();
     route_.max_attempts = 2;
-    fleet::endpoint item;
-    item.incarnation = "i";
-    item.name = "i";
-    item.service = "echo";
-    item.address = endpoint;
-    item.slots = 8;
-    view_.endpoints.push_back(item);
+    for (const std::string& address : endpoints) {
+      fleet::endpoint item;
+      item.incarnation = "i" + std::to_string(view_.endpoints.size());
+      item.name = item.incarnation;
+      item.service = "echo";
+      item.address = address;
+      item.slots = 8;
+      view_.endpoints.push_back(item);
+    }
     listener_.Start();
   }
 
@@ -113,7 +120,7 @@
 awaitable<void> AskAll(io_context& loop, series& self) {
   net::stuttering_server endpoint(loop, self.script, OwnAnswer);
   const milliseconds timeout = self.script.work + kSlack;
-  entry_stand_in entry(loop, endpoint.Address(), timeout);
+  entry_stand_in entry(loop, {endpoint.Address()}, timeout, timeout);
   int number = 0;
   for (const route_kind kind : kKinds) {
     entry.SetKind(kind);
@@ -164,6 +171,58 @@
   }
 }
 
+// Requests that are at work for longer than their copies are held back.
+awaitable<void> AskWithCopies(io_context& loop, series& self) {
+  net::stuttering_server first(loop, self.script, OwnAnswer);
+  net::stuttering_server second(loop, self.script, OwnAnswer);
+  const milliseconds timeout = self.script.work + kSlack;
+  entry_stand_in entry(loop, {first.Address(), second.Address()}, timeout,
+                       kHedgedObjective);
+  entry.SetKind(route_kind::kIdempotent);
+  for (int number = 0; number < kHedgedRequests; ++number) {
+    net::request input;
+    input.target = "/" + std::to_string(number);
+    input.headers = {{"X-Request-Id", "r" + std::to_string(number)}};
+    const net::call_result result =
+        co_await Ask(loop, entry, input, timeout + kSlack);
+    if (result.answer.status != 200) continue;
+    ++self.served;
+    const std::string& body = result.answer.body;
+    const bool is_own = body == OwnAnswer(input, first.Requests(), false) ||
+                        body == OwnAnswer(input, second.Requests(), false);
+    if (!is_own) self.wrong.push_back(body);
+  }
+  self.is_over = true;
+}
+
+// Guards against second answers where two endpoints run copies of a request and
+// the slower one's connection is cut.
+TEST(RelayTest, SecondAnswersReachNoCallerOfCopies) {
+  io_context loop;
+  std::list<series> all;
+  for (net::stutter script : net::AllStutters()) {
+    script.work = std::max(script.work, kHedgedWork);
+    all.push_back({script});
+  }
+  size_t over = 0;
+  for (series& one : all) {
+    boost::asio::co_spawn(loop, AskWithCopies(loop, one),
+                          [&loop, &over, &all](const std::exception_ptr&) {
+                            if (++over == all.size()) loop.stop();
+                          });
+  }
+  loop.run_for(kLimit);
+  for (const series& one : all) {
+    std::ostringstream name;
+    name << one.script;
+    EXPECT_TRUE(one.is_over) << name.str();
+    EXPECT_GT(one.served, 0U) << name.str();
+    for (const std::string& body : one.wrong) {
+      ADD_FAILURE() << name.str() << ": " << body;
+    }
+  }
+}
+
 // What a caller gets whose endpoint gives `answer`, whatever it is asked.
 net::call_result AnswerThrough(route_kind kind, net::response answer) {
   io_context loop;
@@ -176,8 +235,8 @@
                            co_await call.Reply(std::move(copy));
                          });
   endpoint.Start();
-  entry_stand_in entry(loop, "127.0.0.1:" + std::to_string(endpoint.Port()),
-                       kSlack);
+  entry_stand_in entry(loop, {"127.0.0.1:" + std::to_string(endpoint.Port())},
+                       kSlack, kSlack);
   entry.SetKind(kind);
   net::request input;
   input.target = "/";
--- a/tests/unit/net/stuttering_server.cc
+++ b/tests/unit/net/stuttering_server.cc
@@ -33,10 +33,12 @@
 // A request is at work for this much longer than the second answer is late.
 constexpr milliseconds kMargin{30};
 
-std::string Encode(const request& input, const std::string& body,
-                   named_request named, answer_form form) {
+std::string Encode(const request& input, bool has_failed,
+                   const std::string& body, named_request named,
+                   answer_form form) {
   std::string head =
-      "HTTP/1.1 200 OK\r\nX-Response-Stamp: signed\r\nX-Weight-Versions: 1\r\n";
+      has_failed ? "HTTP/1.1 500 Failed\r\n" : "HTTP/1.1 200 OK\r\n";
+  head += "X-Response-Stamp: signed\r\nX-Weight-Versions: 1\r\n";
   for (const char* name : kIdHeaders) {
     const std::string id(Find(input.headers, name));
     if (id.empty() || named == named_request::kNone) continue;
@@ -170,10 +172,12 @@
         script.names_own ? named_request::kRepeated : named_request::kNone;
     std::string bytes = std::exchange(held_back, "");
     if (script.sends_interim) bytes += kInterim;
-    bytes +=
-        Encode(input, answer(input, count, false), own, answer_form::kWhole);
+    const bool has_failed = count <= script.failures;
+    bytes += Encode(input, has_failed, answer(input, count, false), own,
+                    answer_form::kWhole);
     const std::string second =
-        Encode(input, answer(input, count, true), script.named, script.form);
+        Encode(input, has_failed, answer(input, count, true), script.named,
+               script.form);
     if (script.moment == second_moment::kBehind) bytes += second;
     if (script.moment == second_moment::kBeforeNext) held_back = second;
     co_await asio::async_write(*socket, asio::buffer(bytes), kNoThrow);
--- a/tests/unit/net/stuttering_server.h
+++ b/tests/unit/net/stuttering_server.h
@@ -40,6 +40,7 @@
   std::chrono::milliseconds work{0};
   bool names_own = true;       // the first answers name their requests
   bool sends_interim = false;  // answers that tell of a later one come first
+  int failures = 0;            // so many requests are answered 500 first
 };
 std::ostream& operator<<(std::ostream& out, const stutter& input);
 
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -15,6 +15,7 @@
 #include "net/event.h"
 #include "net/listener.h"
 #include "platform/protocol.h"
+#include "unit/net/stuttering_server.h"
 
 namespace hickorywood::store {
 namespace {
@@ -62,6 +63,16 @@
     };
   }
 
+  void AddEndpoint(const std::string& service, const std::string& address) {
+    fleet::endpoint item;
+    item.incarnation = "w" + std::to_string(view_.endpoints.size() + 1);
+    item.name = item.incarnation;
+    item.service = service;
+    item.address = address;
+    item.slots = kSlots;
+    view_.endpoints.push_back(item);
+  }
+
   void StartEndpoint(const handler& serve) {
     net::listener_options options;
     options.address = "127.0.0.1:0";
@@ -72,13 +83,8 @@
           return serve(call);
         }));
     ASSERT_TRUE(listeners_.back()->Start());
-    fleet::endpoint item;
-    item.incarnation = "w" + std::to_string(listeners_.size());
-    item.name = item.incarnation;
-    item.service = "scorers";
-    item.address = "127.0.0.1:" + std::to_string(listeners_.back()->Port());
-    item.slots = kSlots;
-    view_.endpoints.push_back(item);
+    AddEndpoint("scorers",
+                "127.0.0.1:" + std::to_string(listeners_.back()->Port()));
   }
 
   void Add(uint32_t task, const std::string& step = "s") {
@@ -152,6 +158,32 @@
   EXPECT_EQ(seen_.size(), static_cast<size_t>(kMostAttempts));
 }
 
+// Guards against a task that is given up for one failure that was told twice: a
+// reward call that is sent again has the same id.
+TEST_F(RewardCallerTest, FailureThatIsToldTwiceCountsOnce) {
+  const fleet::route common = view_.config.routes[0];
+  std::vector<std::unique_ptr<net::stuttering_server>> scorers;
+  for (net::stutter script : net::AllStutters()) {
+    script.failures = 1;
+    scorers.push_back(std::make_unique<net::stuttering_server>(
+        loop_, script, [](const net::request&, int, bool) { return "text"; }));
+    const auto task = static_cast<uint32_t>(scorers.size());
+    const std::string service = "scorers-" + std::to_string(task);
+    AddEndpoint(service, scorers.back()->Address());
+    fleet::route own = common;
+    own.name = service;
+    own.path_prefix = "/" + service + "/";
+    own.services = {{service, 1}};
+    view_.config.routes.push_back(own);
+    reward_job job;
+    job.key = {"s", task};
+    job.request = {"r" + std::to_string(task), "h", own.path_prefix, "body"};
+    caller_.Add(job);
+  }
+  EXPECT_TRUE(RunUntil([&] { return ended_.size() == scorers.size(); }));
+  for (const auto& [task, score] : ended_) EXPECT_EQ(score, "signed") << task;
+}
+
 // Endpoints say that they are full, for longer than one call may try. Nothing
 // has failed: the call is sent again until there is a place.
 TEST_F(RewardCallerTest, FullEndpointsAreNoFailure) {
