--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -123,13 +123,14 @@
   }
 }
 
-// A task of a step takes down each engine that begins it; the step's other
-// tasks must get their results from engines that stay up.
-TEST(CrashingRequestTest, TaskIsHeldBackAndTheOthersComplete) {
+// A task of a step takes down each engine that runs it, once it has sent
+// `events` events; the step's other tasks get their results.
+void RunStepsBesideACrashingTask(int events) {
   constexpr int kTasks = 6;
   deployment fleet;
   ASSERT_TRUE(fleet.Start());
   fleet.Endpoints().CrashOnBody(deployment::kCrashBody);
+  fleet.Endpoints().CrashAfterEvents(events);
   ASSERT_TRUE(fleet.Submit("e1", "step", kTasks, false, 0));
   EXPECT_EQ(fleet.WaitForResults("e2", "step", kTasks - 1).size(),
             static_cast<size_t>(kTasks - 1));
@@ -144,5 +145,43 @@
   EXPECT_LE(fleet.Endpoints().Crashes(), kEndsAllowed + kSendsAllowed);
 }
 
+// A task of a step takes down each engine that begins it; the step's other
+// tasks must get their results from engines that stay up.
+TEST(CrashingRequestTest, TaskIsHeldBackAndTheOthersComplete) {
+  RunStepsBesideACrashingTask(0);
+}
+
+// Guards against a task without a bound that gains an event before each end.
+TEST(CrashingRequestTest, TaskThatGainsTextBeforeEachEndIsHeldBack) {
+  RunStepsBesideACrashingTask(1);
+}
+
+// Guards against a stream without a bound whose callers get its first events.
+TEST(CrashingRequestTest, StreamThatBeginsBeforeEachEndIsHeldBack) {
+  constexpr size_t kEndpoints = 5;
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().CrashOnBody(deployment::kCrashBody);
+  fleet.Endpoints().CrashAfterEvents(1);
+  for (int round = 0; round < kRounds; ++round) {
+    for (const std::string entry : {"e1", "e2"}) {
+      const std::string id = entry + "-" + std::to_string(round);
+      fleet.Stream(entry, "crash-" + id, deployment::kCrashBody);
+      ASSERT_TRUE(
+          WaitUntil([&] { return fleet.Endpoints().Running() == kEndpoints; }));
+      ASSERT_TRUE(WaitUntil([&] {
+        return fleet.Stream(entry, "other-" + id, "other").status == 200;
+      }));
+    }
+  }
+  EXPECT_GE(fleet.Endpoints().Crashes(), kEndsAllowed);
+  EXPECT_LE(fleet.Endpoints().Crashes(), kEndsAllowed + kSendsAllowed);
+  for (const std::string entry : {"e1", "e2"}) {
+    EXPECT_EQ(
+        fleet.Stream(entry, "again-" + entry, deployment::kCrashBody).status,
+        429);
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::testing
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -69,6 +69,12 @@
           {"service", "echo"}, {"max_attempts", 2}};
 }
 
+json StreamRoute() {
+  return {{"name", "streams"},    {"host", "h"},         {"path_prefix", "/q/"},
+          {"kind", "stream"},     {"timeout_ms", 20000}, {"goal_ms", 10000},
+          {"service", "engines"}, {"max_attempts", 1}};
+}
+
 json StepRoute() {
   return {{"name", "steps"},   {"host", "h"},         {"path_prefix", "/s/"},
           {"kind", "rollout"}, {"timeout_ms", 20000}, {"service", "engines"},
@@ -236,7 +242,7 @@
 bool deployment::PutConfiguration(int version, bool with_plain_route) {
   json body = {
       {"version", version},
-      {"routes", json::array({StepRoute()})},
+      {"routes", json::array({StepRoute(), StreamRoute()})},
       {"services",
        json::array(
            {{{"name", "echo"}},
@@ -289,6 +295,14 @@
   return web_.Send(MakePlain(entry, request_id, request_id));
 }
 
+transport::http_response deployment::Stream(const std::string& entry,
+                                            const std::string& request_id,
+                                            const std::string& body) {
+  transport::http_request input = MakePlain(entry, request_id, body);
+  input.url = "http://" + Address(entry, callers_port_) + "/q/x";
+  return web_.Send(std::move(input));
+}
+
 transport::http_response deployment::PlainWithBody(
     const std::string& entry, const std::string& request_id,
     const std::string& body) {
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -61,6 +61,10 @@
   transport::http_response PlainWithBody(const std::string& entry,
                                          const std::string& request_id,
                                          const std::string& body);
+  // A request that engines answer by a series of events.
+  transport::http_response Stream(const std::string& entry,
+                                  const std::string& request_id,
+                                  const std::string& body);
   std::future<transport::http_response> PlainLater(
       const std::string& entry, const std::string& request_id);
   // Submits a step of `tasks` tasks until it is accepted. The body of the task
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -94,6 +94,11 @@
   crash_body_ = body;
 }
 
+void stand_in_endpoints::CrashAfterEvents(int events) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  crash_after_ = events;
+}
+
 int stand_in_endpoints::Crashes() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return crashes_;
@@ -224,7 +229,8 @@
     co_await call.Reply(std::move(taken));
     co_return;
   }
-  if (IsCrashing(input)) {
+  const bool streams_first = self->service == "engines" && crash_after_ > 0;
+  if (IsCrashing(input) && !streams_first) {
     NoteRun(std::string(net::Find(input.headers, "X-Request-Id")));
     co_await net::Sleep(kTimeToCrash);
     Crash(self);
@@ -265,8 +271,10 @@
   head.headers.push_back({"X-Weight-Versions", std::to_string(self->version)});
   co_await call.BeginStream(std::move(head));
   const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  const int crash_at = IsCrashing(input) ? first + crash_after_ : kEvents + 1;
   for (int event = first; event <= kEvents; ++event) {
     co_await net::Sleep(event_time_);
+    if (event >= crash_at) Crash(self);
     if (self->has_ended) co_return;
     const bool breaks =
         break_after_ > 0 && event > break_after_ && !was_broken_[id];
--- a/tests/support/stand_in_endpoints.h
+++ b/tests/support/stand_in_endpoints.h
@@ -44,6 +44,8 @@
   // and nothing listens there until it is back, at the same address under a new
   // incarnation, after a while.
   void CrashOnBody(const std::string& body);
+  // Engines send so many events of such a request before they end.
+  void CrashAfterEvents(int events);
   // Endpoints that ended so.
   int Crashes();
   // Endpoints that run now.
@@ -88,6 +90,7 @@
   std::map<std::string, int> failures_left_;  // by request
   std::set<std::string> whole_texts_;         // by task
   std::string crash_body_;                    // empty: no request crashes
+  int crash_after_ = 0;                       // events
   int crashes_ = 0;
   int started_ = 0;
   int early_rewards_ = 0;
