An endpoint's end counts against a request also after a part of its answer

What callers saw: engines that end one after the other under a task that sends an event before each end, or under a stream that begins each time; the others' requests went with them.

Cause: a run that had brought its text forward, and a stream that had sent a piece, were not reported when their connection broke, as if progress were a proof of innocence. So the ledger never saw an end.

Why it holds for others: nothing else changed in whom the ledger blames. Who was along by chance is served elsewhere, which clears it, or sees fewer ends than the cause.

--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -199,16 +199,14 @@
     begun.head.headers = net::EndToEnd(begun.head.headers);
     co_await call.BeginStream(std::move(begun.head));
     net::body_state state = net::body_state::kMore;
-    bool has_body = false;
     while (state == net::body_state::kMore) {
       std::string piece;
       state = co_await begun.from->ReadSome(piece, deadline);
-      has_body = has_body || !piece.empty();
       co_await call.WriteStream(std::move(piece));
     }
-    // An endpoint that has sent some of it has begun without ending.
-    const bool is_broken = state == net::body_state::kBroken && !has_body;
-    if (is_broken) NoteBroken(identity, target, deadline);
+    if (state == net::body_state::kBroken) {
+      NoteBroken(identity, target, deadline);
+    }
     if (state == net::body_state::kEnd) {
       crashes_.NoteServed(identity);
       co_await call.EndStream();
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -175,7 +175,7 @@
   void LoseSilentRunners();
   void EndRun(const std::shared_ptr<run>& ended, run_end how);
   void NoteEngine(const std::string& incarnation, run_end how);
-  void NoteBroken(const run& ended, const task_run& task);
+  void NoteBroken(const run& ended);
   void NoteServed(const task_key& key);
   // Whether engines ended under the task, so that it must wait.
   bool IsHeldBack(const task_key& key, task_run& task);
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -286,7 +286,9 @@
       task->not_before = clock_.Now() + kRetryPause;
       break;
     case run_end::kBroken:
-      NoteBroken(*ended, *task);
+      // Also a run that brought its text forward: each of the next ones may do
+      // so too before it takes its engine down.
+      NoteBroken(*ended);
       break;
     case run_end::kMoved:
       break;
@@ -329,12 +331,9 @@
   if (identity) crashes_.NoteServed(*identity);
 }
 
-// A run that brought its text forward has not taken its engine down by being
-// begun, and the next one goes on after it.
-void dispatcher::NoteBroken(const run& ended, const task_run& task) {
+void dispatcher::NoteBroken(const run& ended) {
   const auto identity = IdentityOf(ended.key);
-  const bool has_gained = task.text.events > ended.events_at_start;
-  if (identity && !has_gained) crashes_.NoteBroken(*identity, ended.engine);
+  if (identity) crashes_.NoteBroken(*identity, ended.engine);
 }
 
 void dispatcher::NoteEngine(const std::string& incarnation, run_end how) {
