A process that starts beside a new leader is told once others could tell that leader

What callers could see: a request that is held back everywhere is sent once more, and takes one more endpoint down, at an entry that has just started.

Cause: a control instance that had started a second before was elected. It had followed no leader, so it knew of no quarantine until the others told it, 36 ms later; an entry that started in between got an empty list and took it for the whole truth. An empty list is an answer too.

Change: a leader that has followed none, in a deployment that has a configuration, lets processes that hold nothing wait for 300 ms after its election. Others are answered as before. ViewPublisherTest has it under the paused clock. A deployment of the tests keeps its logs where a test failed.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -32,6 +32,9 @@
 // well above an election, so that a new leader does not forget any.
 constexpr std::chrono::seconds kStoreLifetime{20};
 constexpr milliseconds kRetirePatience{700};
+// Time in which all who follow have found a new leader and told it which
+// requests are held back: a round of asking and one call.
+constexpr milliseconds kHearTime{300};
 
 std::vector<fleet::engine_weights_entry> ListWeights(const weight_book& book) {
   std::vector<fleet::engine_weights_entry> list;
@@ -150,7 +153,12 @@
   for (const fleet::request_warning& item : followed.warnings) {
     quarantine::Adopt(crashes_, item, clock_.Now());
   }
-  views_.BeginTerm(group_.Term());
+  // One that has followed no leader since it started knows of no quarantine.
+  const bool has_followed = followed.version.term != 0;
+  const bool is_first_start = state_.Config().version == 0;
+  const bool is_complete = has_followed || is_first_start;
+  views_.BeginTerm(group_.Term(),
+                   clock_.Now() + (is_complete ? milliseconds(0) : kHearTime));
   asio::co_spawn(loop_, DrawDigestKey(), asio::detached);
   if (on_endpoints) on_endpoints();
 }
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -57,8 +57,9 @@
                  asio::detached);
 }
 
-void view_publisher::BeginTerm(uint64_t term) {
+void view_publisher::BeginTerm(uint64_t term, time_point complete_at) {
   fleet::BeginTerm(log_, term);
+  complete_at_ = complete_at;
   TellLists();
   TellWeights();
   Wake(lists_);
@@ -132,6 +133,11 @@
   if (input.wants_weights) store.emplace(weights_.followers);
   net::event& told = input.wants_weights ? weights_.told : lists_.told;
   const uint64_t interruptions = interruptions_;
+  const bool holds_nothing = input.held.term == 0;
+  while (holds_nothing && clock_.Now() < complete_at_ &&
+         interruptions == interruptions_) {
+    co_await told.WaitUntil(complete_at_);
+  }
   while (!HasNews(input) && clock_.Now() < until &&
          interruptions == interruptions_) {
     co_await told.WaitUntil(until);
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -41,8 +41,10 @@
                  const core::runtime_clock& clock, view_sources sources);
 
   void Start();
-  // This instance leads from now on, under `term`: all is told anew.
-  void BeginTerm(uint64_t term);
+  // This instance leads from now on, under `term`: all is told anew. Until
+  // `complete_at` others may know more than it does, and a process that holds
+  // nothing is not told yet.
+  void BeginTerm(uint64_t term, core::time_point complete_at);
 
   // Something of that kind changed.
   void NoteEndpoints();
@@ -87,6 +89,7 @@
   gathering lists_;    // endpoints, warnings and members, for every process
   gathering weights_;  // for stores, which follow the lists too
   uint64_t interruptions_ = 0;
+  core::time_point complete_at_{};
   // Answers made since the last change. Most processes hold the same version,
   // and encoding is what an answer costs.
   using answer_key = std::tuple<uint64_t, uint64_t, uint64_t, uint64_t, bool>;
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -2,12 +2,14 @@
 
 #include <absl/strings/escaping.h>
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <regex>
 #include <set>
 #include <utility>
@@ -106,6 +108,10 @@
   is_over_ = true;
   if (heartbeats_.joinable()) heartbeats_.join();
   nodes_.clear();
+  if (::testing::Test::HasFailure()) {
+    std::cerr << "logs are kept in " << folder_ << "\n";
+    return;
+  }
   std::filesystem::remove_all(folder_);
 }
 
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -16,13 +16,13 @@
  protected:
   ViewPublisherTest() : publisher(loop, clock, Sources()) {
     publisher.Start();
-    publisher.BeginTerm(1);
+    publisher.BeginTerm(1, clock.Now());
   }
 
   view_sources Sources() {
     view_sources sources;
     sources.endpoints = [this] { return endpoints; };
-    sources.warnings = [] { return std::vector<fleet::request_warning>{}; };
+    sources.warnings = [this] { return warnings; };
     sources.members = [] { return fleet::view_members{}; };
     sources.weights = [this] { return weights; };
     sources.config = [this]() -> const fleet::configuration& { return config; };
@@ -63,6 +63,7 @@
   boost::asio::io_context loop;
   core::runtime_clock clock;
   std::vector<fleet::endpoint> endpoints;
+  std::vector<fleet::request_warning> warnings;
   std::vector<fleet::engine_weights_entry> weights;
   fleet::configuration config;
   fleet::view held;
@@ -131,6 +132,26 @@
   EXPECT_EQ(entry->lists, fleet::list_part::kNone);
 }
 
+// Guards against a process that starts beside a leader which has just started
+// too, and sends a request on that all others hold back.
+TEST_F(ViewPublisherTest, ProcessThatHoldsNothingWaitsForWhatOthersTell) {
+  CatchUp();
+  clock.Pause();
+  publisher.BeginTerm(2, clock.Now() + milliseconds(300));
+  std::optional<fleet::view_update> follower;
+  Ask(follower, false);
+  RunUntil(follower);
+  std::optional<fleet::view_update> starter;
+  Ask(starter, false, true);
+  loop.poll();
+  EXPECT_FALSE(starter);
+  warnings.push_back({});
+  publisher.NoteWarnings();
+  clock.Advance(milliseconds(300));
+  RunUntil(starter);
+  EXPECT_EQ(starter->warnings.size(), 1U);
+}
+
 // The leader loses its lease. Who waits is not kept waiting for its time.
 TEST_F(ViewPublisherTest, InterruptionAnswersAtOnce) {
   CatchUp();
