Ends that no connection shows have no bound, reproduced (red)

And an endpoint that goes dark under a request, so that nothing resets or refuses a connection, is not counted when it has started again: an address that answers nothing, and a later start six seconds after.

--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -156,6 +156,38 @@
   RunStepsBesideACrashingTask(1);
 }
 
+// Guards against a request without a bound whose callers leave before each end.
+TEST(CrashingRequestTest, IsHeldBackThoughItsCallersLeaveBeforeEachEnd) {
+  constexpr std::chrono::milliseconds kPatience{20};
+  constexpr size_t kEndpoints = 6;
+  deployment fleet;
+  StartWithThreeEndpoints(fleet);
+  for (int round = 0; round < 2 * kRounds; ++round) {
+    const std::string id = std::to_string(round);
+    const std::string entry = round % 2 == 0 ? "e1" : "e2";
+    const int crashes = fleet.Endpoints().Crashes();
+    fleet.PlainImpatient(entry, "crash-" + id, deployment::kCrashBody,
+                         kPatience);
+    const bool is_held_back =
+        fleet
+            .PlainImpatient(entry, "asks-" + id, deployment::kCrashBody,
+                            kPatience)
+            .status == 429;
+    if (!is_held_back) {
+      ASSERT_TRUE(
+          WaitUntil([&] { return fleet.Endpoints().Crashes() > crashes; }));
+    }
+    ASSERT_TRUE(
+        WaitUntil([&] { return fleet.Endpoints().Running() == kEndpoints; }));
+    ASSERT_TRUE(WaitUntil([&] {
+      return fleet.Plain("e1", "a" + id).status == 200 &&
+             fleet.Plain("e2", "b" + id).status == 200;
+    }));
+  }
+  EXPECT_GE(fleet.Endpoints().Crashes(), kEndsAllowed);
+  EXPECT_LE(fleet.Endpoints().Crashes(), kEndsAllowed + kSendsAllowed);
+}
+
 // Guards against a stream without a bound whose callers get its first events.
 TEST(CrashingRequestTest, StreamThatBeginsBeforeEachEndIsHeldBack) {
   constexpr size_t kEndpoints = 5;
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -127,6 +127,11 @@
                         boost::asio::detached);
 }
 
+awaitable<void> stand_in_endpoints::CrashSoon(std::shared_ptr<endpoint> self) {
+  co_await net::Sleep(kTimeToCrash);
+  Crash(self);
+}
+
 awaitable<void> stand_in_endpoints::Restart(std::string service,
                                             std::string address) {
   co_await net::Sleep(kDownTime);
@@ -232,8 +237,9 @@
   const bool streams_first = self->service == "engines" && crash_after_ > 0;
   if (IsCrashing(input) && !streams_first) {
     NoteRun(std::string(net::Find(input.headers, "X-Request-Id")));
-    co_await net::Sleep(kTimeToCrash);
-    Crash(self);
+    // Also where the caller leaves meanwhile.
+    boost::asio::co_spawn(loop_, CrashSoon(self), boost::asio::detached);
+    co_await net::Sleep(2 * kTimeToCrash);
     co_return;
   }
   if (self->service == "engines") {
--- a/tests/unit/quarantine/crash_watch_test.cc
+++ b/tests/unit/quarantine/crash_watch_test.cc
@@ -3,8 +3,12 @@
 #include "quarantine/crash_watch.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -133,6 +137,59 @@
   EXPECT_EQ(reports_[0].incarnation, "a");
 }
 
+// An address that answers nothing, as that of an endpoint without power: its
+// queue of connections is full, and further ones are dropped.
+class silent_address {
+ public:
+  silent_address() : silent_(Open()) {
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof where;
+    bind(silent_, reinterpret_cast<sockaddr*>(&where), size);
+    listen(silent_, 0);
+    getsockname(silent_, reinterpret_cast<sockaddr*>(&where), &size);
+    port_ = ntohs(where.sin_port);
+    for (int& filler : fillers_) {
+      filler = Open();
+      connect(filler, reinterpret_cast<sockaddr*>(&where), size);
+    }
+  }
+  ~silent_address() {
+    for (const int filler : fillers_) close(filler);
+    close(silent_);
+  }
+  silent_address(const silent_address&) = delete;
+  silent_address& operator=(const silent_address&) = delete;
+
+  std::string Text() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  static int Open() { return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0); }
+
+  int silent_;
+  int port_ = 0;
+  std::array<int, 4> fillers_{};
+};
+
+// Guards against a request without a bound whose endpoints go dark: nothing
+// answers there until the next start some seconds later.
+TEST_F(CrashWatchTest, EndpointThatGoesDarkUntilItsNextStartHasEnded) {
+  const silent_address dark;
+  fleet::endpoint target = List("a", false);
+  target.address = dark.Text();
+  view_.endpoints[0].address = dark.Text();
+  watch_.NoteBroken(kRequest, target);
+  ASSERT_TRUE(RunUntil([this] { return watch_.Probing() == 0; }));
+  clock_.Pause();
+  clock_.Advance(milliseconds(6000));
+  watch_.OnView();
+  view_.endpoints[0].incarnation = "b";
+  watch_.OnView();
+  ASSERT_TRUE(RunUntil([this] { return !reports_.empty(); }));
+  EXPECT_EQ(reports_[0].incarnation, "a");
+}
+
 // A planned end cuts what its endpoint did not finish; that blames nobody.
 TEST_F(CrashWatchTest, EndpointThatLeavesDoesNotCount) {
   const fleet::endpoint draining = List("draining", false);
