An end that no connection shows counts once the endpoint's next start is listed

What callers saw: endpoints that end one after the other under a request whose callers leave before each end, or under one that makes them go dark.

Cause: an end was only looked for where a connection broke. A caller that left took its request off the list of those that were running; an endpoint without power resets and refuses nothing, and its silence counted for nothing, also after its next start had been listed.

Change: a request that was given up at an endpoint without an answer (its caller left, its time was up, or probes of a broken connection got no answer) is remembered for 10 s, as long as a restart takes to be heard of. A next start at the endpoint's name or address within that time counts against it. Nothing more is sent for it, and streams whose callers leave are no longer probed, two connections each. Why it holds for others: three such ends are needed, an answer anywhere clears them, and an end long after counts for nothing (CrashWatchTest.RequestThatWasGivenUpCountsForAWhile).

--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -1,6 +1,7 @@
 #include "entry/relay.h"
 
 #include <algorithm>
+#include <boost/asio/this_coro.hpp>
 #include <set>
 #include <utility>
 
@@ -102,10 +103,38 @@
                              std::nullopt);
 }
 
-void relay::NoteBroken(const quarantine::request_identity& input,
-                       const fleet::endpoint& target, time_point deadline) {
-  const bool is_timeout = clock_.Now() >= deadline;
-  if (!is_timeout) crashes_.NoteBroken(input, target);
+// A request at an endpoint. Where its frame unwinds before it is settled, its
+// caller has left.
+class relay::open_request {
+ public:
+  open_request(quarantine::crash_watch& crashes,
+               quarantine::request_identity input, fleet::endpoint target)
+      : crashes_(crashes), input_(input), target_(std::move(target)) {}
+  ~open_request() {
+    if (!is_settled_) crashes_.NoteGivenUp(input_, target_);
+  }
+  open_request(const open_request&) = delete;
+  open_request& operator=(const open_request&) = delete;
+
+  void Settle() { is_settled_ = true; }
+  void SettleBroken() {
+    is_settled_ = true;
+    crashes_.NoteBroken(input_, target_);
+  }
+
+ private:
+  quarantine::crash_watch& crashes_;
+  const quarantine::request_identity input_;
+  const fleet::endpoint target_;
+  bool is_settled_ = false;
+};
+
+// Whether an answer broke off by our own doing: the caller left, or the time is
+// up.
+bool relay::IsGivenUp(const asio::cancellation_state& state,
+                      time_point deadline) const {
+  return clock_.Now() >= deadline ||
+         state.cancelled() != asio::cancellation_type::none;
 }
 
 // How far a stream's request got at an endpoint.
@@ -180,18 +209,22 @@
     if (found == nullptr) break;
     const fleet::endpoint target = *found;
     tried.insert(target.incarnation);
+    open_request open(crashes_, identity, target);
     stream_start begun = co_await StartStream(input, target, deadline);
     if (begun.how == stream_start::outcome::kNotSent) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
+      open.Settle();
       continue;
     }
     if (begun.how == stream_start::outcome::kNotRun) {
       routing::NoteFull(book, target.incarnation, clock_.Now());
+      open.Settle();
       continue;
     }
     if (begun.how == stream_start::outcome::kNoAnswer) {
       routing::NoteFailure(book, target.incarnation, clock_.Now());
-      NoteBroken(identity, target, deadline);
+      const auto cancellation = co_await asio::this_coro::cancellation_state;
+      if (!IsGivenUp(cancellation, deadline)) open.SettleBroken();
       co_await call.Reply(
           wire_.EncodeFailure(502, "the endpoint gave no answer", {}));
       co_return;
@@ -204,10 +237,13 @@
       state = co_await begun.from->ReadSome(piece, deadline);
       co_await call.WriteStream(std::move(piece));
     }
-    if (state == net::body_state::kBroken) {
-      NoteBroken(identity, target, deadline);
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (state == net::body_state::kBroken &&
+        !IsGivenUp(cancellation, deadline)) {
+      open.SettleBroken();
     }
     if (state == net::body_state::kEnd) {
+      open.Settle();
       crashes_.NoteServed(identity);
       co_await call.EndStream();
       pool_.Release(std::move(begun.from));
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -4,6 +4,7 @@
 // Carries one plain request to an endpoint and its answer back.
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_state.hpp>
 #include <boost/asio/io_context.hpp>
 #include <string>
 
@@ -36,14 +37,15 @@
   boost::asio::awaitable<net::response> Answer(const net::request& input,
                                                const fleet::route& where);
   net::response GiveUp(const routing::send_outcome& outcome) const;
+  bool IsGivenUp(const boost::asio::cancellation_state& state,
+                 core::time_point deadline) const;
+  class open_request;
   struct stream_start;
   boost::asio::awaitable<stream_start> StartStream(
       const net::request& input, const fleet::endpoint& target,
       core::time_point deadline);
   boost::asio::awaitable<void> ServeStream(net::exchange& call,
                                            const fleet::route& where);
-  void NoteBroken(const quarantine::request_identity& input,
-                  const fleet::endpoint& target, core::time_point deadline);
   core::time_point DeadlineOf(const net::request& input,
                               const fleet::route& where) const;
 
--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -27,6 +27,9 @@
 // One that listens again at the second probe has started anew, and its
 // heartbeat comes within about a second, or has never ended.
 constexpr milliseconds kSuccessorTime{3000};
+// An endpoint without power shows its end only by its next start, which comes
+// and is heard of within seconds.
+constexpr milliseconds kRestartTime{10000};
 // Pause before the leader is told again after a try that failed.
 constexpr milliseconds kTellPause{100};
 constexpr std::chrono::seconds kHousePeriod{10};
@@ -117,17 +120,33 @@
                      });
 }
 
+// One that said that it is going may end at any time.
+bool crash_watch::IsLeaving(const fleet::endpoint& target) const {
+  const fleet::endpoint* const listed = FindEndpoint(view_, target.incarnation);
+  return listed == nullptr ? !HasSuccessor(target)
+                           : listed->state == fleet::endpoint_state::kDraining;
+}
+
+void crash_watch::AddSilent(const fleet::endpoint& target, victim item) {
+  silent_endpoint& entry = silent_[target.incarnation];
+  entry.endpoint = target;
+  if (entry.victims.size() >= kMostRequests) return;
+  entry.victims.emplace_back(std::move(item), clock_.Now() + kRestartTime);
+}
+
+void crash_watch::NoteGivenUp(const request_identity& input,
+                              const fleet::endpoint& target) {
+  std::string digest = DigestOf(input);
+  if (digest.empty() || IsLeaving(target)) return;
+  ForgetSound();
+  AddSilent(target, {std::move(digest), std::string(input.customer)});
+  if (HasSuccessor(target)) NoteEnded(target.incarnation);
+}
+
 void crash_watch::NoteBroken(const request_identity& input,
                              const fleet::endpoint& target) {
   const std::string digest = DigestOf(input);
-  if (digest.empty()) return;
-  const fleet::endpoint* const listed = FindEndpoint(view_, target.incarnation);
-  const bool has_successor = HasSuccessor(target);
-  // One that said that it is going may end at any time.
-  const bool is_leaving =
-      listed == nullptr ? !has_successor
-                        : listed->state == fleet::endpoint_state::kDraining;
-  if (is_leaving) return;
+  if (digest.empty() || IsLeaving(target)) return;
   ForgetSound();
   broken_endpoint& entry = broken_[target.incarnation];
   if (!entry.is_probed) entry = {target};
@@ -137,7 +156,7 @@
   if (!is_known && entry.victims.size() < kMostRequests) {
     entry.victims.push_back({digest, std::string(input.customer)});
   }
-  if (has_successor) {
+  if (HasSuccessor(target)) {
     NoteEnded(target.incarnation);
     return;
   }
@@ -149,9 +168,11 @@
 }
 
 // One that listens at the last probe stays on the list: its successor may be
-// what listens. What breaks there after that is looked at anew.
+// what listens. What breaks there after that is looked at anew. One that does
+// not answer shows only later whether it has ended.
 awaitable<void> crash_watch::Probe(std::string incarnation,
                                    std::string address) {
+  bool is_silent = false;
   for (int probe = 0; probe < kProbes; ++probe) {
     const net::connect_outcome outcome =
         co_await pool_.Probe(address, clock_.Now() + kProbeTimeout);
@@ -160,10 +181,17 @@
       NoteEnded(incarnation);
       co_return;
     }
+    is_silent = outcome == net::connect_outcome::kNoAnswer;
     co_await net::Sleep(kProbePause);
   }
   const auto found = broken_.find(incarnation);
-  if (found != broken_.end()) found->second.is_probed = false;
+  if (found == broken_.end()) co_return;
+  found->second.is_probed = false;
+  if (!is_silent) co_return;
+  for (const victim& item : found->second.victims) {
+    AddSilent(found->second.endpoint, item);
+  }
+  broken_.erase(found);
 }
 
 size_t crash_watch::Probing() const {
@@ -173,18 +201,32 @@
 }
 
 void crash_watch::ForgetSound() {
-  std::erase_if(broken_, [now = clock_.Now()](const auto& item) {
+  const time_point now = clock_.Now();
+  std::erase_if(broken_, [now](const auto& item) {
     return !item.second.is_probed && now >= item.second.give_up_at;
   });
+  for (auto& [incarnation, entry] : silent_) {
+    std::erase_if(entry.victims,
+                  [now](const auto& item) { return now >= item.second; });
+  }
+  std::erase_if(silent_,
+                [](const auto& item) { return item.second.victims.empty(); });
 }
 
 void crash_watch::NoteEnded(const std::string& incarnation) {
-  const auto found = broken_.find(incarnation);
-  if (found == broken_.end()) return;
-  const broken_endpoint ended = std::move(found->second);
-  broken_.erase(found);
+  std::vector<victim> victims;
+  if (const auto found = broken_.find(incarnation); found != broken_.end()) {
+    victims = std::move(found->second.victims);
+    broken_.erase(found);
+  }
+  if (const auto found = silent_.find(incarnation); found != silent_.end()) {
+    for (auto& item : found->second.victims) {
+      victims.push_back(std::move(item.first));
+    }
+    silent_.erase(found);
+  }
   const time_point now = clock_.Now();
-  for (const victim& item : ended.victims) {
+  for (const victim& item : victims) {
     LogEvent(event_id::kEndpointEndedUnderRequest, {{"digest", item.digest},
                                                     {"customer", item.customer},
                                                     {"endpoint", incarnation}});
@@ -192,7 +234,7 @@
     NoteEnd(ledger_, report, now);
     outbox_.reports.push_back(report);
   }
-  outbox_filled_.Notify();
+  if (!victims.empty()) outbox_filled_.Notify();
 }
 
 // --- What others are told, and tell.
@@ -203,6 +245,9 @@
   for (const auto& [incarnation, entry] : broken_) {
     if (HasSuccessor(entry.endpoint)) ended.push_back(incarnation);
   }
+  for (const auto& [incarnation, entry] : silent_) {
+    if (HasSuccessor(entry.endpoint)) ended.push_back(incarnation);
+  }
   for (const std::string& incarnation : ended) NoteEnded(incarnation);
   TakeWarnings();
 }
--- a/packages/quarantine/crash_watch.h
+++ b/packages/quarantine/crash_watch.h
@@ -45,6 +45,11 @@
   // The connection to `target` broke under a request before its answer was
   // whole. Not for silence: who does not answer may be at work.
   void NoteBroken(const request_identity& input, const fleet::endpoint& target);
+  // No answer from `target` is waited for any more: the caller left, or the
+  // time is up. An end of the endpoint that shows soon counts against the
+  // request.
+  void NoteGivenUp(const request_identity& input,
+                   const fleet::endpoint& target);
   // An endpoint answered the request and goes on.
   void NoteServed(const request_identity& input);
 
@@ -62,6 +67,11 @@
     std::string digest;
     std::string customer;
   };
+  // Requests at an endpoint that may have ended without a sign of it.
+  struct silent_endpoint {
+    fleet::endpoint endpoint;
+    std::vector<std::pair<victim, core::time_point>> victims;  // until when
+  };
   // An endpoint whose connections broke, and the requests that ran there.
   struct broken_endpoint {
     fleet::endpoint endpoint;
@@ -72,6 +82,8 @@
 
   boost::asio::awaitable<void> Probe(std::string incarnation,
                                      std::string address);
+  bool IsLeaving(const fleet::endpoint& target) const;
+  void AddSilent(const fleet::endpoint& target, victim item);
   void ForgetSound();
   boost::asio::awaitable<void> KeepTelling();
   boost::asio::awaitable<void> KeepHouse();
@@ -88,6 +100,7 @@
   const fleet::view& view_;
   const teller tell_;
   std::map<std::string, broken_endpoint> broken_;  // by incarnation
+  std::map<std::string, silent_endpoint> silent_;  // by incarnation
   crash_ledger ledger_;
   fleet::crash_news outbox_;
   net::event outbox_filled_;
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -254,10 +254,11 @@
     const auto cancellation = co_await asio::this_coro::cancellation_state;
     const bool is_cancelled =
         cancellation.cancelled() != asio::cancellation_type::none;
-    const bool is_broken =
-        result.may_have_run && !call.is_timeout && !is_cancelled;
-    if (is_broken) {
+    const bool is_given_up = call.is_timeout || is_cancelled;
+    if (result.may_have_run && !is_given_up) {
       crashes_.NoteBroken(quarantine::IdentityOf(output), target);
+    } else if (result.may_have_run && !state->best) {
+      crashes_.NoteGivenUp(quarantine::IdentityOf(output), target);
     }
   }
   if (!result.is_usable) {
--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -156,38 +156,50 @@
   RunStepsBesideACrashingTask(1);
 }
 
-// Guards against a request without a bound whose callers leave before each end.
-TEST(CrashingRequestTest, IsHeldBackThoughItsCallersLeaveBeforeEachEnd) {
-  constexpr std::chrono::milliseconds kPatience{20};
-  constexpr size_t kEndpoints = 6;
-  deployment fleet;
-  StartWithThreeEndpoints(fleet);
+// Callers of the crashing request leave before each end. `endpoints`: all that
+// run.
+void LeaveBeforeEachEnd(deployment& fleet, const std::string& path,
+                        std::chrono::milliseconds patience, size_t endpoints) {
   for (int round = 0; round < 2 * kRounds; ++round) {
     const std::string id = std::to_string(round);
     const std::string entry = round % 2 == 0 ? "e1" : "e2";
     const int crashes = fleet.Endpoints().Crashes();
-    fleet.PlainImpatient(entry, "crash-" + id, deployment::kCrashBody,
-                         kPatience);
-    const bool is_held_back =
-        fleet
-            .PlainImpatient(entry, "asks-" + id, deployment::kCrashBody,
-                            kPatience)
-            .status == 429;
-    if (!is_held_back) {
-      ASSERT_TRUE(
-          WaitUntil([&] { return fleet.Endpoints().Crashes() > crashes; }));
-    }
+    ASSERT_TRUE(WaitUntil([&] {
+      const auto answer = fleet.Impatient(entry, path, "crash-" + id,
+                                          deployment::kCrashBody, patience);
+      return answer.status == 429 || fleet.Endpoints().Crashes() > crashes;
+    }));
     ASSERT_TRUE(
-        WaitUntil([&] { return fleet.Endpoints().Running() == kEndpoints; }));
+        WaitUntil([&] { return fleet.Endpoints().Running() == endpoints; }));
+    // Both entries know the next starts.
     ASSERT_TRUE(WaitUntil([&] {
       return fleet.Plain("e1", "a" + id).status == 200 &&
-             fleet.Plain("e2", "b" + id).status == 200;
+             fleet.Plain("e2", "b" + id).status == 200 &&
+             fleet.Stream("e1", "c" + id, "other").status == 200 &&
+             fleet.Stream("e2", "d" + id, "other").status == 200;
     }));
   }
   EXPECT_GE(fleet.Endpoints().Crashes(), kEndsAllowed);
   EXPECT_LE(fleet.Endpoints().Crashes(), kEndsAllowed + kSendsAllowed);
 }
 
+// Guards against a request without a bound whose callers leave before each end.
+TEST(CrashingRequestTest, IsHeldBackThoughItsCallersLeaveBeforeEachEnd) {
+  deployment fleet;
+  StartWithThreeEndpoints(fleet);
+  LeaveBeforeEachEnd(fleet, "/p/x", std::chrono::milliseconds(20), 6);
+}
+
+// Guards against the same with callers that have got the first event.
+TEST(CrashingRequestTest, StreamIsHeldBackThoughItsCallersLeaveBeforeEachEnd) {
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().CrashOnBody(deployment::kCrashBody);
+  fleet.Endpoints().CrashAfterEvents(4);
+  fleet.Endpoints().SetEventTime(std::chrono::milliseconds(10));
+  LeaveBeforeEachEnd(fleet, "/q/x", std::chrono::milliseconds(20), 5);
+}
+
 // Guards against a stream without a bound whose callers get its first events.
 TEST(CrashingRequestTest, StreamThatBeginsBeforeEachEndIsHeldBack) {
   constexpr size_t kEndpoints = 5;
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -301,10 +301,12 @@
   return web_.Send(MakePlain(entry, request_id, request_id));
 }
 
-transport::http_response deployment::PlainImpatient(
-    const std::string& entry, const std::string& request_id,
-    const std::string& body, std::chrono::milliseconds patience) {
+transport::http_response deployment::Impatient(
+    const std::string& entry, const std::string& path,
+    const std::string& request_id, const std::string& body,
+    std::chrono::milliseconds patience) {
   transport::http_request input = MakePlain(entry, request_id, body);
+  input.url = "http://" + Address(entry, callers_port_) + path;
   input.total_timeout = patience;
   return web_.Send(std::move(input));
 }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -61,11 +61,13 @@
   transport::http_response PlainWithBody(const std::string& entry,
                                          const std::string& request_id,
                                          const std::string& body);
-  // The caller leaves after `patience`.
-  transport::http_response PlainImpatient(const std::string& entry,
-                                          const std::string& request_id,
-                                          const std::string& body,
-                                          std::chrono::milliseconds patience);
+  // The caller leaves after `patience`. `path` is that of a route: "/p/x" of
+  // plain requests, "/q/x" of streams.
+  transport::http_response Impatient(const std::string& entry,
+                                     const std::string& path,
+                                     const std::string& request_id,
+                                     const std::string& body,
+                                     std::chrono::milliseconds patience);
   // A request that engines answer by a series of events.
   transport::http_response Stream(const std::string& entry,
                                   const std::string& request_id,
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -127,8 +127,9 @@
                         boost::asio::detached);
 }
 
-awaitable<void> stand_in_endpoints::CrashSoon(std::shared_ptr<endpoint> self) {
-  co_await net::Sleep(kTimeToCrash);
+awaitable<void> stand_in_endpoints::CrashSoon(std::shared_ptr<endpoint> self,
+                                              std::chrono::milliseconds time) {
+  co_await net::Sleep(time);
   Crash(self);
 }
 
@@ -238,7 +239,8 @@
   if (IsCrashing(input) && !streams_first) {
     NoteRun(std::string(net::Find(input.headers, "X-Request-Id")));
     // Also where the caller leaves meanwhile.
-    boost::asio::co_spawn(loop_, CrashSoon(self), boost::asio::detached);
+    boost::asio::co_spawn(loop_, CrashSoon(self, kTimeToCrash),
+                          boost::asio::detached);
     co_await net::Sleep(2 * kTimeToCrash);
     co_return;
   }
@@ -278,6 +280,12 @@
   co_await call.BeginStream(std::move(head));
   const int first = last.empty() ? 1 : std::stoi(last) + 1;
   const int crash_at = IsCrashing(input) ? first + crash_after_ : kEvents + 1;
+  // Also where the caller leaves before that event.
+  if (IsCrashing(input)) {
+    boost::asio::co_spawn(loop_,
+                          CrashSoon(self, 2 * crash_after_ * event_time_),
+                          boost::asio::detached);
+  }
   for (int event = first; event <= kEvents; ++event) {
     co_await net::Sleep(event_time_);
     if (event >= crash_at) Crash(self);
--- a/tests/support/stand_in_endpoints.h
+++ b/tests/support/stand_in_endpoints.h
@@ -72,7 +72,8 @@
   bool IsCrashing(const net::request& input);
   // Ends `self` and starts its successor later.
   void Crash(const std::shared_ptr<endpoint>& self);
-  boost::asio::awaitable<void> CrashSoon(std::shared_ptr<endpoint> self);
+  boost::asio::awaitable<void> CrashSoon(std::shared_ptr<endpoint> self,
+                                         std::chrono::milliseconds time);
   boost::asio::awaitable<void> Restart(std::string service,
                                        std::string address);
   boost::asio::awaitable<void> Serve(std::shared_ptr<endpoint> self,
--- a/tests/unit/quarantine/crash_watch_test.cc
+++ b/tests/unit/quarantine/crash_watch_test.cc
@@ -190,6 +190,26 @@
   EXPECT_EQ(reports_[0].incarnation, "a");
 }
 
+// Guards against requests whose callers leave, or whose time is up, before the
+// end shows; and against blame for an end long after.
+TEST_F(CrashWatchTest, RequestThatWasGivenUpCountsForAWhile) {
+  clock_.Pause();
+  const fleet::endpoint target = List("a", true);
+  const request_identity early{kCustomer, "POST", "/clips/8", "clip"};
+  watch_.NoteGivenUp(early, target);
+  clock_.Advance(milliseconds(8000));
+  watch_.NoteGivenUp(kRequest, target);
+  clock_.Advance(milliseconds(4000));
+  watch_.OnView();
+  EXPECT_EQ(watch_.Probing(), 0U);
+  view_.endpoints[0].incarnation = "b";
+  watch_.OnView();
+  ASSERT_TRUE(RunUntil([this] { return !reports_.empty(); }));
+  ASSERT_EQ(reports_.size(), 1U);
+  EXPECT_EQ(reports_[0].digest, watch_.DigestOf(kRequest));
+  EXPECT_EQ(reports_[0].incarnation, "a");
+}
+
 // A planned end cuts what its endpoint did not finish; that blames nobody.
 TEST_F(CrashWatchTest, EndpointThatLeavesDoesNotCount) {
   const fleet::endpoint draining = List("draining", false);
