A quarantine that was lifted comes back, reproduced (red)

What callers see: a request that an operator has freed is held back again, for ten minutes and then twice as long, by every instance. An entry stands still while the quarantine is lifted; the control group starts anew; the entry is back and tells the new leader the ends that it knows. Red with the ledger alone (the next leader, and the instance that did not hear) and with real processes.

--- a/tests/integration/crashing_request_test.cc
+++ b/tests/integration/crashing_request_test.cc
@@ -2,6 +2,7 @@
 // under new ids and through other entries.
 
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <string>
 
@@ -123,6 +124,43 @@
   }
 }
 
+void RestartControl(deployment& fleet) {
+  for (const std::string& control : fleet.Controls()) fleet.KillNode(control);
+  for (const std::string& control : fleet.Controls()) fleet.StartNode(control);
+  ASSERT_TRUE(WaitUntil([&] { return fleet.VersionAt("c1") == 1; }));
+}
+
+// Guards against a quarantine that comes back: an entry stood still while it
+// was lifted, and tells the next leader of the old ends.
+TEST(CrashingRequestTest, LiftOutlivesAnEntryThatDidNotHearOfIt) {
+  deployment fleet;
+  StartWithThreeEndpoints(fleet);
+  for (int round = 0; round < kRounds; ++round) {
+    SendAndWait(fleet, std::to_string(round));
+  }
+  // No answer of a leader waits for the entry that stands still.
+  for (const std::string& control : fleet.Controls()) fleet.KillNode(control);
+  fleet.Node("e2").Signal(SIGSTOP);
+  RestartControl(fleet);
+  ASSERT_TRUE(WaitUntil([&] { return fleet.Quarantine("c1").size() == 1; }));
+  fleet.Endpoints().CrashOnBody("");
+  ASSERT_TRUE(fleet.Lift("c1", fleet.Quarantine("c1")[0]["digest"]));
+  const auto is_served = [&fleet](const std::string& entry) {
+    return WaitUntil([&] {
+      return fleet.PlainWithBody(entry, "lifted", deployment::kCrashBody)
+                 .status == 200;
+    });
+  };
+  ASSERT_TRUE(is_served("e1"));
+  RestartControl(fleet);
+  fleet.Node("e2").Signal(SIGCONT);
+  ASSERT_TRUE(
+      WaitUntil([&] { return fleet.Plain("e2", "awake").status == 200; }));
+  EXPECT_TRUE(is_served("e2"));
+  EXPECT_TRUE(is_served("e1"));
+  EXPECT_EQ(fleet.Quarantine("c1").size(), 0U);
+}
+
 // A task of a step takes down each engine that runs it, once it has sent
 // `events` events; the step's other tasks get their results.
 void RunStepsBesideACrashingTask(int events) {
--- a/tests/unit/quarantine/crash_ledger_test.cc
+++ b/tests/unit/quarantine/crash_ledger_test.cc
@@ -51,6 +51,38 @@
   EXPECT_TRUE(changes[0].is_quarantined);
 }
 
+// Guards against a quarantine that was lifted, or cleared by an answer, and
+// comes back: an instance that did not hear of it tells the next leader the old
+// ends.
+TEST_F(CrashLedgerTest, WhatWasForgivenIsToldToTheNextLeader) {
+  for (const auto reason :
+       {release_reason::kOperator, release_reason::kServed}) {
+    ledger_ = {};
+    EndAll("cause", {"a", "b", "c"});
+    Release(ledger_, "cause", reason, now_);
+    crash_ledger next;
+    for (const auto& item : ListWarnings(ledger_)) Adopt(next, item, now_);
+    for (const char* end : {"a", "b", "c"}) {
+      NoteEnd(next, {"cause", "customer", end}, now_);
+    }
+    EXPECT_EQ(StandingOf(next, "cause", now_), request_standing::kClear);
+  }
+}
+
+// Guards against an instance that goes on holding a request back alone.
+TEST_F(CrashLedgerTest, InstanceThatDidNotHearOfALiftFollowsIt) {
+  EndAll("cause", {"a", "b", "c"});
+  crash_ledger away = ledger_;
+  Release(ledger_, "cause", release_reason::kOperator, now_);
+  for (const auto& item : ListWarnings(ledger_)) Adopt(away, item, now_);
+  EXPECT_EQ(StandingOf(away, "cause", now_), request_standing::kClear);
+  // What has ended since counts.
+  for (const char* end : {"d", "e", "f"}) {
+    NoteEnd(away, {"cause", "customer", end}, now_);
+  }
+  EXPECT_EQ(StandingOf(away, "cause", now_), request_standing::kQuarantined);
+}
+
 // Entries tell again what they know when the leader changes.
 TEST_F(CrashLedgerTest, EndThatIsToldAgainCountsOnce) {
   EndAll("cause", {"a", "b", "a", "b", "a"});
