Ends that were forgiven are told like ends, so that no quarantine comes back

What callers saw: a request that an operator had freed, or that an endpoint had answered, was held back again by all instances.

Cause: only ends were told, and what was forgiven stood in the memory of one leader. An instance that had not heard of it told the next leader the old ends, and nobody contradicted; it also went on holding the request back alone, since a leader's silence about a request is no word that it is free.

Change: the leader's list names the ends that don't count beside those that do, and instances tell a new leader of both what its list lacks. Who adopts a list takes these ends off; a new end of the same request counts as before. They are kept for twice as long as ends, which is how long an instance that did not hear can go on counting them. Operators are shown requests with ends only.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -96,7 +96,9 @@
     co_return co_await TakeCrashNews(std::move(payload));
   }
   if (method == peering::kWarningsMethod) {
-    const peering::warning_list held{quarantine::ListWarnings(crashes_)};
+    peering::warning_list held{quarantine::ListWarnings(crashes_)};
+    std::erase_if(held.warnings,
+                  [](const auto& item) { return item.ends.empty(); });
     co_return Done(core::EncodeBinary(held));
   }
   if (method == peering::kLiftMethod) {
@@ -415,6 +417,9 @@
   for (const fleet::crash_report& report : input->reports) {
     NoteQuarantines(quarantine::NoteEnd(crashes_, report, now));
   }
+  for (const fleet::forgiven_ends& item : input->forgiven) {
+    NoteQuarantines(quarantine::Forgive(crashes_, item, now));
+  }
   for (const std::string& digest : input->served) {
     NoteQuarantines(quarantine::Release(
         crashes_, digest, quarantine::release_reason::kServed, now));
--- a/packages/quarantine/crash_ledger.cc
+++ b/packages/quarantine/crash_ledger.cc
@@ -170,6 +170,8 @@
       return "its time has passed";
     case release_reason::kExplained:
       return "another request explains its ends";
+    case release_reason::kForgiven:
+      return "another instance knows that its ends don't count";
   }
   return "";
 }
@@ -223,6 +225,37 @@
   return {{digest, false, reason}};
 }
 
+namespace {
+
+// Takes one end off what counts.
+void ForgiveEnd(crash_ledger& ledger, const std::string& digest, suspect& item,
+                const std::string& end) {
+  if (item.forgiven.size() >= kMostForgiven) item.forgiven.clear();
+  item.forgiven.insert(end);
+  if (!Holds(item, end)) return;
+  Unindex(ledger, digest, end);
+  std::erase(item.ends, end);
+}
+
+}  // namespace
+
+std::vector<standing_change> Forgive(crash_ledger& ledger,
+                                     const fleet::forgiven_ends& input,
+                                     time_point now) {
+  if (ledger.suspects.count(input.digest) == 0) MakeRoom(ledger);
+  suspect& item = ledger.suspects[input.digest];
+  item.customer = input.customer;
+  item.changed_at = now;
+  for (const std::string& end : input.ends) {
+    ForgiveEnd(ledger, input.digest, item, end);
+  }
+  const bool stays =
+      UnexplainedEnds(ledger, input.digest, item) >= ledger.options.most_ends;
+  if (!item.is_quarantined || stays) return {};
+  item.is_quarantined = false;
+  return {{input.digest, false, release_reason::kForgiven}};
+}
+
 std::vector<standing_change> Expire(crash_ledger& ledger, time_point now) {
   std::vector<standing_change> changes;
   std::vector<std::string> forgotten;
@@ -236,7 +269,12 @@
     }
     // As long again as it was held back, or the next end would begin anew.
     const seconds memory = std::max(ledger.options.memory, item.length);
-    if (now - item.changed_at >= memory) forgotten.push_back(digest);
+    // Who did not hear that its ends don't count goes on counting them for one
+    // quarantine and this memory.
+    const bool is_forgiven = item.ends.empty();
+    if (now - item.changed_at >= (is_forgiven ? 2 * memory : memory)) {
+      forgotten.push_back(digest);
+    }
   }
   for (const std::string& digest : forgotten) Erase(ledger, digest);
   return changes;
@@ -267,9 +305,16 @@
 std::vector<fleet::request_warning> ListWarnings(const crash_ledger& ledger) {
   std::vector<fleet::request_warning> list;
   for (const auto& [digest, item] : ledger.suspects) {
-    if (item.ends.size() < kEndsToWarn) continue;
-    list.push_back({digest, item.customer, item.ends, item.is_quarantined,
-                    item.length.count(), item.quarantines});
+    if (item.ends.size() < kEndsToWarn && item.forgiven.size() < kEndsToWarn) {
+      continue;
+    }
+    list.push_back({digest,
+                    item.customer,
+                    item.ends,
+                    item.is_quarantined,
+                    item.length.count(),
+                    item.quarantines,
+                    {item.forgiven.begin(), item.forgiven.end()}});
   }
   return list;
 }
@@ -278,6 +323,9 @@
            time_point now) {
   if (ledger.suspects.count(warning.digest) == 0) MakeRoom(ledger);
   suspect& item = ledger.suspects[warning.digest];
+  for (const std::string& end : warning.forgiven) {
+    ForgiveEnd(ledger, warning.digest, item, end);
+  }
   const bool knows_less = std::any_of(item.ends.begin(), item.ends.end(),
                                       [&warning](const std::string& end) {
                                         return !IsAmong(warning.ends, end);
--- a/packages/quarantine/crash_ledger.h
+++ b/packages/quarantine/crash_ledger.h
@@ -74,6 +74,7 @@
   kOperator,   // lifted by hand
   kOver,       // the quarantine's time has passed
   kExplained,  // its ends are those of another request
+  kForgiven,   // another instance knows that its ends don't count
 };
 const char* WordOf(release_reason reason);
 
@@ -96,6 +97,11 @@
                                      release_reason reason,
                                      core::time_point now);
 
+// Takes these ends as not a request's doing.
+std::vector<standing_change> Forgive(crash_ledger& ledger,
+                                     const fleet::forgiven_ends& input,
+                                     core::time_point now);
+
 // Ends quarantines whose time has passed, and forgets old ends. A request whose
 // quarantine is over stays suspected: one more end begins the next.
 std::vector<standing_change> Expire(crash_ledger& ledger, core::time_point now);
@@ -110,7 +116,8 @@
 bool HasEnds(const crash_ledger& ledger, const std::string& digest);
 
 // What others are told, by digest: all but requests with a single end, which
-// each loss of an endpoint leaves behind.
+// each loss of an endpoint leaves behind. Also ends that were forgiven: who did
+// not hear of it would count them again.
 std::vector<fleet::request_warning> ListWarnings(const crash_ledger& ledger);
 
 // Takes the word of the control leader. Its quarantine counts anew from here.
--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -52,6 +52,10 @@
   return is_listed ? &*found : nullptr;
 }
 
+bool IsAmong(const std::vector<std::string>& ends, const std::string& end) {
+  return std::find(ends.begin(), ends.end(), end) != ends.end();
+}
+
 }  // namespace
 
 crash_watch::crash_watch(asio::io_context& loop,
@@ -281,29 +285,37 @@
 // A leader begins with what it followed itself, which may be nothing after all
 // control instances were lost.
 void crash_watch::TellWhatTheLeaderLacks() {
-  std::map<std::string_view, const std::vector<std::string>*> told;
+  std::map<std::string_view, const fleet::request_warning*> told;
   for (const fleet::request_warning& item : view_.warnings) {
-    told[item.digest] = &item.ends;
+    told[item.digest] = &item;
   }
   outbox_.reports.clear();
+  outbox_.forgiven.clear();
   for (const auto& [digest, item] : ledger_.suspects) {
-    const auto known = told.find(digest);
+    const auto found = told.find(digest);
+    const fleet::request_warning known =
+        found == told.end() ? fleet::request_warning{} : *found->second;
     for (const std::string& end : item.ends) {
-      const bool is_told =
-          known != told.end() &&
-          std::find(known->second->begin(), known->second->end(), end) !=
-              known->second->end();
-      if (is_told) continue;
+      if (IsAmong(known.ends, end) || IsAmong(known.forgiven, end)) continue;
       if (outbox_.reports.size() >= kMostReports) return;
       outbox_.reports.push_back({digest, item.customer, end});
     }
+    fleet::forgiven_ends forgiven{digest, item.customer, {}};
+    for (const std::string& end : item.forgiven) {
+      if (!IsAmong(known.forgiven, end)) forgiven.ends.push_back(end);
+    }
+    if (forgiven.ends.empty()) continue;
+    if (outbox_.forgiven.size() >= kMostReports) return;
+    outbox_.forgiven.push_back(std::move(forgiven));
   }
   outbox_filled_.Notify();
 }
 
 awaitable<void> crash_watch::KeepTelling() {
   for (;;) {
-    if (outbox_.reports.empty() && outbox_.served.empty()) {
+    const bool is_empty = outbox_.reports.empty() && outbox_.served.empty() &&
+                          outbox_.forgiven.empty();
+    if (is_empty) {
       co_await outbox_filled_.WaitUntil(time_point::max());
       continue;
     }
@@ -315,9 +327,14 @@
                            news.reports.end());
     outbox_.served.insert(outbox_.served.end(), news.served.begin(),
                           news.served.end());
+    outbox_.forgiven.insert(outbox_.forgiven.end(), news.forgiven.begin(),
+                            news.forgiven.end());
     if (outbox_.reports.size() > kMostReports) {
       outbox_.reports.resize(kMostReports);
     }
+    if (outbox_.forgiven.size() > kMostReports) {
+      outbox_.forgiven.resize(kMostReports);
+    }
     if (outbox_.served.size() > kMostReports) {
       outbox_.served.resize(kMostReports);
     }
