--- a/tests/fakes/fake_endpoint.cc
+++ b/tests/fakes/fake_endpoint.cc
@@ -45,6 +45,8 @@
 ABSL_FLAG(int64_t, version, 1, "weight version at the start");
 ABSL_FLAG(bool, honours_fencing, true,
           "refuses orders with an old fencing number");
+ABSL_FLAG(std::string, ends_on, "",
+          "text in the target of a call that ends a service");
 ABSL_FLAG(double, slow_factor, 1, "how many times slower than told");
 
 namespace {
@@ -93,7 +95,8 @@
   signal(SIGTERM, [](int /*number*/) { stop_requested = true; });
   const bool is_engine = absl::GetFlag(FLAGS_kind) == "engine";
   fakes::fake_engine engine(EngineOptions());
-  fakes::fake_service service(absl::GetFlag(FLAGS_id));
+  fakes::fake_service service(absl::GetFlag(FLAGS_id),
+                              absl::GetFlag(FLAGS_ends_on));
   transport::http_server server(
       {absl::GetFlag(FLAGS_listen), 2, 8 * 1024 * 1024},
       [&](const std::shared_ptr<transport::http_exchange>& exchange) {
--- a/tests/fakes/fake_service.cc
+++ b/tests/fakes/fake_service.cc
@@ -1,6 +1,7 @@
 #include "fakes/fake_service.h"
 
 #include <chrono>
+#include <cstdlib>
 #include <thread>
 
 namespace hickorywood::fakes {
@@ -24,6 +25,9 @@
     exchange->Reply(behaviour ? 200 : 400, {}, kJson, "{}");
     return;
   }
+  const bool is_end =
+      !ends_on_.empty() && exchange->Path().find(ends_on_) != std::string::npos;
+  if (is_end) std::_Exit(1);
   Run(exchange);
 }
 
--- a/tests/fakes/fake_service.h
+++ b/tests/fakes/fake_service.h
@@ -34,7 +34,10 @@
 
 class fake_service {
  public:
-  explicit fake_service(std::string id) : id_(std::move(id)) {}
+  // `ends_on`: text in the target of a call that ends the process; empty: none
+  // does.
+  explicit fake_service(std::string id, std::string ends_on = "")
+      : id_(std::move(id)), ends_on_(std::move(ends_on)) {}
 
   void Handle(const std::shared_ptr<transport::http_exchange>& exchange);
 
@@ -42,6 +45,7 @@
   void Run(const std::shared_ptr<transport::http_exchange>& exchange);
 
   const std::string id_;
+  const std::string ends_on_;
   std::mutex mutex_;
   service_behaviour behaviour_;  // guarded by mutex_
   service_state state_;          // guarded by mutex_
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -261,6 +261,36 @@
   }
 }
 
+// Guards against a call without a bound that takes down each endpoint that runs
+// it: it comes again through every instance, and the endpoints come back.
+TEST_F(RequestsTest, CallThatEndsItsEndpointsIsHeldBack) {
+  constexpr int kRounds = 5;
+  constexpr int kEndsAllowed = 3;
+  constexpr int kSendsAllowed = 3;
+  std::vector<endpoint_spec> specs = {kBooking1, kBooking2};
+  for (endpoint_spec& spec : specs) spec.flags = {"--ends_on=crash"};
+  StartWith(specs);
+  int ends = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (const char* node : {"n1", "n2", "n3"}) {
+      fleet_.Web().Get(fleet_.Callers(node), "/v1/services/bookings/crash");
+      for (const endpoint_spec& spec : specs) {
+        const auto is_over =
+            fleet_.Endpoint(spec.id).WaitForExit(std::chrono::milliseconds(0));
+        if (!is_over) continue;
+        ++ends;
+        fleet_.StartEndpoint(spec);
+      }
+      ASSERT_TRUE(WaitUntil([&] {
+        return fleet_.Web()
+                   .Get(fleet_.Callers(node), "/v1/services/bookings/other")
+                   .status == 200;
+      }));
+    }
+  }
+  EXPECT_LE(ends, kEndsAllowed + kSendsAllowed);
+}
+
 // Something between the instance and the endpoint forgets all open connections;
 // new ones work. A call that may be repeated goes through on a fresh connection
 // within its time.
