A soak of real processes under drawn faults, before endpoints that answer twice

Callers keep their connections and check each answer while it runs: own and whole plain answers, what may run once, that "not run" is true, results that never change at both entries, texts that are whole, bodies that are whole or gone with a result, configurations that never step back. Series of faults run side by side: stores, control instances and entries are killed, stopped, frozen and lose their disks one at a time in each group, endpoints are replaced with all their connections, and power is cut at all instances with one lost disk. The plan is drawn from a seed and printed; half of the answers of four of the nine endpoints are followed by a second one, in all ways of AllStutters.

The stuttering server gives other statuses and a script for each request, and stands with the support of all tests; heartbeats of the stand-ins no longer wait for each other's answers, as a frozen control instance held them up.

--- /dev/null
+++ b/tests/soak/stuttering_fleet.cc
@@ -0,0 +1,139 @@
+#include "soak/stuttering_fleet.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+
+#include "support/stand_in_endpoints.h"
+
+namespace hickorywood::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Times that a request takes: most are over before a second answer comes, and
+// some run into it.
+constexpr milliseconds kWorkTimes[] = {milliseconds(1), milliseconds(5),
+                                       milliseconds(30), milliseconds(250)};
+constexpr int kElsewhere = 421;
+
+}  // namespace
+
+struct stuttering_fleet::endpoint {
+  std::string incarnation;
+  std::string service;
+  std::string address;
+  int sequence = 0;
+  int orders = 0;
+  int64_t version = 1;
+  std::unique_ptr<net::stuttering_server> server;
+};
+
+stuttering_fleet::stuttering_fleet(uint64_t seed)
+    : random_(seed), thread_([this] {
+        const auto guard = boost::asio::make_work_guard(loop_);
+        loop_.run();
+      }) {}
+
+stuttering_fleet::~stuttering_fleet() {
+  OnLoop([this] {
+    for (const auto& item : endpoints_) item.second->server.reset();
+  });
+  loop_.stop();
+  thread_.join();
+}
+
+void stuttering_fleet::OnLoop(const std::function<void()>& work) {
+  std::promise<void> done;
+  boost::asio::post(loop_, [&work, &done] {
+    work();
+    done.set_value();
+  });
+  done.get_future().get();
+}
+
+void stuttering_fleet::Start(const std::string& service) {
+  OnLoop([this, &service] { Open(service); });
+}
+
+void stuttering_fleet::Open(const std::string& service) {
+  auto fresh = std::make_shared<endpoint>();
+  fresh->service = service;
+  // Holds its endpoint, until the server is taken off it.
+  fresh->server = std::make_unique<net::stuttering_server>(
+      loop_, [this](const net::request&) { return DrawScript(); },
+      [this, self = fresh](const net::request& input, int /*count*/,
+                           bool is_second) {
+        return Answer(*self, input, is_second);
+      });
+  fresh->address = fresh->server->Address();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  fresh->incarnation = "i-twice-" + std::to_string(started_++);
+  endpoints_[fresh->incarnation] = fresh;
+}
+
+void stuttering_fleet::Replace(const std::string& service) {
+  OnLoop([this, &service] {
+    std::shared_ptr<endpoint> ending;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      for (const auto& [incarnation, item] : endpoints_) {
+        if (item->service == service) ending = item;
+      }
+      if (ending) endpoints_.erase(ending->incarnation);
+    }
+    if (ending) ending->server.reset();
+    Open(service);
+  });
+}
+
+net::stutter stuttering_fleet::DrawScript() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  net::stutter script = scripts_[random_() % scripts_.size()];
+  if (random_() % 2 == 0) script.moment = net::second_moment::kNever;
+  script.work = kWorkTimes[random_() % std::size(kWorkTimes)];
+  return script;
+}
+
+net::scripted_answer stuttering_fleet::Answer(endpoint& self,
+                                              const net::request& input,
+                                              bool is_second) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (net::Find(input.headers, "X-Expect-Instance") != self.incarnation) {
+    return {kElsewhere, ""};
+  }
+  if (input.target == "/v1/report") {
+    const json models = json::array({{{"name", "m"}, {"version", 1}}});
+    return {200,
+            json({{"models", models}, {"busy", false}, {"seq", self.orders}})
+                .dump()};
+  }
+  const std::string id(net::Find(input.headers, "X-Request-Id"));
+  if (!is_second) ++runs_[id];
+  if (self.service == "engines") {
+    const std::string last(net::Find(input.headers, "Last-Event-Id"));
+    return {200, stand_in_endpoints::StreamOf(
+                     id, last.empty() ? 1 : std::stoi(last) + 1)};
+  }
+  return {200, "echo " + input.body};
+}
+
+std::map<std::string, std::string> stuttering_fleet::Heartbeats() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::map<std::string, std::string> bodies;
+  for (const auto& [incarnation, item] : endpoints_) {
+    bodies[incarnation] = stand_in_endpoints::Heartbeat(
+        item->service, item->address, item->version, ++item->sequence);
+  }
+  return bodies;
+}
+
+int stuttering_fleet::RunsOf(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = runs_.find(request_id);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+}  // namespace hickorywood::testing
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -21,6 +21,7 @@
 
 constexpr int kNodes = 9;
 constexpr std::chrono::milliseconds kHeartbeatPeriod{150};
+constexpr std::chrono::milliseconds kHeartbeatTimeout{1000};
 constexpr std::chrono::milliseconds kCallTimeout{3000};
 
 std::string NodeIp(int number) {
@@ -71,6 +72,12 @@
           {"service", "echo"}, {"max_attempts", 2}};
 }
 
+json SingleRoute() {
+  return {{"name", "single"},  {"host", "h"},         {"path_prefix", "/u/"},
+          {"kind", "unsafe"},  {"timeout_ms", 20000}, {"goal_ms", 10000},
+          {"service", "echo"}, {"max_attempts", 1}};
+}
+
 json StreamRoute() {
   return {{"name", "streams"},    {"host", "h"},         {"path_prefix", "/q/"},
           {"kind", "stream"},     {"timeout_ms", 20000}, {"goal_ms", 10000},
@@ -85,6 +92,8 @@
 
 }  // namespace
 
+std::string ProgramPath() { return HICKORYD_PATH; }
+
 deployment::deployment()
     : folder_(MakeTemporaryFolder()),
       peers_port_(TakePort()),
@@ -148,7 +157,7 @@
   item.was_started = true;
   item.is_up = true;
   item.running = std::make_unique<process>(
-      std::vector<std::string>{HICKORYD_PATH, "--node_settings=" + file},
+      std::vector<std::string>{ProgramPath(), "--node_settings=" + file},
       LogOf(id));
 }
 
@@ -231,15 +240,20 @@
 void deployment::SendHeartbeats() {
   size_t turn = 0;
   while (!is_over_) {
+    std::map<std::string, std::string> bodies;
+    if (more_heartbeats) bodies = more_heartbeats();
     for (const std::string& incarnation : endpoints_.Incarnations()) {
+      bodies[incarnation] = endpoints_.HeartbeatOf(incarnation);
+    }
+    for (const auto& [incarnation, body] : bodies) {
+      if (body.empty()) continue;  // it has ended since
       transport::http_request input;
       input.url = "http://" +
                   Address(controls_[turn++ % controls_.size()], control_port_) +
                   "/v1/instances/" + incarnation + "/heartbeat";
-      input.body = endpoints_.HeartbeatOf(incarnation);
-      if (input.body.empty()) continue;  // it has ended since
-      input.total_timeout = kCallTimeout;
-      web_.Send(std::move(input));
+      input.body = body;
+      input.total_timeout = kHeartbeatTimeout;
+      web_.SendLater(std::move(input));
     }
     std::this_thread::sleep_for(kHeartbeatPeriod);
   }
@@ -248,7 +262,7 @@
 bool deployment::PutConfiguration(int version, bool with_plain_route) {
   json body = {
       {"version", version},
-      {"routes", json::array({StepRoute(), StreamRoute()})},
+      {"routes", json::array({StepRoute(), StreamRoute(), SingleRoute()})},
       {"services",
        json::array(
            {{{"name", "echo"}},
@@ -285,14 +299,21 @@
   return web_.Send(std::move(input)).status / 100 == 2;
 }
 
+transport::http_request deployment::MakeRequest(
+    const std::string& entry, const std::string& path,
+    const std::string& request_id) const {
+  transport::http_request input;
+  input.url = "http://" + Address(entry, callers_port_) + path;
+  input.headers = {{"Host", "h"}, {"X-Request-Id", request_id}};
+  input.total_timeout = std::chrono::milliseconds(30000);
+  return input;
+}
+
 transport::http_request deployment::MakePlain(const std::string& entry,
                                               const std::string& request_id,
                                               const std::string& body) const {
-  transport::http_request input;
-  input.url = "http://" + Address(entry, callers_port_) + "/p/x";
-  input.headers = {{"Host", "h"}, {"X-Request-Id", request_id}};
+  transport::http_request input = MakeRequest(entry, "/p/x", request_id);
   input.body = body;
-  input.total_timeout = std::chrono::milliseconds(30000);
   return input;
 }
 
@@ -305,8 +326,8 @@
     const std::string& entry, const std::string& path,
     const std::string& request_id, const std::string& body,
     std::chrono::milliseconds patience) {
-  transport::http_request input = MakePlain(entry, request_id, body);
-  input.url = "http://" + Address(entry, callers_port_) + path;
+  transport::http_request input = MakeRequest(entry, path, request_id);
+  input.body = body;
   input.total_timeout = patience;
   return web_.Send(std::move(input));
 }
@@ -314,8 +335,8 @@
 transport::http_response deployment::Stream(const std::string& entry,
                                             const std::string& request_id,
                                             const std::string& body) {
-  transport::http_request input = MakePlain(entry, request_id, body);
-  input.url = "http://" + Address(entry, callers_port_) + "/q/x";
+  transport::http_request input = MakeRequest(entry, "/q/x", request_id);
+  input.body = body;
   return web_.Send(std::move(input));
 }
 
@@ -390,12 +411,18 @@
                   "/v1/items/" + step + "?id=" + TaskId(step, task));
 }
 
+transport::http_response deployment::ReadResults(const std::string& entry,
+                                                 const std::string& step,
+                                                 size_t after) {
+  return web_.Get(Address(entry, callers_port_),
+                  "/v1/lots/" + step + "?after=" + std::to_string(after));
+}
+
 json deployment::WaitForResults(const std::string& entry,
                                 const std::string& step, size_t count) {
   json page;
   WaitUntil([&] {
-    page = web_.GetJson(Address(entry, callers_port_),
-                        "/v1/lots/" + step + "?after=0");
+    page = testing::BodyOf(ReadResults(entry, step, 0));
     return page.is_object() && page["results"].size() >= count;
   });
   return page.is_object() ? page["results"] : json::array();
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -6,6 +6,7 @@
 // stand-in endpoints.
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,6 +19,9 @@
 
 namespace hickorywood::testing {
 
+// The program under test.
+std::string ProgramPath();
+
 class deployment {
  public:
   deployment();
@@ -46,6 +50,9 @@
   void LoseDisk(const std::string& id);
   process& Node(const std::string& id) { return *nodes_.at(id).running; }
   bool IsReady(const std::string& entry);
+  // Endpoints beside the stand-ins: the bodies of their next heartbeats, by
+  // incarnation. Set before Start().
+  std::function<std::map<std::string, std::string>()> more_heartbeats;
 
   // Sends it to the control instances in turn until one takes it.
   bool PutConfiguration(int version, bool with_plain_route);
@@ -56,6 +63,10 @@
   nlohmann::json Quarantine(const std::string& control);
   bool Lift(const std::string& control, const std::string& digest);
 
+  // A request to an entry that names itself, without a body.
+  transport::http_request MakeRequest(const std::string& entry,
+                                      const std::string& path,
+                                      const std::string& request_id) const;
   transport::http_response Plain(const std::string& entry,
                                  const std::string& request_id);
   transport::http_response PlainWithBody(const std::string& entry,
@@ -84,6 +95,9 @@
   nlohmann::json WaitForResults(const std::string& entry,
                                 const std::string& step, size_t count);
 
+  // The results of a step from a position on, as one entry answers.
+  transport::http_response ReadResults(const std::string& entry,
+                                       const std::string& step, size_t after);
   // The body of a task as one entry answers it.
   transport::http_response ReadBody(const std::string& entry,
                                     const std::string& step, int task);
--- a/tests/support/stand_in_endpoints.cc
+++ b/tests/support/stand_in_endpoints.cc
@@ -39,6 +39,11 @@
   return request_id + "-" + std::to_string(event);
 }
 
+std::string EventFrame(const std::string& request_id, int event) {
+  return "id: " + std::to_string(event) +
+         "\ndata: " + EventData(request_id, event) + "\n\n";
+}
+
 }  // namespace
 
 struct stand_in_endpoints::endpoint {
@@ -151,16 +156,22 @@
   const auto found = endpoints_.find(incarnation);
   if (found == endpoints_.end()) return "";
   endpoint& self = *found->second;
-  const json models = json::array({{{"name", "m"}, {"version", self.version}}});
-  return json({{"service", self.service},
-               {"address", self.address},
+  return Heartbeat(self.service, self.address, self.version, ++self.sequence);
+}
+
+std::string stand_in_endpoints::Heartbeat(const std::string& service,
+                                          const std::string& address,
+                                          int64_t version, int sequence) {
+  const json models = json::array({{{"name", "m"}, {"version", version}}});
+  return json({{"service", service},
+               {"address", address},
                {"zone", "z"},
                {"slots", 8},
                {"state", "ready"},
                {"version", "v1"},
                {"cold_left_ms", 0},
                {"models", models},
-               {"seq", ++self.sequence}})
+               {"seq", sequence}})
       .dump();
 }
 
@@ -202,6 +213,15 @@
   return output;
 }
 
+std::string stand_in_endpoints::StreamOf(const std::string& request_id,
+                                         int first) {
+  std::string stream;
+  for (int event = first; event <= kEvents; ++event) {
+    stream += EventFrame(request_id, event);
+  }
+  return stream;
+}
+
 void stand_in_endpoints::NoteRun(const std::string& request_id) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++runs_[request_id];
@@ -296,8 +316,7 @@
       was_broken_[id] = true;
       co_return;
     }
-    std::string frame = "id: " + std::to_string(event) +
-                        "\ndata: " + EventData(id, event) + "\n\n";
+    std::string frame = EventFrame(id, event);
     co_await call.WriteStream(std::move(frame));
   }
   {
--- a/tests/support/stand_in_endpoints.h
+++ b/tests/support/stand_in_endpoints.h
@@ -63,6 +63,11 @@
   static constexpr int kEvents = 20;  // of each stream
   // The whole output of a task, as trainers read it.
   static std::string OutputOf(const std::string& request_id);
+  // The events of its stream from `first` on, as they are sent.
+  static std::string StreamOf(const std::string& request_id, int first);
+  static std::string Heartbeat(const std::string& service,
+                               const std::string& address, int64_t version,
+                               int sequence);
 
  private:
   struct endpoint;
--- a/tests/unit/net/stuttering_server.cc
+++ b/tests/support/stuttering_server.cc
@@ -1,4 +1,4 @@
-#include "unit/net/stuttering_server.h"
+#include "support/stuttering_server.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -33,11 +33,12 @@
 // A request is at work for this much longer than the second answer is late.
 constexpr milliseconds kMargin{30};
 
-std::string Encode(const request& input, bool has_failed,
-                   const std::string& body, named_request named,
-                   answer_form form) {
+std::string Encode(const request& input, const scripted_answer& answer,
+                   named_request named, answer_form form) {
+  const std::string& body = answer.body;
   std::string head =
-      has_failed ? "HTTP/1.1 500 Failed\r\n" : "HTTP/1.1 200 OK\r\n";
+      "HTTP/1.1 " + std::to_string(answer.status) + " Answer\r\n";
+  if (answer.status == 421) head += "X-Not-Run: 1\r\n";
   head += "X-Response-Stamp: signed\r\nX-Weight-Versions: 1\r\n";
   for (const char* name : kIdHeaders) {
     const std::string id(Find(input.headers, name));
@@ -112,21 +113,23 @@
 }
 
 struct stuttering_server::impl : std::enable_shared_from_this<impl> {
-  impl(asio::io_context& io, stutter plan, answer_maker make)
+  impl(asio::io_context& io, script_maker plan, scripted_maker make)
       : loop(io),
-        script(plan),
+        scripts(std::move(plan)),
         answer(std::move(make)),
         acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
 
   awaitable<void> Accept();
   awaitable<void> Serve(std::shared_ptr<tcp::socket> socket);
   awaitable<void> WriteLate(std::shared_ptr<tcp::socket> socket,
-                            std::string bytes);
+                            std::string bytes, milliseconds delay);
+  void Close();
 
   asio::io_context& loop;
-  const stutter script;
-  const answer_maker answer;
+  const script_maker scripts;
+  const scripted_maker answer;
   tcp::acceptor acceptor;
+  std::vector<std::weak_ptr<tcp::socket>> sockets;
   int requests = 0;
   int connections = 0;
 };
@@ -137,15 +140,24 @@
     auto [failure, socket] = co_await acceptor.async_accept(kNoThrow);
     if (failure) co_return;
     ++connections;
-    asio::co_spawn(loop,
-                   Serve(std::make_shared<tcp::socket>(std::move(socket))),
-                   asio::detached);
+    const auto held = std::make_shared<tcp::socket>(std::move(socket));
+    std::erase_if(sockets, [](const auto& item) { return item.expired(); });
+    sockets.push_back(held);
+    asio::co_spawn(loop, Serve(held), asio::detached);
+  }
+}
+
+void stuttering_server::impl::Close() {
+  acceptor.close();
+  for (const auto& item : sockets) {
+    if (const auto socket = item.lock()) socket->close();
   }
 }
 
 awaitable<void> stuttering_server::impl::WriteLate(
-    std::shared_ptr<tcp::socket> socket, std::string bytes) {
-  co_await Sleep(script.delay);
+    std::shared_ptr<tcp::socket> socket, std::string bytes,
+    milliseconds delay) {
+  co_await Sleep(delay);
   co_await asio::async_write(*socket, asio::buffer(bytes), kNoThrow);
 }
 
@@ -167,33 +179,45 @@
       input.headers.push_back(
           {std::string(field.name_string()), std::string(field.value())});
     }
+    const stutter script = scripts(input);
     if (count > 1) co_await Sleep(script.work);
     const named_request own =
         script.names_own ? named_request::kRepeated : named_request::kNone;
     std::string bytes = std::exchange(held_back, "");
     if (script.sends_interim) bytes += kInterim;
-    const bool has_failed = count <= script.failures;
-    bytes += Encode(input, has_failed, answer(input, count, false), own,
-                    answer_form::kWhole);
+    bytes +=
+        Encode(input, answer(input, count, false), own, answer_form::kWhole);
     const std::string second =
-        Encode(input, has_failed, answer(input, count, true), script.named,
-               script.form);
+        Encode(input, answer(input, count, true), script.named, script.form);
     if (script.moment == second_moment::kBehind) bytes += second;
     if (script.moment == second_moment::kBeforeNext) held_back = second;
     co_await asio::async_write(*socket, asio::buffer(bytes), kNoThrow);
     if (script.moment == second_moment::kLate) {
-      asio::co_spawn(loop, WriteLate(socket, second), asio::detached);
+      asio::co_spawn(loop, WriteLate(socket, second, script.delay),
+                     asio::detached);
     }
   }
 }
 
-stuttering_server::stuttering_server(asio::io_context& loop, stutter script,
-                                     answer_maker answer)
-    : impl_(std::make_shared<impl>(loop, script, std::move(answer))) {
+stuttering_server::stuttering_server(asio::io_context& loop,
+                                     const stutter& script, answer_maker answer)
+    : stuttering_server(
+          loop, [script](const request&) { return script; },
+          [script, answer = std::move(answer)](const request& input, int count,
+                                               bool is_second) {
+            const int status = count <= script.failures ? 500 : 200;
+            return scripted_answer{status, answer(input, count, is_second)};
+          }) {}
+
+stuttering_server::stuttering_server(asio::io_context& loop,
+                                     script_maker scripts,
+                                     scripted_maker answer)
+    : impl_(
+          std::make_shared<impl>(loop, std::move(scripts), std::move(answer))) {
   asio::co_spawn(loop, impl_->Accept(), asio::detached);
 }
 
-stuttering_server::~stuttering_server() { impl_->acceptor.close(); }
+stuttering_server::~stuttering_server() { impl_->Close(); }
 
 std::string stuttering_server::Address() const {
   return "127.0.0.1:" + std::to_string(impl_->acceptor.local_endpoint().port());
--- a/tests/unit/net/stuttering_server.h
+++ b/tests/support/stuttering_server.h
@@ -1,5 +1,5 @@
-#ifndef HICKORYWOOD_TESTS_UNIT_NET_STUTTERING_SERVER_H_
-#define HICKORYWOOD_TESTS_UNIT_NET_STUTTERING_SERVER_H_
+#ifndef HICKORYWOOD_TESTS_SUPPORT_STUTTERING_SERVER_H_
+#define HICKORYWOOD_TESTS_SUPPORT_STUTTERING_SERVER_H_
 
 // A server on plain sockets that answers each request twice, as scripted.
 
@@ -47,15 +47,27 @@
 // All ways of a second answer: whom it names, its form, when it comes.
 std::vector<stutter> AllStutters();
 
+struct scripted_answer {
+  int status = 200;
+  std::string body;
+};
+
 class stuttering_server {
  public:
   // The bytes of the body that answers the request number `count`, from 1, as
   // the first or the second answer.
   using answer_maker = std::function<std::string(const request& input,
                                                  int count, bool is_second)>;
+  // The same with a status, and the script for each request.
+  using scripted_maker = std::function<scripted_answer(
+      const request& input, int count, bool is_second)>;
+  using script_maker = std::function<stutter(const request& input)>;
 
-  stuttering_server(boost::asio::io_context& loop, stutter script,
+  stuttering_server(boost::asio::io_context& loop, const stutter& script,
                     answer_maker answer);
+  stuttering_server(boost::asio::io_context& loop, script_maker scripts,
+                    scripted_maker answer);
+  // Closes all connections too.
   ~stuttering_server();
   stuttering_server(const stuttering_server&) = delete;
   stuttering_server& operator=(const stuttering_server&) = delete;
@@ -73,4 +85,4 @@
 
 }  // namespace hickorywood::net
 
-#endif  // HICKORYWOOD_TESTS_UNIT_NET_STUTTERING_SERVER_H_
+#endif  // HICKORYWOOD_TESTS_SUPPORT_STUTTERING_SERVER_H_
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -16,7 +16,7 @@
 
 #include "net/call.h"
 #include "platform/protocol.h"
-#include "unit/net/stuttering_server.h"
+#include "support/stuttering_server.h"
 
 namespace hickorywood::entry {
 namespace {
--- a/tests/unit/net/second_answer_test.cc
+++ b/tests/unit/net/second_answer_test.cc
@@ -14,7 +14,7 @@
 
 #include "net/call.h"
 #include "net/event.h"
-#include "unit/net/stuttering_server.h"
+#include "support/stuttering_server.h"
 
 namespace hickorywood::net {
 namespace {
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -16,7 +16,7 @@
 #include "core/binary.h"
 #include "net/listener.h"
 #include "peering/peer_interface.h"
-#include "unit/net/stuttering_server.h"
+#include "support/stuttering_server.h"
 
 namespace hickorywood::peering {
 namespace {
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -15,7 +15,7 @@
 #include "net/event.h"
 #include "net/listener.h"
 #include "platform/protocol.h"
-#include "unit/net/stuttering_server.h"
+#include "support/stuttering_server.h"
 
 namespace hickorywood::store {
 namespace {
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -14,7 +14,7 @@
 
 #include "net/event.h"
 #include "platform/protocol.h"
-#include "unit/net/stuttering_server.h"
+#include "support/stuttering_server.h"
 
 namespace hickorywood::store {
 namespace {
--- a/tests/unit/transport/second_answer_test.cc
+++ b/tests/unit/transport/second_answer_test.cc
@@ -12,8 +12,8 @@
 #include <thread>
 #include <vector>
 
+#include "support/stuttering_server.h"
 #include "transport/http_client.h"
-#include "unit/net/stuttering_server.h"
 
 namespace hickorywood::transport {
 namespace {
