Signals that come while a process starts wait until its loop takes them

What operators saw: a process that gets SIGHUP while it starts ends, and one that gets SIGTERM then ends by the signal and not with 0. A store that reads its log at the start is there for seconds.

Cause: the default action of these signals held until the loop ran for the first time.

Change: the signals are blocked from the first line of a node on, and unblocked once the loop's set takes them; what came meanwhile is taken then. Before its first line a process can't do anything about them: the soak allows the end by SIGTERM only while nothing of the start is logged.

--- a/packages/hickoryd/node_main.cc
+++ b/packages/hickoryd/node_main.cc
@@ -60,6 +60,16 @@
   return loaded;
 }
 
+// Blocks or unblocks the signals that a node takes.
+void ChangeSignalMask(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, number);
+  }
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 // When the file was last written, in nanoseconds; 0 where that is not known.
 int64_t ChangedAt(const std::string& file) {
   struct stat info {};
@@ -192,6 +202,7 @@
 
 awaitable<void> node::KeepTakingSignals() {
   asio::signal_set signals(loop_, SIGTERM, SIGINT, SIGHUP);
+  ChangeSignalMask(SIG_UNBLOCK);
   for (;;) {
     const auto [failure, number] =
         co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -230,6 +241,9 @@
 }  // namespace
 
 int RunNode(const std::string& settings_file, bool only_check) {
+  // They wait until the loop takes them. Until then they would end the process,
+  // SIGHUP too, and a store that reads its log takes seconds to get there.
+  ChangeSignalMask(SIG_BLOCK);
   core::SetLogFormat(core::log_format::kJson);
   signal(SIGPIPE, SIG_IGN);
   auto settings = Load(settings_file);
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -156,11 +156,23 @@
   out.close();
   item.was_started = true;
   item.is_up = true;
+  std::error_code no_log_yet;
+  const auto logged = std::filesystem::file_size(LogOf(id), no_log_yet);
+  item.logged = no_log_yet ? 0 : logged;
   item.running = std::make_unique<process>(
       std::vector<std::string>{ProgramPath(), "--node_settings=" + file},
       LogOf(id));
 }
 
+bool deployment::HasStarted(const std::string& id) const {
+  std::ifstream log(LogOf(id));
+  log.seekg(static_cast<std::streamoff>(nodes_.at(id).logged));
+  for (std::string line; std::getline(log, line);) {
+    if (line.find("HK1001") != std::string::npos) return true;
+  }
+  return false;
+}
+
 void deployment::KillNode(const std::string& id) {
   nodes_.at(id).running->Kill();
   nodes_.at(id).is_up = false;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -35,6 +35,8 @@
 
   void StartNode(const std::string& id);
   void KillNode(const std::string& id);
+  // Whether the process that runs now has logged that it started.
+  bool HasStarted(const std::string& id) const;
   // Starts the control instance that Start() leaves out: empty, in a group that
   // was founded before.
   void StartSpareControl();
@@ -123,6 +125,7 @@
     std::string ip;
     std::unique_ptr<process> running;
     bool was_started = false;
+    std::uintmax_t logged = 0;  // bytes of its log before the latest start
     bool is_up = false;
   };
 
