A pull whose batch lost its bodies is never answered 200 without a body

Callers saw: a trainer's pull at the own interface was answered 200 with an empty body. Cause: a coordinator reads the bodies of a batch again once the batch is committed. A deposed coordinator that goes on (a process that was frozen) still sends its own bodies of the same slots to this instance; their digests are others, the text of the batch could not be made, and the empty text that stood for that was sent as the batch. Ruled out: a cut answer, an answer of another connection: the 200 came whole, with Content-Length 0, from the instance itself. Change: the batch keeps the bodies that its digests are of until it is committed, and they are put back before the answer. The text of a batch is an optional value: without all bodies the answer is 410. A batch that is proposed again is the same one. PullAll reports such an answer as a failure, where an exception ended the test before.

--- a/packages/hickoryd/step_delivery.cc
+++ b/packages/hickoryd/step_delivery.cc
@@ -24,6 +24,11 @@
 
 }  // namespace
 
+struct step_service::proposed_batch {
+  control::batch_record record;
+  held_bodies bodies;
+};
+
 void step_service::ServePulls(const step_ptr& step) {
   if (step->is_committing || step->is_dropped) return;
   std::vector<waiting_pull> pulls = std::move(step->pulls);
@@ -143,14 +148,8 @@
     return;
   }
   const control::batch_record& batch = step->batches.back();
-  const std::string body = BatchBody(step, batch);
-  if (body.empty()) {
-    AnswerPull(step, pull,
-               FailureReply(410, "ran", "both copies of the batch are lost",
-                            milliseconds(0)));
-    return;
-  }
-  if (HasStaleSample(step, batch, pull.request.trainer_version)) {
+  const std::optional<std::string> body = BatchBody(step, batch);
+  if (body && HasStaleSample(step, batch, pull.request.trainer_version)) {
     AnswerPull(
         step, pull,
         FailureReply(409, "ran",
@@ -158,7 +157,16 @@
                      milliseconds(0)));
     return;
   }
-  AnswerPull(step, pull, {200, body, milliseconds(0)});
+  AnswerBatch(step, pull, body);
+}
+
+void step_service::AnswerBatch(const step_ptr& step, const waiting_pull& pull,
+                               const std::optional<std::string>& body) {
+  AnswerPull(step, pull,
+             body
+                 ? step_reply{200, *body, milliseconds(0)}
+                 : FailureReply(410, "ran", "both copies of the batch are lost",
+                                milliseconds(0)));
 }
 
 // All bodies of the batch must be held here.
@@ -180,16 +188,25 @@
 
 void step_service::CommitBatch(const step_ptr& step, const waiting_pull& pull,
                                const std::vector<int64_t>& slots) {
-  control::batch_record batch;
-  batch.cursor = pull.request.cursor;
-  batch.trainer_version = step->trainer_version;
-  batch.slots = slots;
+  const auto batch = std::make_shared<proposed_batch>();
+  batch->record.cursor = pull.request.cursor;
+  batch->record.trainer_version = step->trainer_version;
+  batch->record.slots = slots;
+  batch->bodies.step_key = step->key;
   for (const int64_t slot : slots) {
     const std::string* body = bodies_.FindSample(step->key, slot);
-    batch.digests.push_back(body == nullptr ? "" : core::DigestHex(*body));
+    batch->record.digests.push_back(body == nullptr ? ""
+                                                    : core::DigestHex(*body));
+    if (body != nullptr) batch->bodies.samples.push_back({slot, *body});
   }
   rollout::MarkDelivered(step->run, slots);
   step->is_committing = true;
+  ProposeBatch(step, pull, batch);
+}
+
+void step_service::ProposeBatch(
+    const step_ptr& step, const waiting_pull& pull,
+    const std::shared_ptr<const proposed_batch>& batch) {
   control::command input;
   input.kind = control::command_kind::kCommitBatch;
   input.instance = context_.settings.id;
@@ -197,7 +214,7 @@
   input.pool = step->run.spec.pool;
   input.step = step->run.spec.step;
   input.epoch = step->run.epoch;
-  input.batch = batch;
+  input.batch = batch->record;
   const bool is_queued = leader_.Propose(
       input, kCommitLimit,
       [this, step, pull, batch](const proposal_answer& answer) {
@@ -206,16 +223,16 @@
         });
       });
   if (!is_queued) {
-    context_.traffic.After(kCommitRetryPause, [this, step, pull, slots] {
-      CommitBatch(step, pull, slots);
+    context_.traffic.After(kCommitRetryPause, [this, step, pull, batch] {
+      ProposeBatch(step, pull, batch);
     });
   }
 }
 
-void step_service::TakeCommitAnswer(const step_ptr& step,
-                                    const waiting_pull& pull,
-                                    const control::batch_record& batch,
-                                    const proposal_answer& answer) {
+void step_service::TakeCommitAnswer(
+    const step_ptr& step, const waiting_pull& pull,
+    const std::shared_ptr<const proposed_batch>& batch,
+    const proposal_answer& answer) {
   if (step->is_dropped) {
     pull.done(FailureReply(503, "unknown",
                            "the instance stops coordinating the step",
@@ -229,7 +246,7 @@
                            kPullRetryAfter));
     waiting_pull nobody = pull;
     nobody.done = [](const step_reply& /*reply*/) {};
-    CommitBatch(step, nobody, batch.slots);
+    ProposeBatch(step, nobody, batch);
     return;
   }
   step->is_committing = false;
@@ -244,8 +261,10 @@
   }
   step->batches.push_back(answer.result.batch);
   NoteDelivery(step, answer.result.batch);
-  const std::string body = BatchBody(step, answer.result.batch);
-  AnswerPull(step, pull, {200, body, milliseconds(0)});
+  // A coordinator that was deposed and goes on may have put its own bodies in
+  // their place meanwhile.
+  bodies_.Take(batch->bodies);
+  AnswerBatch(step, pull, BatchBody(step, answer.result.batch));
   ServePulls(step);
 }
 
@@ -262,13 +281,13 @@
   }
 }
 
-std::string step_service::BatchBody(const step_ptr& step,
-                                    const control::batch_record& batch) const {
+std::optional<std::string> step_service::BatchBody(
+    const step_ptr& step, const control::batch_record& batch) const {
   std::string samples;
   for (size_t i = 0; i < batch.slots.size(); ++i) {
     const std::string* body = bodies_.FindSample(step->key, batch.slots[i]);
     if (body == nullptr || core::DigestHex(*body) != batch.digests[i]) {
-      return "";
+      return std::nullopt;
     }
     samples += (samples.empty() ? "" : ",") + *body;
   }
--- a/packages/hickoryd/step_service.h
+++ b/packages/hickoryd/step_service.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -109,14 +110,22 @@
   void ServeRepeat(const step_ptr& step, const waiting_pull& pull);
   bool HasStaleSample(const step_ptr& step, const control::batch_record& batch,
                       int64_t trainer_version) const;
+  // A batch on its way to be committed, with the bodies that its digests are
+  // of.
+  struct proposed_batch;
   void CommitBatch(const step_ptr& step, const waiting_pull& pull,
                    const std::vector<int64_t>& slots);
+  void ProposeBatch(const step_ptr& step, const waiting_pull& pull,
+                    const std::shared_ptr<const proposed_batch>& batch);
   void TakeCommitAnswer(const step_ptr& step, const waiting_pull& pull,
-                        const control::batch_record& batch,
+                        const std::shared_ptr<const proposed_batch>& batch,
                         const control::proposal_answer& answer);
+  void AnswerBatch(const step_ptr& step, const waiting_pull& pull,
+                   const std::optional<std::string>& body);
   void Acknowledge(const step_ptr& step, uint64_t cursor);
-  std::string BatchBody(const step_ptr& step,
-                        const control::batch_record& batch) const;
+  // Empty: not all of its bodies are held here.
+  std::optional<std::string> BatchBody(
+      const step_ptr& step, const control::batch_record& batch) const;
   void NoteDelivery(const step_ptr& step, const control::batch_record& batch);
   void AnswerPull(const step_ptr& step, const waiting_pull& pull,
                   const step_reply& reply);
--- a/tests/integration/samples_test.cc
+++ b/tests/integration/samples_test.cc
@@ -5,9 +5,11 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/cluster.h"
@@ -266,6 +268,39 @@
   ExpectEachSlotOnce(outcome, 64);
 }
 
+// Guards against a pull that is answered 200 without a body: an instance that
+// coordinates the step no more sends its own bodies for the slots of a batch
+// that is being committed.
+TEST_F(SamplesTest, BodiesOfADeposedCoordinatorEmptyNoBatch) {
+  StartWith({{"e1"}, {"e2"}});
+  std::vector<json> copies;
+  for (const char* other : {"first", "second"}) {
+    Open("n1", StepSpec(other, 16, 4));
+    json bodies = json::array();
+    for (const json& sample : PullAll(fleet_, other, {{"n1"}}).samples) {
+      bodies.push_back({{"slot", sample["slot"]}, {"body", sample.dump()}});
+    }
+    copies.push_back({{"step_key", "pool-a/main"}, {"samples", bodies}});
+  }
+  std::atomic<bool> is_over{false};
+  std::thread deposed([this, &copies, &is_over] {
+    web own;
+    for (size_t i = 0; !is_over; ++i) {
+      const http_response held =
+          own.Post(fleet_.Peers("n1"), "/peer/v1/bodies", copies[i % 2]);
+      EXPECT_EQ(held.status, 200) << held.body;
+    }
+  });
+  Open("n1", StepSpec("main", 16, 4));
+  pull_options options{{"n1"}};
+  options.max_samples = 4;
+  const pull_outcome outcome = PullAll(fleet_, "main", options);
+  is_over = true;
+  deposed.join();
+  EXPECT_TRUE(outcome.is_done);
+  ExpectEachSlotOnce(outcome, 64);
+}
+
 // One engine is ten times slower than the others. Copies of its samples race
 // with the originals; each slot still comes once.
 TEST_F(SamplesTest, HedgedCopiesDeliverOneSampleEach) {
--- a/tests/support/trainer.cc
+++ b/tests/support/trainer.cc
@@ -41,6 +41,10 @@
       return false;
     }
     const json batch = BodyOf(response);
+    if (!batch.is_object()) {
+      ADD_FAILURE() << "a pull was answered 200 with '" << response.body << "'";
+      return true;
+    }
     outcome.is_done = batch.value("done", false);
     if (outcome.is_done || batch["samples"].empty()) return outcome.is_done;
     for (const json& sample : batch["samples"]) {
