The own interface holds back requests that take their endpoints down

Cause: the instances of the own interface shared nothing about ends, and each call counted only its own attempts. Change: hickoryd/call_quarantine, on the ledger and the digests of the platform's processes. Each instance tells the others what it has seen; a broken connection counts for 3 s until it shows whether the endpoint ended; one that starts asks for all. Calls hear 429, generations 503, not run, with the time left; samples of steps wait. verdict.h and standing_log.h are what both sides share.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -11,6 +11,7 @@
 #include "core/events.h"
 #include "core/ids.h"
 #include "group/leader_calls.h"
+#include "quarantine/standing_log.h"
 
 namespace hickorywood::controller {
 namespace {
@@ -392,21 +393,7 @@
 
 void leader_service::NoteQuarantines(
     const std::vector<quarantine::standing_change>& changes) {
-  for (const quarantine::standing_change& item : changes) {
-    if (!item.is_quarantined) {
-      LogEvent(event_id::kQuarantineLifted,
-               {{"digest", item.digest},
-                {"reason", quarantine::WordOf(item.reason)}});
-      continue;
-    }
-    const quarantine::suspect& held = crashes_.suspects.at(item.digest);
-    LogEvent(event_id::kRequestQuarantined,
-             {{"digest", item.digest},
-              {"customer", held.customer},
-              {"endpoints", absl::StrJoin(held.ends, " ")},
-              {"seconds", std::to_string(held.length.count())},
-              {"quarantines", std::to_string(held.quarantines)}});
-  }
+  quarantine::LogChanges(crashes_, changes);
   views_.NoteWarnings();
 }
 
--- a/packages/hickoryd/call_service.cc
+++ b/packages/hickoryd/call_service.cc
@@ -25,6 +25,7 @@
 constexpr milliseconds kClaimLimit{3000};
 constexpr milliseconds kRetryAfter{1000};
 constexpr milliseconds kInProgressRetryAfter{500};
+constexpr int kStatusTooMany = 429;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTimeout = 504;
@@ -48,6 +49,10 @@
          !response.Header("Transfer-Encoding").empty();
 }
 
+quarantine::request_identity IdentityOf(const service_call& call) {
+  return {call.service, call.method, call.target, call.body};
+}
+
 }  // namespace
 
 repeatability Classify(const settings::service_config& config,
@@ -74,7 +79,7 @@
   repeatability kind = repeatability::kIdempotent;
   core::time_point give_up_at{};
   int attempts = 0;
-  std::string endpoint;
+  membership::announcement endpoint;  // of the attempt under way
   std::string attempt_id;
   std::string nonce;  // of the claim; empty: none held
   std::string claim_key;
@@ -88,8 +93,11 @@
 }
 
 call_service::call_service(instance_context& context, explain_log& explain,
-                           leader_client& leader)
-    : context_(context), explain_(explain), leader_(leader) {
+                           leader_client& leader, call_quarantine& quarantine)
+    : context_(context),
+      explain_(explain),
+      leader_(leader),
+      quarantine_(quarantine) {
   choice_.random.seed(std::random_device()());
 }
 
@@ -212,7 +220,12 @@
     Settle(call, failure);
     return;
   }
-  const std::optional<service_endpoint> chosen = Choose(call);
+  const quarantine::verdict verdict = quarantine_.Check(IdentityOf(call->call));
+  if (verdict.standing == quarantine::request_standing::kQuarantined) {
+    HoldBack(call, verdict.left);
+    return;
+  }
+  const std::optional<membership::announcement> chosen = Choose(call);
   if (!chosen) {
     service_answer failure;
     failure.outcome = OutcomeWithoutAnswer(*call);
@@ -224,16 +237,27 @@
   SendTo(call, *chosen);
 }
 
+void call_service::HoldBack(const call_ptr& call, milliseconds left) {
+  service_answer failure;
+  failure.outcome = OutcomeWithoutAnswer(*call);
+  failure.reason = "endpoints ended under this request, it is held back";
+  failure.failure_status = failure.outcome == request_outcome::kNotRun
+                               ? kStatusTooMany
+                               : kStatusBadGateway;
+  failure.retry_after = left;
+  Settle(call, failure);
+}
+
 // Endpoints that this call has not tried go first; with none of them left, the
 // others may have a second try.
-std::optional<call_service::service_endpoint> call_service::Choose(
+std::optional<membership::announcement> call_service::Choose(
     const call_ptr& call) {
   const core::time_point now = context_.clock.Now();
   const auto view = context_.board.Get();
   const auto endpoints = view->services.find(call->call.service);
   if (endpoints == view->services.end()) return std::nullopt;
   std::vector<routing::candidate> candidates;
-  std::vector<std::string> addresses;
+  std::vector<membership::announcement> announced;
   bool has_untried = false;
   for (const endpoint_view& endpoint : endpoints->second) {
     const membership::announcement& latest = endpoint.latest;
@@ -251,7 +275,7 @@
         stats, call->config.endpoint_concurrency, now);
     has_untried = has_untried || call->tried.count(latest.id) == 0;
     candidates.push_back(next);
-    addresses.push_back(latest.address);
+    announced.push_back(latest);
   }
   for (routing::candidate& item : candidates) {
     if (has_untried && call->tried.count(item.id) != 0) item.allowed = 0;
@@ -261,7 +285,7 @@
   const std::optional<size_t> chosen =
       routing::ChooseEndpoint(policy, choice_, candidates, 0);
   if (!chosen) return std::nullopt;
-  return service_endpoint{candidates[*chosen].id, addresses[*chosen]};
+  return announced[*chosen];
 }
 
 // What may be repeated gets half of the time that is left for one try, so that
@@ -275,9 +299,9 @@
 }
 
 void call_service::SendTo(const call_ptr& call,
-                          const service_endpoint& endpoint) {
+                          const membership::announcement& endpoint) {
   ++call->attempts;
-  call->endpoint = endpoint.id;
+  call->endpoint = endpoint;
   call->tried.insert(endpoint.id);
   call->attempt_id = call->call.id + "-" + std::to_string(call->attempts);
   explain_.Add(call->call.id, "sent to " + endpoint.id);
@@ -303,15 +327,20 @@
 
 void call_service::TakeResponse(const call_ptr& call,
                                 const http_response& response) {
-  --stats_[call->endpoint].outstanding;
+  --stats_[call->endpoint.id].outstanding;
   if (response.is_timeout) {
-    routing::NoteSilence(suspicion_, call->endpoint, context_.clock.Now());
+    routing::NoteSilence(suspicion_, call->endpoint.id, context_.clock.Now());
   }
   if (SaysNotRun(response)) {
     HandleFailure(call, response, "the endpoint says that it did not run");
     return;
   }
   if (response.how != delivery::kNotSent) call->was_maybe_sent = true;
+  if (response.how == delivery::kMaybeSent && response.is_timeout) {
+    quarantine_.NoteSilent(IdentityOf(call->call), call->endpoint);
+  } else if (response.how == delivery::kMaybeSent) {
+    quarantine_.NoteBroken(IdentityOf(call->call), call->endpoint);
+  }
   if (response.how != delivery::kAnswered) {
     HandleFailure(call, response, response.error);
     return;
@@ -326,7 +355,8 @@
     HandleFailure(call, response, "status " + std::to_string(response.status));
     return;
   }
-  routing::NoteSuccess(stats_[call->endpoint], 0, milliseconds(0));
+  quarantine_.NoteServed(IdentityOf(call->call));
+  routing::NoteSuccess(stats_[call->endpoint.id], 0, milliseconds(0));
   routing::NoteSuccess(budgets_[call->call.service]);
   service_answer answer;
   answer.is_answered = true;
@@ -340,7 +370,7 @@
                                  const http_response& response,
                                  const std::string& reason) {
   const core::time_point now = context_.clock.Now();
-  explain_.Add(call->call.id, call->endpoint + " failed: " + reason);
+  explain_.Add(call->call.id, call->endpoint.id + " failed: " + reason);
   const auto view = context_.board.Get();
   std::vector<std::string> ids;
   const auto endpoints = view->services.find(call->call.service);
@@ -352,14 +382,19 @@
   const routing::ejection_policy ejection{call->routing.ejection_failures,
                                           call->routing.ejection_time,
                                           call->routing.ejection_floor};
-  if (routing::NoteFailure(stats_, call->endpoint, ids, ejection, now)) {
+  if (routing::NoteFailure(stats_, call->endpoint.id, ids, ejection, now)) {
     LogEvent(event_id::kEndpointEjected,
-             {{"endpoint", call->endpoint}, {"reason", reason}});
+             {{"endpoint", call->endpoint.id}, {"reason", reason}});
   }
   const bool did_not_run =
       response.how == delivery::kNotSent || SaysNotRun(response);
+  // One more end holds the call back, and whether this was one shows later.
+  const bool may_have_ended = response.how == delivery::kMaybeSent;
+  const bool must_wait =
+      may_have_ended && quarantine_.Check(IdentityOf(call->call)).standing !=
+                            quarantine::request_standing::kClear;
   const bool may_repeat =
-      did_not_run || call->kind == repeatability::kIdempotent;
+      did_not_run || (call->kind == repeatability::kIdempotent && !must_wait);
   const bool has_time =
       now < call->give_up_at && call->attempts < kMostAttempts;
   if (may_repeat && has_time &&
--- a/packages/hickoryd/call_service.h
+++ b/packages/hickoryd/call_service.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "hickoryd/call_quarantine.h"
 #include "hickoryd/context.h"
 #include "hickoryd/explain_log.h"
 #include "hickoryd/generation_service.h"
@@ -59,7 +60,7 @@
   using completion = std::function<void(const service_answer&)>;
 
   call_service(instance_context& context, explain_log& explain,
-               leader_client& leader);
+               leader_client& leader, call_quarantine& quarantine);
 
   void Begin(service_call call, completion done);
 
@@ -67,10 +68,6 @@
 
  private:
   struct running_call;
-  struct service_endpoint {
-    std::string id;
-    std::string address;
-  };
   using call_ptr = std::shared_ptr<running_call>;
 
   // What can be said of a call that no endpoint has answered.
@@ -79,9 +76,11 @@
   void TakeClaimAnswer(const call_ptr& call,
                        const control::proposal_answer& answer);
   void Attempt(const call_ptr& call);
-  std::optional<service_endpoint> Choose(const call_ptr& call);
+  // Endpoints ended under the call, so that it must wait.
+  void HoldBack(const call_ptr& call, core::milliseconds left);
+  std::optional<membership::announcement> Choose(const call_ptr& call);
   core::milliseconds TryTimeout(const running_call& call) const;
-  void SendTo(const call_ptr& call, const service_endpoint& endpoint);
+  void SendTo(const call_ptr& call, const membership::announcement& endpoint);
   void TakeResponse(const call_ptr& call,
                     const transport::http_response& response);
   void HandleFailure(const call_ptr& call,
@@ -95,6 +94,7 @@
   instance_context& context_;
   explain_log& explain_;
   leader_client& leader_;
+  call_quarantine& quarantine_;
   routing::choice_state choice_;
   routing::stats_table stats_;
   routing::connection_suspicion suspicion_;               // by endpoint
--- a/packages/hickoryd/generation_attempt.cc
+++ b/packages/hickoryd/generation_attempt.cc
@@ -20,6 +20,8 @@
 // on the number.
 constexpr core::milliseconds kBusyPause{20};
 constexpr core::milliseconds kFailurePause{5};
+// Time in which the end of an engine shows: one more holds the request back.
+constexpr core::milliseconds kSuspectedPause{500};
 constexpr int kStatusTooMany = 429;
 constexpr int kStatusUnavailable = 503;
 
@@ -103,10 +105,14 @@
     return;
   }
   if (response.how != delivery::kNotSent) item->was_maybe_sent = true;
+  if (response.how == delivery::kMaybeSent) {
+    quarantine_.NoteBroken(IdentityOf(*item), item->announced);
+  }
   const bool is_whole = response.how == delivery::kAnswered &&
                         response.status == 200 && item->has_end_mark &&
                         !item->finish_reason.empty();
   if (is_whole) {
+    quarantine_.NoteServed(IdentityOf(*item));
     Complete(*item);
     return;
   }
@@ -178,7 +184,9 @@
   }
   context_.counters.CountRetry(item.request.pool);
   item.request.avoid_engine = engine;
-  Requeue(item, kFailurePause);
+  const bool is_suspected = quarantine_.Check(IdentityOf(item)).standing !=
+                            quarantine::request_standing::kClear;
+  Requeue(item, is_suspected ? kSuspectedPause : kFailurePause);
 }
 
 void generation_service::Requeue(generation& item, core::milliseconds pause) {
@@ -192,9 +200,20 @@
   Pump(item.request.pool);
 }
 
+bool generation_service::IsHeldBack(generation& item) {
+  const quarantine::verdict verdict = quarantine_.Check(IdentityOf(item));
+  if (verdict.standing != quarantine::request_standing::kQuarantined) {
+    return false;
+  }
+  item.is_held_back = true;
+  Fail(item, "engines ended under this request, it is held back", verdict.left);
+  return true;
+}
+
 void generation_service::Fail(generation& item, const std::string& reason,
                               core::milliseconds retry_after) {
   generation_result result;
+  result.is_held_back = item.is_held_back;
   result.generated = item.generated;
   result.reason = reason;
   result.retry_after = retry_after;
--- a/packages/hickoryd/generation_service.cc
+++ b/packages/hickoryd/generation_service.cc
@@ -34,8 +34,12 @@
 
 generation_service::generation_service(instance_context& context,
                                        explain_log& explain,
+                                       call_quarantine& quarantine,
                                        generation_policy policy)
-    : context_(context), explain_(explain), policy_(policy) {
+    : context_(context),
+      explain_(explain),
+      quarantine_(quarantine),
+      policy_(policy) {
   choice_.random.seed(std::random_device()());
 }
 
@@ -52,6 +56,9 @@
   item->request = std::move(request);
   item->callbacks = std::move(callbacks);
   item->arrived_at = now;
+  // The samples of one prompt run side by side, and one lost engine would count
+  // against the prompt once for each of them.
+  item->target = "/v1/completions#" + std::to_string(item->request.sample);
   const uint64_t id = item->id;
   active_[id] = item;
 
@@ -200,6 +207,7 @@
 
 // False when no engine has room.
 bool generation_service::Dispatch(const std::string& pool, generation& item) {
+  if (IsHeldBack(item)) return true;
   const auto view = context_.board.Get();
   const settings::pool_config* config = FindPool(*view, pool);
   if (config == nullptr) return false;
@@ -227,6 +235,7 @@
   const core::time_point now = context_.clock.Now();
   ++item.attempt;
   item.engine = endpoint.latest.id;
+  item.announced = endpoint.latest;
   item.attempt_id = item.request.id + "-" + std::to_string(item.attempt);
   item.status = 0;
   item.has_end_mark = false;
--- a/packages/hickoryd/generation_service.h
+++ b/packages/hickoryd/generation_service.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "hickoryd/call_quarantine.h"
 #include "hickoryd/context.h"
 #include "hickoryd/explain_log.h"
 #include "rollout/label.h"
@@ -40,6 +41,7 @@
   rollout::generated_text resume;  // goes on from here
   int64_t oldest_version = 0;      // engines with older weights are not used
   std::string avoid_engine;        // not this one if there is another
+  int64_t sample = 0;  // tells those that have the same prompt from each other
 };
 
 struct generation_result {
@@ -51,6 +53,7 @@
   request_outcome outcome = request_outcome::kNotRun;
   std::string reason;
   core::milliseconds retry_after{0};  // 0: coming back does not help
+  bool is_held_back = false;          // engines ended under it
 };
 
 struct generation_callbacks {
@@ -70,7 +73,7 @@
 class generation_service {
  public:
   generation_service(instance_context& context, explain_log& explain,
-                     generation_policy policy);
+                     call_quarantine& quarantine, generation_policy policy);
 
   // Schedules the timers. Call before the traffic loop starts.
   void Start();
@@ -113,6 +116,9 @@
   void HandleFailure(generation& item, const std::string& reason,
                      bool is_engine_fault);
   void Requeue(generation& item, core::milliseconds pause);
+  static quarantine::request_identity IdentityOf(const generation& item);
+  // Engines ended under it, so that it must wait: it has failed.
+  bool IsHeldBack(generation& item);
   void Complete(generation& item);
   void Fail(generation& item, const std::string& reason,
             core::milliseconds retry_after);
@@ -122,6 +128,7 @@
 
   instance_context& context_;
   explain_log& explain_;
+  call_quarantine& quarantine_;
   const generation_policy policy_;
   routing::choice_state choice_;
   routing::stats_table stats_;
--- a/packages/hickoryd/generation_state.h
+++ b/packages/hickoryd/generation_state.h
@@ -24,12 +24,15 @@
   core::time_point arrived_at{};
   int failures = 0;
   bool was_maybe_sent = false;
+  bool is_held_back = false;
+  std::string target;  // with the prompt, names what is asked for
 
   // The attempt under way.
   uint64_t attempt = 0;
   uint64_t transfer = 0;  // id at the HTTP client; 0: none
   std::string engine;
-  std::string attempt_id;  // request id as sent
+  membership::announcement announced;  // by the engine, when it was chosen
+  std::string attempt_id;              // request id as sent
   int status = 0;
   bool has_end_mark = false;
   transport::completion_stream stream;
@@ -38,6 +41,11 @@
   int64_t attempt_first_token = 0;
 };
 
+inline quarantine::request_identity generation_service::IdentityOf(
+    const generation& item) {
+  return {item.request.pool, "POST", item.target, item.request.prompt};
+}
+
 }  // namespace hickorywood::hickoryd
 
 #endif  // HICKORYWOOD_HICKORYD_GENERATION_STATE_H_
--- a/packages/hickoryd/instance.cc
+++ b/packages/hickoryd/instance.cc
@@ -63,12 +63,13 @@
                  : nullptr),
         leader(context, host.get()),
         membership(context, leader),
-        generations(context, explain, options.generation),
-        calls(context, explain, leader),
+        quarantine(context),
+        generations(context, explain, quarantine, options.generation),
+        calls(context, explain, leader, quarantine),
         bodies(context),
         steps(context, generations, leader, bodies, burn,
               options.hedging_enabled),
-        parts{context, host.get(), leader, membership, generations,
+        parts{context, host.get(), leader, membership, quarantine, generations,
               calls,   steps,      bodies, explain,    burn},
         callers_handler(parts, [this] { RequestDrain(); }),
         peers_handler(parts),
@@ -115,6 +116,7 @@
   std::unique_ptr<replica_host> host;
   leader_client leader;
   membership_service membership;
+  call_quarantine quarantine;
   generation_service generations;
   call_service calls;
   body_holder bodies;
@@ -174,6 +176,7 @@
 }
 
 bool instance::impl::StartTraffic() {
+  quarantine.Start();
   generations.Start();
   bodies.Start();
   steps.Start();
--- a/packages/hickoryd/parts.h
+++ b/packages/hickoryd/parts.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "hickoryd/body_holder.h"
+#include "hickoryd/call_quarantine.h"
 #include "hickoryd/call_service.h"
 #include "hickoryd/context.h"
 #include "hickoryd/explain_log.h"
@@ -24,6 +25,7 @@
   replica_host* host;
   leader_client& leader;
   membership_service& membership;
+  call_quarantine& quarantine;
   generation_service& generations;
   call_service& calls;
   step_service& steps;
--- a/packages/hickoryd/peer_api.cc
+++ b/packages/hickoryd/peer_api.cc
@@ -180,6 +180,14 @@
                 core::Encode(parts_.bodies.Get(question->step_key)));
     });
   };
+  routes_[call_quarantine::kNewsPath] =
+      [this, &traffic](const exchange_ptr& exchange) {
+        const auto news = DecodeBody<quarantine_news>(exchange);
+        if (!news) return;
+        RunOn(traffic, exchange, [this, news, exchange] {
+          ReplyJson(exchange, 200, core::Encode(parts_.quarantine.Take(*news)));
+        });
+      };
   routes_["/peer/v1/pull"] = [this, &traffic](const exchange_ptr& exchange) {
     const auto request = DecodeBody<pull_request>(exchange);
     if (!request) return;
--- a/packages/hickoryd/step_service.cc
+++ b/packages/hickoryd/step_service.cc
@@ -16,6 +16,8 @@
 
 constexpr milliseconds kRunPeriod{20};
 constexpr milliseconds kFailedSamplePause{100};
+// A sample that is held back is looked at again, since it may be cleared.
+constexpr milliseconds kHeldBackPause{5000};
 // Generations of one step that may wait in the pool's queue beyond what the
 // engines hold.
 constexpr int64_t kQueuedBeyondCapacity = 16;
@@ -84,6 +86,7 @@
   request.pool = spec.pool;
   request.prompt =
       spec.prompts[static_cast<size_t>(launch.slot / spec.samples_per_prompt)];
+  request.sample = launch.slot % spec.samples_per_prompt;
   request.max_tokens = spec.max_tokens;
   request.trainer = spec.trainer;
   request.resume = launch.resume;
@@ -121,8 +124,9 @@
   if (step->is_dropped) return;
   const core::time_point now = context_.clock.Now();
   if (!result.is_complete || !rollout::IsLabelComplete(result.generated)) {
-    rollout::NoteFailed(step->run, launch.slot, launch.attempt, now,
-                        kFailedSamplePause);
+    rollout::NoteFailed(
+        step->run, launch.slot, launch.attempt, now,
+        result.is_held_back ? kHeldBackPause : kFailedSamplePause);
     return;
   }
   rollout::sample sample;
--- a/packages/quarantine/crash_watch.cc
+++ b/packages/quarantine/crash_watch.cc
@@ -80,31 +80,17 @@
   return key.empty() ? "" : quarantine::DigestOf(key, input);
 }
 
-// A body can have megabytes, and most requests are told from those in the book
-// by the rest.
-bool crash_watch::MayBeKnown(const request_identity& input) const {
-  if (IsQuiet()) return false;
-  return HasHead(ledger_, DigestHeadOf(view_.members.digest_key, input));
-}
-
 verdict crash_watch::Check(const request_identity& input) const {
-  if (!MayBeKnown(input)) return {};
-  return CheckDigest(DigestOf(input));
+  return quarantine::Check(ledger_, view_.members.digest_key, input,
+                           clock_.Now());
 }
 
 verdict crash_watch::CheckDigest(const std::string& digest) const {
-  verdict found;
-  found.digest = digest;
-  found.standing = StandingOf(ledger_, digest, clock_.Now());
-  if (found.standing == request_standing::kQuarantined) {
-    found.left = std::chrono::ceil<milliseconds>(
-        ledger_.suspects.at(digest).until - clock_.Now());
-  }
-  return found;
+  return quarantine::CheckDigest(ledger_, digest, clock_.Now());
 }
 
 void crash_watch::NoteServed(const request_identity& input) {
-  if (!MayBeKnown(input)) return;
+  if (!MayBeKnown(ledger_, view_.members.digest_key, input)) return;
   const std::string digest = DigestOf(input);
   if (!HasEnds(ledger_, digest)) return;
   Release(ledger_, digest, release_reason::kServed, clock_.Now());
--- a/packages/quarantine/crash_watch.h
+++ b/packages/quarantine/crash_watch.h
@@ -20,16 +20,10 @@
 #include "net/event.h"
 #include "quarantine/crash_ledger.h"
 #include "quarantine/request_digest.h"
+#include "quarantine/verdict.h"
 
 namespace hickorywood::quarantine {
 
-// How a request stands.
-struct verdict {
-  request_standing standing = request_standing::kClear;
-  std::string digest;  // empty: no request is suspected, so none was made
-  core::milliseconds left{0};  // of its quarantine
-};
-
 class crash_watch {
  public:
   // Brings news to the control leader. False: it may not have arrived.
@@ -88,8 +82,6 @@
   boost::asio::awaitable<void> KeepTelling();
   boost::asio::awaitable<void> KeepHouse();
   void NoteEnded(const std::string& incarnation);
-  // Whether the request can be one of those in the book.
-  bool MayBeKnown(const request_identity& input) const;
   bool HasSuccessor(const fleet::endpoint& gone) const;
   void TakeWarnings();
   void TellWhatTheLeaderLacks();
--- /dev/null
+++ b/packages/quarantine/standing_log.cc
@@ -0,0 +1,32 @@
+#include "quarantine/standing_log.h"
+
+#include <absl/strings/str_join.h>
+
+#include <string>
+
+#include "core/events.h"
+
+namespace hickorywood::quarantine {
+
+using core::event_id;
+using core::LogEvent;
+
+void LogChanges(const crash_ledger& ledger,
+                const std::vector<standing_change>& changes) {
+  for (const standing_change& item : changes) {
+    if (!item.is_quarantined) {
+      LogEvent(event_id::kQuarantineLifted,
+               {{"digest", item.digest}, {"reason", WordOf(item.reason)}});
+      continue;
+    }
+    const suspect& held = ledger.suspects.at(item.digest);
+    LogEvent(event_id::kRequestQuarantined,
+             {{"digest", item.digest},
+              {"customer", held.customer},
+              {"endpoints", absl::StrJoin(held.ends, " ")},
+              {"seconds", std::to_string(held.length.count())},
+              {"quarantines", std::to_string(held.quarantines)}});
+  }
+}
+
+}  // namespace hickorywood::quarantine
--- /dev/null
+++ b/packages/quarantine/standing_log.h
@@ -0,0 +1,16 @@
+#ifndef HICKORYWOOD_QUARANTINE_STANDING_LOG_H_
+#define HICKORYWOOD_QUARANTINE_STANDING_LOG_H_
+
+#include <vector>
+
+#include "quarantine/crash_ledger.h"
+
+namespace hickorywood::quarantine {
+
+// Logs quarantines that began or ended in `ledger`, an event each.
+void LogChanges(const crash_ledger& ledger,
+                const std::vector<standing_change>& changes);
+
+}  // namespace hickorywood::quarantine
+
+#endif  // HICKORYWOOD_QUARANTINE_STANDING_LOG_H_
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -202,11 +202,12 @@
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, SetSocketOptions);
-  const bool is_fresh =
-      request.is_single_shot || request.needs_fresh_connection;
+  const bool is_fresh = request.is_single_shot ||
+                        request.needs_fresh_connection || request.only_connects;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_fresh ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
                    request.is_single_shot ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, request.only_connects ? 1L : 0L);
   const uint64_t id = item->id;
   active[id] = std::move(item);
   curl_multi_add_handle(multi, easy);
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -42,6 +42,8 @@
   // Leaves the idle connections alone: they may have gone silent with the one
   // that timed out.
   bool needs_fresh_connection = false;
+  // Only opens a connection and closes it again: answered, without a status.
+  bool only_connects = false;
   // Receives the body piece by piece; without it the body is collected in the
   // response.
   std::function<void(std::string_view)> on_data;
--- a/tests/fakes/fake_endpoint.cc
+++ b/tests/fakes/fake_endpoint.cc
@@ -45,8 +45,9 @@
 ABSL_FLAG(int64_t, version, 1, "weight version at the start");
 ABSL_FLAG(bool, honours_fencing, true,
           "refuses orders with an old fencing number");
-ABSL_FLAG(std::string, ends_on, "",
-          "text in the target of a call that ends a service");
+ABSL_FLAG(
+    std::string, ends_on, "",
+    "text in the target of a call, or in a prompt, that ends the process");
 ABSL_FLAG(double, slow_factor, 1, "how many times slower than told");
 
 namespace {
@@ -70,6 +71,7 @@
   options.swap_ms = absl::GetFlag(FLAGS_swap_ms);
   options.version = absl::GetFlag(FLAGS_version);
   options.honours_fencing = absl::GetFlag(FLAGS_honours_fencing);
+  options.ends_on = absl::GetFlag(FLAGS_ends_on);
   return options;
 }
 
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <utility>
 
 #include "core/ids.h"
@@ -102,6 +103,9 @@
   item->exchange = exchange;
   item->id = body.value("request_id", "");
   item->prompt = body.value("prompt", "");
+  const bool is_end = !options_.ends_on.empty() &&
+                      item->prompt.find(options_.ends_on) != std::string::npos;
+  if (is_end) std::_Exit(1);
   item->produced = body.value("resume_tokens", int64_t{0});
   item->priority = body.value("priority", int64_t{0});
   item->length = LengthOf(item->id, item->prompt, options_.mean_tokens,
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -48,6 +48,7 @@
   int64_t swap_ms = 100;
   bool honours_fencing = true;
   int64_t version = 1;
+  std::string ends_on;  // text in a prompt that ends the process; empty: none
 };
 
 // What tests ask the engine about itself.
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -55,6 +56,34 @@
     return runs;
   }
 
+  // Sends a request that ends the endpoints that run it, through each instance
+  // again and again, and starts them anew. Others are served beside it.
+  void CountEnds(std::vector<endpoint_spec> specs,
+                 const std::function<http_response(
+                     const std::string& node, const std::string& what)>& send,
+                 int& ends) {
+    for (endpoint_spec& spec : specs) spec.flags = {"--ends_on=crash"};
+    StartWith(specs);
+    for (int round = 0; round < kRounds; ++round) {
+      for (const char* node : {"n1", "n2", "n3"}) {
+        send(node, "crash");
+        for (const endpoint_spec& spec : specs) {
+          const auto is_over = fleet_.Endpoint(spec.id).WaitForExit(
+              std::chrono::milliseconds(0));
+          if (!is_over) continue;
+          ++ends;
+          fleet_.StartEndpoint(spec);
+        }
+        ASSERT_TRUE(
+            WaitUntil([&] { return send(node, "other").status == 200; }));
+      }
+    }
+  }
+
+  static constexpr int kRounds = 5;
+  static constexpr int kEndsAllowed = 3;
+  static constexpr int kSendsAllowed = 3;
+
   http_response Hold(const std::string& node, const std::string& key,
                      const std::string& body) {
     return fleet_.Web().Post(fleet_.Callers(node), kHolds, {{"hold", body}},
@@ -264,30 +293,33 @@
 // Guards against a call without a bound that takes down each endpoint that runs
 // it: it comes again through every instance, and the endpoints come back.
 TEST_F(RequestsTest, CallThatEndsItsEndpointsIsHeldBack) {
-  constexpr int kRounds = 5;
-  constexpr int kEndsAllowed = 3;
-  constexpr int kSendsAllowed = 3;
-  std::vector<endpoint_spec> specs = {kBooking1, kBooking2};
-  for (endpoint_spec& spec : specs) spec.flags = {"--ends_on=crash"};
-  StartWith(specs);
   int ends = 0;
-  for (int round = 0; round < kRounds; ++round) {
-    for (const char* node : {"n1", "n2", "n3"}) {
-      fleet_.Web().Get(fleet_.Callers(node), "/v1/services/bookings/crash");
-      for (const endpoint_spec& spec : specs) {
-        const auto is_over =
-            fleet_.Endpoint(spec.id).WaitForExit(std::chrono::milliseconds(0));
-        if (!is_over) continue;
-        ++ends;
-        fleet_.StartEndpoint(spec);
-      }
-      ASSERT_TRUE(WaitUntil([&] {
-        return fleet_.Web()
-                   .Get(fleet_.Callers(node), "/v1/services/bookings/other")
-                   .status == 200;
-      }));
-    }
-  }
+  CountEnds(
+      {kBooking1, kBooking2},
+      [this](const std::string& node, const std::string& what) {
+        return fleet_.Web().Get(fleet_.Callers(node),
+                                "/v1/services/bookings/" + what);
+      },
+      ends);
+  EXPECT_LE(ends, kEndsAllowed + kSendsAllowed);
+  const http_response held =
+      fleet_.Web().Get(fleet_.Callers("n2"), "/v1/services/bookings/crash");
+  EXPECT_EQ(held.status, 429) << held.body;
+  EXPECT_EQ(held.Header("Hickory-Outcome"), "not_run");
+  EXPECT_FALSE(held.Header("Retry-After").empty());
+}
+
+// Guards against the same for a generation, whose engines it takes down.
+TEST_F(RequestsTest, GenerationThatEndsItsEnginesIsHeldBack) {
+  int ends = 0;
+  CountEnds(
+      {{"e1"}, {"e2"}},
+      [this](const std::string& node, const std::string& what) {
+        return fleet_.Web().Post(
+            fleet_.Callers(node), "/v1/pools/pool-a/generate",
+            {{"prompt", what}, {"max_tokens", 5}, {"deadline_ms", 2000}});
+      },
+      ends);
   EXPECT_LE(ends, kEndsAllowed + kSendsAllowed);
 }
 
