A repeated pull gets the bytes of its batch also beside a coordinator that was deposed

Callers saw: a trainer that asked again for a batch it had not acknowledged heard 410, "both copies of the batch are lost". Cause: the bodies of a delivered batch stayed where copies of others come in, and an instance that coordinates the step no more and goes on sends its own, other ones. Change: the coordinator keeps the batch with its bodies until it is acknowledged, and puts them back before it reads them, also after it has taken the step over.

--- a/packages/hickoryd/call_quarantine.cc
+++ b/packages/hickoryd/call_quarantine.cc
@@ -1,6 +1,7 @@
 #include "hickoryd/call_quarantine.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "core/events.h"
--- a/packages/hickoryd/step_delivery.cc
+++ b/packages/hickoryd/step_delivery.cc
@@ -24,11 +24,6 @@
 
 }  // namespace
 
-struct step_service::proposed_batch {
-  control::batch_record record;
-  held_bodies bodies;
-};
-
 void step_service::ServePulls(const step_ptr& step) {
   if (step->is_committing || step->is_dropped) return;
   std::vector<waiting_pull> pulls = std::move(step->pulls);
@@ -148,6 +143,7 @@
     return;
   }
   const control::batch_record& batch = step->batches.back();
+  if (step->last) bodies_.Take(step->last->bodies);
   const std::optional<std::string> body = BatchBody(step, batch);
   if (body && HasStaleSample(step, batch, pull.request.trainer_version)) {
     AnswerPull(
@@ -261,8 +257,7 @@
   }
   step->batches.push_back(answer.result.batch);
   NoteDelivery(step, answer.result.batch);
-  // A coordinator that was deposed and goes on may have put its own bodies in
-  // their place meanwhile.
+  step->last = batch;
   bodies_.Take(batch->bodies);
   AnswerBatch(step, pull, BatchBody(step, answer.result.batch));
   ServePulls(step);
@@ -272,6 +267,7 @@
 void step_service::Acknowledge(const step_ptr& step, uint64_t cursor) {
   if (cursor == 0 || cursor <= step->acknowledged) return;
   step->acknowledged = cursor;
+  step->last.reset();
   held_bodies drop;
   drop.step_key = step->key;
   drop.dropped = step->batches[cursor - 1].slots;
--- a/packages/hickoryd/step_service.h
+++ b/packages/hickoryd/step_service.h
@@ -67,6 +67,7 @@
 
  private:
   struct coordinated_step;
+  struct proposed_batch;
   struct waiting_pull;
   struct take_over;
   using step_ptr = std::shared_ptr<coordinated_step>;
@@ -91,7 +92,7 @@
                          uint64_t epoch);
   void Adopt(const std::shared_ptr<take_over>& work, uint64_t epoch,
              const control::step_record& record);
-  void HoldLastBatch(const take_over& work, const coordinated_step& step);
+  void HoldLastBatch(const take_over& work, coordinated_step& step);
   void TryLater(const pull_request& request, const completion& done,
                 core::time_point give_up_at);
 
@@ -110,9 +111,6 @@
   void ServeRepeat(const step_ptr& step, const waiting_pull& pull);
   bool HasStaleSample(const step_ptr& step, const control::batch_record& batch,
                       int64_t trainer_version) const;
-  // A batch on its way to be committed, with the bodies that its digests are
-  // of.
-  struct proposed_batch;
   void CommitBatch(const step_ptr& step, const waiting_pull& pull,
                    const std::vector<int64_t>& slots);
   void ProposeBatch(const step_ptr& step, const waiting_pull& pull,
--- a/packages/hickoryd/step_service_state.h
+++ b/packages/hickoryd/step_service_state.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -28,11 +29,20 @@
       answer_at{};  // with an empty batch, if there is none by then
 };
 
+// A batch that is committed or on its way, with the bodies that its digests are
+// of. A coordinator that was deposed and goes on may put its own bodies in the
+// place of the held ones.
+struct step_service::proposed_batch {
+  control::batch_record record;
+  held_bodies bodies;
+};
+
 struct step_service::coordinated_step {
   std::string key;
   rollout::step_run run;
   std::string backup;  // instance with the second copies; empty: to be chosen
   std::vector<control::batch_record> batches;  // committed, by cursor
+  std::shared_ptr<const proposed_batch> last;  // of them, until acknowledged
   uint64_t acknowledged = 0;
   int64_t trainer_version = 0;
   std::map<uint64_t, uint64_t>
--- a/packages/hickoryd/step_takeover.cc
+++ b/packages/hickoryd/step_takeover.cc
@@ -409,7 +409,7 @@
 // deposed without noticing goes on generating for a while. Of the batch that
 // the trainer may ask for again, only the bodies that were committed count.
 void step_service::HoldLastBatch(const take_over& work,
-                                 const coordinated_step& step) {
+                                 coordinated_step& step) {
   if (step.batches.empty()) return;
   const control::batch_record& last = step.batches.back();
   held_bodies committed;
@@ -424,6 +424,7 @@
     }
   }
   bodies_.Take(committed);
+  step.last = std::make_shared<proposed_batch>(proposed_batch{last, committed});
   if (!work.backup.empty()) {
     bodies_.CopyTo(work.backup, committed, [](bool /*is_held*/) {});
   }
--- a/tests/integration/samples_test.cc
+++ b/tests/integration/samples_test.cc
@@ -268,39 +268,96 @@
   ExpectEachSlotOnce(outcome, 64);
 }
 
-// Guards against a pull that is answered 200 without a body: an instance that
-// coordinates the step no more sends its own bodies for the slots of a batch
-// that is being committed.
-TEST_F(SamplesTest, BodiesOfADeposedCoordinatorEmptyNoBatch) {
-  StartWith({{"e1"}, {"e2"}});
-  std::vector<json> copies;
-  for (const char* other : {"first", "second"}) {
-    Open("n1", StepSpec(other, 16, 4));
-    json bodies = json::array();
-    for (const json& sample : PullAll(fleet_, other, {{"n1"}}).samples) {
-      bodies.push_back({{"slot", sample["slot"]}, {"body", sample.dump()}});
-    }
-    copies.push_back({{"step_key", "pool-a/main"}, {"samples", bodies}});
+// An instance that coordinates a step no more and goes on sending its own
+// bodies of all slots, which differ each time, to `node`.
+class deposed_coordinator {
+ public:
+  deposed_coordinator(cluster& fleet, const std::string& node,
+                      std::vector<json> copies)
+      : address_(fleet.Peers(node)),
+        copies_(std::move(copies)),
+        thread_([this] { Run(); }) {}
+  ~deposed_coordinator() {
+    is_over_ = true;
+    thread_.join();
   }
-  std::atomic<bool> is_over{false};
-  std::thread deposed([this, &copies, &is_over] {
-    web own;
-    for (size_t i = 0; !is_over; ++i) {
+  deposed_coordinator(const deposed_coordinator&) = delete;
+  deposed_coordinator& operator=(const deposed_coordinator&) = delete;
+
+ private:
+  void Run() {
+    for (size_t i = 0; !is_over_; ++i) {
       const http_response held =
-          own.Post(fleet_.Peers("n1"), "/peer/v1/bodies", copies[i % 2]);
+          web_.Post(address_, "/peer/v1/bodies", copies_[i % copies_.size()]);
       EXPECT_EQ(held.status, 200) << held.body;
     }
-  });
+  }
+
+  const std::string address_;
+  const std::vector<json> copies_;
+  web web_;
+  std::atomic<bool> is_over_{false};
+  std::thread thread_;  // last: it uses all of the above
+};
+
+class DeposedCoordinatorTest : public SamplesTest {
+ protected:
+  // Bodies of 64 slots for the step "main", as other runs made them.
+  std::vector<json> MakeCopies() {
+    std::vector<json> copies;
+    for (const char* other : {"first", "second"}) {
+      Open("n1", StepSpec(other, 16, 4));
+      json bodies = json::array();
+      for (const json& sample : PullAll(fleet_, other, {{"n1"}}).samples) {
+        bodies.push_back({{"slot", sample["slot"]}, {"body", sample.dump()}});
+      }
+      copies.push_back({{"step_key", "pool-a/main"}, {"samples", bodies}});
+    }
+    return copies;
+  }
+};
+
+// Guards against a pull that is answered 200 without a body: an instance that
+// coordinates the step no more sends its own bodies for the slots of a batch
+// that is being committed.
+TEST_F(DeposedCoordinatorTest, ItsBodiesEmptyNoBatch) {
+  StartWith({{"e1"}, {"e2"}});
+  const deposed_coordinator deposed(fleet_, "n1", MakeCopies());
   Open("n1", StepSpec("main", 16, 4));
   pull_options options{{"n1"}};
   options.max_samples = 4;
   const pull_outcome outcome = PullAll(fleet_, "main", options);
-  is_over = true;
-  deposed.join();
   EXPECT_TRUE(outcome.is_done);
   ExpectEachSlotOnce(outcome, 64);
 }
 
+// Guards against a batch whose bytes are lost to a repeated pull since a
+// coordinator that was deposed put its own bodies in their place.
+TEST_F(DeposedCoordinatorTest, RepeatedPullGetsTheSameBytes) {
+  StartWith({{"e1"}, {"e2"}});
+  const std::vector<json> copies = MakeCopies();
+  Open("n1", StepSpec("main", 16, 4));
+  const json pull = {{"cursor", 1},
+                     {"trainer_version", 1},
+                     {"max_samples", 4},
+                     {"wait_ms", 500}};
+  const auto pull_first = [this, &pull] {
+    return fleet_.Web().Post(fleet_.Callers("n1"),
+                             "/v1/pools/pool-a/steps/main/pull", pull);
+  };
+  http_response first;
+  ASSERT_TRUE(WaitUntil([&] {
+    first = pull_first();
+    return first.status == 200 && !BodyOf(first)["samples"].empty();
+  }));
+  const deposed_coordinator deposed(fleet_, "n1", copies);
+  for (int i = 0; i < 20; ++i) {
+    const http_response again = pull_first();
+    EXPECT_EQ(again.status, 200) << again.body;
+    EXPECT_EQ(again.body, first.body);
+  }
+}
+
 // One engine is ten times slower than the others. Copies of its samples race
 // with the originals; each slot still comes once.
 TEST_F(SamplesTest, HedgedCopiesDeliverOneSampleEach) {
