A control state that can't be read ends the process and is no empty state

Change: as at the platform's groups: HK2002 with the reason, and the process ends. Test: ReplicaTest.SnapshotThatCannotBeReadIsNoEmptyState, red before, green after.

--- a/packages/control/replica.cc
+++ b/packages/control/replica.cc
@@ -34,10 +34,17 @@
 
 void replica::Restore(uint64_t index, const std::string& data) {
   state_ = control_state{};
-  if (!data.empty()) {
-    state_ = core::Decode<control_state>(data).value_or(control_state{});
-  }
   view_version_ = index;
+  if (data.empty()) return;
+  auto saved = core::Decode<control_state>(data);
+  if (saved) {
+    state_ = std::move(*saved);
+    return;
+  }
+  core::LogEvent(
+      core::event_id::kLogCorrupt,
+      {{"node", settings_.node}, {"reason", core::LastReason().text}});
+  OnStorageFailure();
 }
 
 void replica::Tick() {
--- a/tests/unit/control/replica_test.cc
+++ b/tests/unit/control/replica_test.cc
@@ -77,6 +77,18 @@
   bool has_failed_ = false;
 };
 
+// Guards against a state that can't be read and counts as an empty one: the
+// instance would say that there are no steps, no claims and no configuration.
+TEST_F(ReplicaTest, SnapshotThatCannotBeReadIsNoEmptyState) {
+  consensus::stored_state damaged;
+  damaged.storage_id = "disk";
+  damaged.log.snap.index = 5;
+  damaged.log.snap.data = "{\"steps\": 7}";
+  EXPECT_CALL(storage_, Load).WillOnce(Return(damaged));
+  replica_->Load();
+  EXPECT_TRUE(has_failed_);
+}
+
 // Many proposals of one burst are made durable with one sync, and answered
 // after it.
 TEST_F(ReplicaTest, BurstIsOneWrite) {
