--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -46,8 +46,9 @@
   return std::clamp<int64_t>(static_cast<int64_t>(length), 1, limit);
 }
 
-fake_engine::fake_engine(engine_options options) : options_(options) {
-  state_.version = options.version;
+fake_engine::fake_engine(engine_options options)
+    : options_(std::move(options)) {
+  state_.version = options_.version;
   thread_ = std::thread([this] { Run(); });
 }
 
