Grow a group from one voter to three in one step

A group of two voters ends with the loss of either disk, and every group passed through two voters on its way from one to three. A power cut 0.3 s after the first start took the disk of the second one, and no step was ever accepted.

Change: the only voter waits for two learners that are up to date and admits both with one entry. It gives up committing alone with that entry, and the others know of their votes by it, so that they have all that was committed before. The entry must be durable before it is sent: an only voter that forgot it would go on alone beside the other two, so changes of members are sent after the sync. With one learner only, the group of two is formed after 10 s.

Test: GroupTest.DiskLostWhileTheGroupGrows loses the disk of a later voter at 100 moments of the growth. The simulation now also sends a leader's appends before a write that a crash prevents, as the replica does.

--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -174,14 +174,8 @@
   for (inbound_message& item : rest) item.reply({});
 }
 
-// A leader may send entries while its own write is not yet synced: it counts
-// its own copy only in later calls, after the sync. All other messages of a
-// replica depend on its durable state and are sent after the sync.
 void group_replica::SendBeforeSync(raft_output& out) {
-  const bool may_send_before_sync = raft_.role == raft_role::kLeader &&
-                                    !out.hard_state_changed &&
-                                    !out.snapshot_installed;
-  if (!may_send_before_sync) return;
+  if (!MaySendBeforeSync(raft_, out)) return;
   const auto first_append = std::stable_partition(
       out.messages.begin(), out.messages.end(), [](const message& output) {
         return output.kind != message_kind::kAppend;
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -52,6 +52,9 @@
   // the number of failures to tolerate, plus one. Each accepted entry is stored
   // on more than half of the voters.
   size_t min_voters = 3;
+  // How long a group of one voter waits for a second instance to join with the
+  // first one. A group of two ends with the loss of either disk.
+  milliseconds pair_wait{10000};
   // A voter that has not replied for this time may be replaced by an instance
   // that asks to join. The new instance should be a voter before the next
   // failure.
@@ -156,6 +159,12 @@
 // without waiting for the timeout.
 void ReportUnreachable(raft_state& state, const member& to);
 
+// Whether the appends in `out` may be sent before its writes are durable. A
+// leader counts its own copy of an entry only after the sync. Its other
+// messages depend on its durable state. So do changes of the members: an only
+// voter that forgot such an entry would go on alone, beside the others.
+bool MaySendBeforeSync(const raft_state& state, const raft_output& out);
+
 // Leader: releases the lease for the rest of the term and asks an up-to-date
 // voter to start an election. Returns false if there is no suitable voter.
 bool TransferLeadership(raft_state& state, time_point now, raft_output& out);
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -165,23 +165,44 @@
           ReplaceableVoter(state, members, now).has_value());
 }
 
-// Promotes a learner to voter once its log is durable up to the commit index.
-// If it were counted earlier, a second loss right after a repair could destroy
+// Whether a learner replies and its log is durable up to the commit index. If
+// it became a voter earlier, a second loss right after a repair could destroy
 // the only complete copies.
+bool IsUpToDate(const raft_state& state, const member& learner,
+                time_point now) {
+  const auto found = state.followers.find(learner);
+  if (found == state.followers.end()) return false;
+  const bool is_live =
+      now - found->second.confirmed_at < state.options.election_timeout;
+  return is_live && found->second.match >= state.commit;
+}
+
+// Whether a group of one voter waits for two learners, to grow to three voters
+// in one step. With the entry for that step the only voter gives up committing
+// anything by itself, and any other voter knows of its vote by this entry, so
+// that it has all that was committed before.
+bool GrowsInPairs(const raft_state& state, const group_members& members,
+                  time_point now) {
+  return members.voters.size() == 1 && state.options.wanted_voters >= 3 &&
+         now - state.elected_at < state.options.pair_wait;
+}
+
+// Promotes learners to voters once they are up to date.
 void AdmitLearners(raft_state& state, time_point now, raft_output& out) {
   if (!MayChangeMembers(state)) return;
   const group_members members = ActiveMembers(state.log);
+  const size_t needed = GrowsInPairs(state, members, now) ? 2 : 1;
+  group_members next = members;
+  size_t admitted = 0;
   for (const member& learner : members.learners) {
-    const auto found = state.followers.find(learner);
-    if (found == state.followers.end()) continue;
-    const bool is_live =
-        now - found->second.confirmed_at < state.options.election_timeout;
-    if (!is_live || found->second.match < state.commit) continue;
+    if (admitted == needed) break;
+    if (!IsUpToDate(state, learner, now)) continue;
     if (!MayBecomeVoter(state, members, learner, now)) continue;
-    AppendAsLeader(state, entry_kind::kMembers,
-                   core::Encode(NextTowardsVoter(members, learner)), out);
-    return;
+    next = NextTowardsVoter(std::move(next), learner);
+    ++admitted;
   }
+  if (admitted < needed) return;
+  AppendAsLeader(state, entry_kind::kMembers, core::Encode(next), out);
 }
 
 // Whether the group accepts another learner: there may be one for each missing
@@ -385,6 +406,15 @@
   }
 }
 
+bool MaySendBeforeSync(const raft_state& state, const raft_output& out) {
+  const bool changes_members = std::any_of(
+      out.appended.begin(), out.appended.end(), [](const log_entry& entry) {
+        return entry.kind == entry_kind::kMembers;
+      });
+  return state.role == raft_role::kLeader && !out.hard_state_changed &&
+         !out.snapshot_installed && !changes_members;
+}
+
 void ReportUnreachable(raft_state& state, const member& to) {
   const auto found = state.followers.find(to);
   if (found != state.followers.end()) found->second.is_in_flight = false;
--- a/tests/unit/consensus/group_simulation.cc
+++ b/tests/unit/consensus/group_simulation.cc
@@ -193,6 +193,7 @@
   const bool has_writes = out.hard_state_changed || out.snapshot_installed ||
                           out.truncate_from != 0 || !out.appended.empty();
   if (has_writes && item.crash_at == crash_point::kBeforeWrite) {
+    if (MaySendBeforeSync(item.state, out)) SendAppends(out);
     Crash(index);
     return;
   }
@@ -214,6 +215,15 @@
   Check();
 }
 
+// A leader that crashes during its write may have sent the entries already.
+void group_simulation::SendAppends(raft_output& out) {
+  for (message& output : out.messages) {
+    const bool is_sent =
+        output.kind == message_kind::kAppend && network_.size() < kMaxMessages;
+    if (is_sent) network_.push_back(std::move(output));
+  }
+}
+
 void group_simulation::RecordCommitted(const log_entry& entry) {
   const auto [found, is_new] = committed_.try_emplace(entry.index, entry);
   if (is_new) return;
--- a/tests/unit/consensus/group_simulation.h
+++ b/tests/unit/consensus/group_simulation.h
@@ -94,6 +94,7 @@
   void TickAll();
   void Deliver(size_t which, bool keep);
   void Handle(size_t index, raft_output& out);
+  void SendAppends(raft_output& out);
   void WriteToDisk(replica& item, const raft_output& out);
   void JoinIfNeeded(size_t index);
   void RecordCommitted(const log_entry& entry);
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -112,6 +112,31 @@
   }
 }
 
+// Guards against a group that ends because the second voter of two loses its
+// disk while the group grows.
+TEST(GroupTest, DiskLostWhileTheGroupGrows) {
+  constexpr int kSteps = 100;
+  for (int step = 0; step < kSteps; ++step) {
+    group_simulation group(3, 31, 3);
+    group.Settle(milliseconds(20 * step));
+    const size_t founder = group.Leader();
+    const size_t wiped = founder == 1 ? 2 : 1;
+    group.LoseDisk(wiped);
+    group.Start(wiped);
+    EXPECT_TRUE(group.RecoversAndCommits()) << step;
+    EXPECT_EQ(group.Violation(), "") << step;
+  }
+}
+
+// A group of which only two instances exist must not wait for a third one
+// forever.
+TEST(GroupTest, GroupOfTwoInstancesGetsTwoVoters) {
+  group_simulation group(2, 33, 3);
+  group.Settle(milliseconds(20000));
+  EXPECT_EQ(group.Voters().size(), 2U);
+  EXPECT_EQ(group.Violation(), "");
+}
+
 // Guards against a group that loses its quorum forever. It was observed as
 // accepted steps that could not be read at the end of the day, and no accepted
 // configuration for 109 s. One instance had terminated for good, another one
