Keep tasks apart that may have crashed their engine

An innocent task ran beside the crashing one on the same three engines, and both were quarantined.

A task under which one engine crashed joins no engine where another such task may still be at the point of its crash; one with two crashes joins none where any task with a crash runs. A task whose connection broke waits 30 ms, so that a probe can show whether the engine crashed. A suspected task that finds no engine does not hold up the tasks after it.

Plain requests at entries and the native API are not kept apart yet.

--- a/packages/quarantine/crash_detector.h
+++ b/packages/quarantine/crash_detector.h
@@ -58,6 +58,10 @@
   bool HasNoSuspects() const { return ledger_.suspects.empty(); }
   quarantine_decision Check(const request_identity& input) const;
   quarantine_decision CheckDigest(const std::string& digest) const;
+  // Number of crashes that are attributed to the request with this digest.
+  size_t CountCrashes(const std::string& digest) const {
+    return quarantine::CountCrashes(ledger_, digest);
+  }
   // Empty until the control group has generated the digest key.
   std::string DigestOf(const request_identity& input) const;
 
--- a/packages/quarantine/crash_ledger.cc
+++ b/packages/quarantine/crash_ledger.cc
@@ -313,9 +313,13 @@
   return next != ledger.suspects.end() && next->first.starts_with(head);
 }
 
-bool HasCrashes(const crash_ledger& ledger, const std::string& digest) {
+size_t CountCrashes(const crash_ledger& ledger, const std::string& digest) {
   const auto found = ledger.suspects.find(digest);
-  return found != ledger.suspects.end() && !found->second.ends.empty();
+  return found == ledger.suspects.end() ? 0 : found->second.ends.size();
+}
+
+bool HasCrashes(const crash_ledger& ledger, const std::string& digest) {
+  return CountCrashes(ledger, digest) > 0;
 }
 
 std::vector<fleet::request_warning> ListWarnings(const crash_ledger& ledger) {
--- a/packages/quarantine/crash_ledger.h
+++ b/packages/quarantine/crash_ledger.h
@@ -124,6 +124,9 @@
 // Whether the ledger has a request whose digest begins with `head`.
 bool HasDigestPrefix(const crash_ledger& ledger, const std::string& head);
 
+// Number of crashes that are attributed to the request.
+size_t CountCrashes(const crash_ledger& ledger, const std::string& digest);
+
 // Whether any crash is attributed to the request.
 bool HasCrashes(const crash_ledger& ledger, const std::string& digest);
 
--- a/packages/steps/task_choice.cc
+++ b/packages/steps/task_choice.cc
@@ -34,6 +34,7 @@
   std::optional<size_t> best;
   double best_cost = 0;
   for (size_t i = 0; i < engines.size(); ++i) {
+    if (engines[i].is_excluded) continue;
     if (engines[i].running >= std::min(engines[i].slots, max_streams)) continue;
     if (!excluded.empty() && engines[i].incarnation == excluded) continue;
     const double cost = ExpectedCost(engines[i]);
--- a/packages/steps/task_choice.h
+++ b/packages/steps/task_choice.h
@@ -18,8 +18,9 @@
   int64_t running = 0;  // own dispatches in progress
   // Time between two events relative to the usual one; 1: as fast.
   double slowness = 1;
-  bool is_trusted = true;   // false: no heartbeat within the timeout
-  bool has_prompt = false;  // the prompt of the group is cached
+  bool is_trusted = true;    // false: no heartbeat within the timeout
+  bool has_prompt = false;   // the prompt of the group is cached
+  bool is_excluded = false;  // the task must not run there
 };
 
 // Returns the engine that is expected to generate the events of a task fastest.
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -28,6 +28,10 @@
 constexpr int kMaxDoublings = 4;
 // Minimum time before a task that an engine rejected is sent again.
 constexpr milliseconds kRetryPause{30};
+// Minimum time before a task whose connection broke is sent again. By then it
+// is usually known whether the engine has crashed, and thus whether the task
+// may be the cause.
+constexpr milliseconds kCrashCheckTime{30};
 // Maximum number of runs that one store is starting at the same time. Starting
 // all tasks of several steps at once kept the loop of a new leader busy for
 // longer than its followers wait for a heartbeat. They elected another leader,
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -294,6 +294,7 @@
     tracked_task& task = tracked.tasks[i];
     if (task.stage != task_stage::kWaiting || task.not_before > now) continue;
     if (MustWaitForQuarantine({id, i}, task)) continue;
+    UpdateSuspicion(task);
     // The remaining tasks start when engines respond to the runs that are
     // starting.
     if (!ChooseRunnerFor("", pass)) return;
@@ -326,18 +327,21 @@
   const std::string group =
       input.model + "/" + input.tasks[item.key.task].group;
   engine_pool& engines = pool->second;
+  const tracked_task& task = steps_.at(item.key.step).tasks[item.key.task];
   for (size_t i = 0; i < engines.loads.size(); ++i) {
     const engine_record& record = *engines.records[i];
     engines.loads[i].running = record.running;
     engines.loads[i].has_prompt = record.groups.count(group) != 0;
+    engines.loads[i].is_excluded =
+        !quarantine::MayJoin(task.suspicion, record.suspects);
   }
   const int64_t max_streams = MaxStreamsFor(item, engines);
-  const std::string& left_engine =
-      steps_.at(item.key.step).tasks[item.key.task].left_engine;
-  auto choice = steps::ChooseEngine(engines.loads, max_streams, left_engine);
+  auto choice =
+      steps::ChooseEngine(engines.loads, max_streams, task.left_engine);
   // No other engine has a free slot, so allow the engine that the task left.
   if (!choice) choice = steps::ChooseEngine(engines.loads, max_streams);
-  if (!choice) return false;
+  // A suspected task may wait for an engine when the tasks after it need not.
+  if (!choice) return task.suspicion.crashes > 0;
   const fleet::endpoint& engine = *engines.endpoints[*choice];
   const std::optional<std::string> runner = ChooseRunnerFor(engine.zone, pass);
   if (!runner) return false;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -29,6 +29,7 @@
 #include "net/spawn.h"
 #include "peering/messages.h"
 #include "quarantine/crash_detector.h"
+#include "quarantine/suspect_separation.h"
 #include "steps/event_gap.h"
 #include "steps/event_text.h"
 #include "steps/pacing.h"
@@ -89,6 +90,8 @@
     core::time_point completed_at{};
     std::string digest;  // of the request; computed when first needed
     bool is_waiting_for_quarantine = false;
+    // Crashes of engines under its runs.
+    quarantine::crash_suspicion suspicion;
   };
   struct tracked_step {
     std::vector<tracked_task> tasks;
@@ -112,6 +115,7 @@
     // task of each.
     std::map<std::string, core::time_point> groups;
     std::map<std::string, engine_weights> weights;  // by model
+    quarantine::suspects_on_endpoint suspects;
   };
   struct run {
     uint64_t id = 0;
@@ -123,6 +127,8 @@
     core::time_point started_at{};
     bool has_head = false;              // the engine has sent the response head
     core::time_point last_report_at{};  // or the start
+    quarantine::crash_suspicion suspicion;  // of the task, at the start
+    bool is_past_crash = false;
   };
   // The engines that may run the tasks of a step, with their state.
   struct engine_pool {
@@ -188,6 +194,9 @@
   // Whether the request of the task is quarantined because engines crashed
   // while they ran it. Such a task must wait.
   bool MustWaitForQuarantine(const task_key& key, tracked_task& task);
+  // Updates how many engines are known to have crashed under the task.
+  void UpdateSuspicion(tracked_task& task) const;
+  void UpdatePastCrash(run& self, const tracked_task& task);
   // Called when the text of a task is complete. Requests the score, or finishes
   // the task if it has no reward request.
   void HandleCompleteText(const task_key& key);
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -37,6 +37,9 @@
   self->events_at_start = task.text.events;
   self->started_at = clock_.Now();
   self->last_report_at = self->started_at;
+  self->suspicion = task.suspicion;
+  quarantine::AddSuspect(engines_[engine.incarnation].suspects,
+                         self->suspicion);
   runs_[item.key] = self;
   runs_by_id_[self->id] = self;
   LogEvent(
@@ -216,9 +219,19 @@
   steps::RecordEvents(engines_[self->engine.incarnation].gap,
                       milliseconds(report.span_ms), report.spanned,
                       clock_.Now());
+  UpdatePastCrash(*self, *task);
   if (report.is_over) EndRun(self, report.how);
 }
 
+void dispatcher::UpdatePastCrash(run& self, const tracked_task& task) {
+  if (self.is_past_crash) return;
+  const uint64_t events = task.text.events - self.events_at_start;
+  if (!quarantine::IsPastCrash(self.suspicion, events)) return;
+  self.is_past_crash = true;
+  quarantine::RecordPastCrash(engines_[self.engine.incarnation].suspects,
+                              self.suspicion);
+}
+
 void dispatcher::RecordResponseHead(run& self, uint64_t weights_version) {
   self.has_head = true;
   ScheduleDispatch();
@@ -231,7 +244,10 @@
 }
 
 void dispatcher::RemoveRun(const run& ended) {
-  --engines_[ended.engine.incarnation].running;
+  engine_record& engine = engines_[ended.engine.incarnation];
+  --engine.running;
+  quarantine::RemoveSuspect(engine.suspects, ended.suspicion,
+                            ended.is_past_crash);
   if (!ended.runner.empty()) RemoveEndedRun(*runners_, ended.runner, ended.id);
   runs_by_id_.erase(ended.id);
   runs_.erase(task_key(ended.key));
@@ -297,6 +313,10 @@
       // Recorded also if the run added text, because each later run of the
       // request may add text too before it crashes its engine.
       RecordBrokenConnection(*ended);
+      task->suspicion.events_at_crash =
+          std::max(task->suspicion.events_at_crash,
+                   task->text.events - ended->events_at_start);
+      task->not_before = clock_.Now() + kCrashCheckTime;
       break;
     case run_outcome::kMoved:
       break;
@@ -335,6 +355,14 @@
   return task.is_waiting_for_quarantine;
 }
 
+void dispatcher::UpdateSuspicion(tracked_task& task) const {
+  if (crashes_.HasNoSuspects() || task.digest.empty()) {
+    task.suspicion.crashes = 0;
+    return;
+  }
+  task.suspicion.crashes = static_cast<int>(crashes_.CountCrashes(task.digest));
+}
+
 void dispatcher::RecordServed(const task_key& key) {
   const auto identity = IdentityOf(key);
   if (identity) crashes_.RecordServed(*identity);
