Serve callers on behalf of the customer that holds their key

Cause: on the shifted deployment callers identify themselves by API keys.

Change: the new package access decides on whose behalf a request is served, without I/O. Keys are compared as digests under a secret of the process. Endpoints get the customer's name from us alone, never the key, for plain requests, streams, tasks and reward requests. A step belongs to its customer: others hear 404; it outlives the key that submitted it. Two customers with one key make a configuration invalid, with the places of the key.

A withdrawn key must die everywhere within a bound. An entry accepts keys only while the latest request whose response confirmed its configuration was sent less than access.revocation_limit ago, by a clock that also counts suspension. Weighed: a lease that the leader grants needs the same message and a second clock. Beyond 1.5 s without confirmation an entry answers 503 in place of 401 and 404: a newer configuration may contain the route or the key. A request that runs when its key is withdrawn is finished.

--- /dev/null
+++ b/packages/access/configuration_lease.h
@@ -0,0 +1,42 @@
+#ifndef HICKORYWOOD_ACCESS_CONFIGURATION_LEASE_H_
+#define HICKORYWOOD_ACCESS_CONFIGURATION_LEASE_H_
+
+// How long an instance may act on its copy of the configuration. A key that was
+// withdrawn must stop working everywhere within a bound, also at an instance
+// that can't be told: one that is cut off, was frozen, or has just been
+// started. Each instance therefore limits the age of its copy by itself.
+
+#include <chrono>
+#include <optional>
+
+#include "core/clock.h"
+
+namespace hickorywood::access {
+
+struct lease_limits {
+  // Longest time after the withdrawal of a key for which it may be accepted.
+  // 0: not limited.
+  std::chrono::milliseconds revocation{0};
+  // Age of the copy up to which it decides that a route or a key does not
+  // exist. Beyond it, a newer configuration may well contain them.
+  std::chrono::milliseconds denial{1500};
+};
+
+// `confirmed_at`: when this instance sent the latest request to the control
+// leader whose response left it without a newer configuration to apply. Every
+// configuration that was acknowledged before that moment is in its copy.
+// Nothing: no response was received since the start.
+using confirmation = std::optional<core::boot_time_point>;
+
+// Whether a key that the copy contains may be accepted.
+bool MayAcceptKeys(const confirmation& confirmed_at, const lease_limits& limits,
+                   core::boot_time_point now);
+
+// Whether a request may be refused because the copy does not contain its route
+// or its key.
+bool MayDeny(const confirmation& confirmed_at, const lease_limits& limits,
+             core::boot_time_point now);
+
+}  // namespace hickorywood::access
+
+#endif  // HICKORYWOOD_ACCESS_CONFIGURATION_LEASE_H_
--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -74,7 +74,7 @@
         load_scheduler(io, runtime, group, state, pool, wire, registry, weights,
                        SchedulerOptions(node)),
         caller(pool, node.seeds),
-        follower(caller, FollowerOptions(node)),
+        follower(runtime, caller, FollowerOptions(node)),
         heartbeats(io, runtime, caller),
         api(wire, caller, heartbeats),
         peers(io, peering::PeerListenerOptions(node.peers_address),
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -5,7 +5,9 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "access/caller_access.h"
 #include "core/events.h"
+#include "core/ids.h"
 #include "entry/relay.h"
 #include "entry/step_gateway.h"
 #include "net/connection_pool.h"
@@ -29,6 +31,13 @@
 // all instances.
 constexpr milliseconds kRetryAfter{600};
 constexpr milliseconds kDrainPoll{20};
+// A caller that is refused because this entry is out of contact should try
+// another entry, which usually has contact.
+constexpr milliseconds kOutOfContactRetryAfter{100};
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 
 peering::follower_options FollowerOptions(
     const settings::node_settings& settings) {
@@ -48,7 +57,7 @@
         wire(protocol),
         pool(io),
         caller(pool, node.seeds),
-        follower(caller, FollowerOptions(node)),
+        follower(runtime, caller, FollowerOptions(node)),
         crashes(io, runtime, pool, follower.View(),
                 [this](fleet::crash_update update) {
                   return peering::SendCrashUpdate(caller, std::move(update));
@@ -61,13 +70,22 @@
         readiness(io, ReadinessOptions(), [this](net::exchange& call) {
           return AnswerReadiness(call);
         }) {
+    limits.revocation = node.revocation_limit;
     follower.OnChange([this] {
+      UpdateKeys();
       plain.OnEndpointsChanged();
       crashes.OnView();
       stores_caller.SetInstances(peering::StoreAddresses(follower.View()));
     });
   }
 
+  void UpdateKeys() {
+    const fleet::configuration& config = follower.View().config;
+    if (config.version == keys_version) return;
+    keys_version = config.version;
+    keys = access::MakeKeyDirectory(config, key_secret);
+  }
+
   net::listener_options CallerOptions() {
     net::listener_options options;
     options.address = settings.callers_address;
@@ -102,46 +120,108 @@
     return limits;
   }
 
+  // An entry that may accept no keys would refuse nearly every request, so the
+  // callers should use other entries.
+  bool IsReady() const {
+    const fleet::configuration& config = follower.View().config;
+    if (is_stopping || config.version == 0) return false;
+    return !config.needs_keys || access::MayAcceptKeys(follower.ConfirmedAt(),
+                                                       limits, clock.BootNow());
+  }
+
   awaitable<void> AnswerReadiness(net::exchange& call) {
     net::response answer;
-    const bool is_ready = !is_stopping && follower.View().config.version > 0;
-    answer.status = is_ready ? 200 : 503;
+    answer.status = IsReady() ? 200 : kUnavailable;
     co_await call.Reply(std::move(answer));
   }
 
+  net::response Refuse(const net::request& input, int status,
+                       const std::string& reason,
+                       std::optional<milliseconds> retry_after) const {
+    const bool is_denied = status == kUnauthorized;
+    LogEvent(
+        is_denied ? event_id::kAccessDenied : event_id::kRequestRefused,
+        {{"request", wire.RequestId(input)},
+         {"reason", reason},
+         {"status", std::to_string(status)},
+         {"configuration", std::to_string(follower.View().config.version)}});
+    return wire.EncodeFailure(status, reason, retry_after);
+  }
+
+  access::access_decision Decide(const net::request& input,
+                                 bool is_public) const {
+    const std::string key = wire.CallerKey(input);
+    access::access_input terms;
+    terms.config = &follower.View().config;
+    terms.keys = &keys;
+    terms.key = key;
+    terms.is_public = is_public;
+    terms.confirmed_at = follower.ConfirmedAt();
+    terms.limits = limits;
+    terms.now = clock.BootNow();
+    return access::DecideAccess(terms);
+  }
+
+  // Returns the response to a request that is not granted.
+  net::response RefuseAccess(const net::request& input,
+                             access::access_outcome outcome) const {
+    if (outcome == access::access_outcome::kUnknownKey) {
+      return Refuse(input, kUnauthorized, "no customer holds this key",
+                    std::nullopt);
+    }
+    return Refuse(input, kUnavailable,
+                  "this instance is out of contact and can't check the key",
+                  kOutOfContactRetryAfter);
+  }
+
+  // Returns the response to a request without a route.
+  net::response RefuseRoute(const net::request& input) const {
+    const bool is_certain =
+        access::MayDeny(follower.ConfirmedAt(), limits, clock.BootNow());
+    if (is_certain) {
+      return Refuse(input, kNotFound, "no route has this path", std::nullopt);
+    }
+    return Refuse(input, kUnavailable,
+                  "this instance is out of contact and knows no such route",
+                  kOutOfContactRetryAfter);
+  }
+
   awaitable<void> Serve(net::exchange& call) {
     const net::request& input = call.Request();
-    if (follower.View().config.version == 0) {
-      LogEvent(event_id::kRequestRefused, {{"request", wire.RequestId(input)},
-                                           {"reason", "no configuration yet"},
-                                           {"configuration", "0"}});
-      co_await call.Reply(wire.EncodeFailure(
-          503, "this instance has no configuration yet", kRetryAfter));
+    const fleet::configuration& config = follower.View().config;
+    if (config.version == 0) {
+      co_await call.Reply(Refuse(input, kUnavailable,
+                                 "this instance has no configuration yet",
+                                 kRetryAfter));
       co_return;
     }
     fleet::step_call step = wire.DecodeStepCall(input);
-    if (!std::holds_alternative<fleet::other_call>(step)) {
-      co_await gateway.Serve(call, std::move(step));
+    const bool is_step = !std::holds_alternative<fleet::other_call>(step);
+    const std::string_view host = net::Find(input.headers, "Host");
+    const fleet::route* route =
+        is_step ? nullptr
+                : fleet::FindRoute(config, host, net::PathOf(input.target));
+    if (!is_step && route == nullptr) {
+      co_await call.Reply(RefuseRoute(input));
+      co_return;
+    }
+    const bool is_public =
+        is_step ? fleet::HasPublicSteps(config, host) : route->is_public;
+    access::access_decision access = Decide(input, is_public);
+    if (access.outcome != access::access_outcome::kGranted) {
+      co_await call.Reply(RefuseAccess(input, access.outcome));
       co_return;
     }
-    const fleet::route* route = fleet::FindRoute(
-        follower.View().config, net::Find(input.headers, "Host"),
-        net::PathOf(input.target));
-    if (route == nullptr) {
-      LogEvent(
-          event_id::kRequestRefused,
-          {{"request", wire.RequestId(input)},
-           {"reason", "no route"},
-           {"configuration", std::to_string(follower.View().config.version)}});
-      co_await call.Reply(
-          wire.EncodeFailure(404, "no route has this path", std::nullopt));
+    std::string customer = access.customer.value_or("");
+    if (is_step) {
+      co_await gateway.Serve(call, std::move(step), std::move(customer));
       co_return;
     }
     if (route->kind == fleet::route_kind::kRollout) {
-      co_await gateway.Open(call);
+      co_await gateway.Open(call, std::move(customer));
       co_return;
     }
-    co_await plain.Serve(call, *route);
+    co_await plain.Serve(call, *route, std::move(access.customer));
   }
 
   awaitable<void> Stop() {
@@ -179,6 +259,10 @@
   step_gateway gateway;
   net::listener callers;
   net::listener readiness;
+  access::lease_limits limits;
+  const std::string key_secret = core::RandomId();
+  access::key_directory keys;
+  uint64_t keys_version = 0;  // of the configuration
   bool is_stopping = false;
 };
 
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -54,27 +54,32 @@
   return clock_.Now() + left;
 }
 
-awaitable<void> relay::Serve(net::exchange& call, fleet::route route) {
+awaitable<void> relay::Serve(net::exchange& call, fleet::route route,
+                             std::optional<std::string> customer) {
   if (route.kind == fleet::route_kind::kStream) {
-    co_await ServeStream(call, route);
+    co_await ServeStream(call, route, std::move(customer));
     co_return;
   }
-  net::response answer = co_await Answer(call.Request(), route);
+  net::response answer =
+      co_await Answer(call.Request(), route, std::move(customer));
   co_await call.Reply(std::move(answer));
 }
 
 awaitable<net::response> relay::Answer(const net::request& input,
-                                       const fleet::route& route) {
+                                       const fleet::route& route,
+                                       std::optional<std::string> customer) {
   const time_point started = clock_.Now();
   routing::send_terms terms;
   terms.route = route;
   terms.id = wire_.RequestId(input);
   terms.deadline = DeadlineOf(input, route);
+  terms.customer = std::move(customer);
   routing::send_outcome outcome = co_await sender_.Send(input, terms);
   net::response answer = outcome.answer ? std::move(*outcome.answer)
                                         : MakeFailureResponse(outcome);
   LogEvent(event_id::kRequestAnswered,
            {{"request", terms.id},
+            {"customer", terms.customer.value_or("")},
             {"route", route.name},
             {"service", outcome.service},
             {"status", std::to_string(answer.status)},
@@ -151,9 +156,9 @@
   net::response head;
 };
 
-awaitable<relay::stream_start> relay::StartStream(const net::request& input,
-                                                  const fleet::endpoint& target,
-                                                  time_point deadline) {
+awaitable<relay::stream_start> relay::StartStream(
+    const net::request& input, const fleet::endpoint& target,
+    time_point deadline, std::optional<std::string> customer) {
   stream_start stream;
   net::acquire_terms connection;
   // A reused connection can turn out to be dead after the request was written.
@@ -169,6 +174,7 @@
   fleet::dispatch_terms terms;
   terms.time_left = Since(clock_.Now(), deadline);
   terms.endpoint = target.name;
+  terms.customer = std::move(customer);
   const net::request output = wire_.EncodeDispatch(input, terms);
   const bool is_written = co_await stream.from->Write(output, deadline);
   if (!is_written) co_return stream;
@@ -186,7 +192,8 @@
 }
 
 awaitable<void> relay::ServeStream(net::exchange& call,
-                                   const fleet::route& route) {
+                                   const fleet::route& route,
+                                   std::optional<std::string> customer) {
   const net::request& input = call.Request();
   const time_point deadline = DeadlineOf(input, route);
   const std::string service(fleet::DrawService(route, routing::DrawShare()));
@@ -211,7 +218,8 @@
     const fleet::endpoint target = *chosen;
     tried.insert(target.incarnation);
     open_request open(crashes_, identity, target);
-    stream_start stream = co_await StartStream(input, target, deadline);
+    stream_start stream =
+        co_await StartStream(input, target, deadline, customer);
     if (stream.how == stream_start::outcome::kNotSent) {
       routing::RecordFailure(loads, target.incarnation, clock_.Now());
       open.Settle();
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -6,6 +6,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/cancellation_state.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -26,17 +28,19 @@
         const fleet::view& view, quarantine::crash_detector& crashes,
         std::string own_zone);
 
-  // Answers the exchange. The coroutine is cancelled when the caller
-  // disconnects, which also cancels the running attempts and closes their
-  // connections.
-  boost::asio::awaitable<void> Serve(net::exchange& call, fleet::route route);
+  // Answers the exchange on behalf of `customer`, see fleet::dispatch_terms.
+  // The coroutine is cancelled when the caller disconnects, which also cancels
+  // the running attempts and closes their connections.
+  boost::asio::awaitable<void> Serve(net::exchange& call, fleet::route route,
+                                     std::optional<std::string> customer);
 
   // Called when the endpoints of the view have changed.
   void OnEndpointsChanged();
 
  private:
-  boost::asio::awaitable<net::response> Answer(const net::request& input,
-                                               const fleet::route& route);
+  boost::asio::awaitable<net::response> Answer(
+      const net::request& input, const fleet::route& route,
+      std::optional<std::string> customer);
   net::response MakeFailureResponse(const routing::send_outcome& outcome) const;
   bool IsEndedLocally(const boost::asio::cancellation_state& state,
                       core::time_point deadline) const;
@@ -44,9 +48,10 @@
   struct stream_start;
   boost::asio::awaitable<stream_start> StartStream(
       const net::request& input, const fleet::endpoint& target,
-      core::time_point deadline);
+      core::time_point deadline, std::optional<std::string> customer);
   boost::asio::awaitable<void> ServeStream(net::exchange& call,
-                                           const fleet::route& route);
+                                           const fleet::route& route,
+                                           std::optional<std::string> customer);
   core::time_point DeadlineOf(const net::request& input,
                               const fleet::route& route) const;
 
--- a/packages/entry/step_gateway.cc
+++ b/packages/entry/step_gateway.cc
@@ -43,13 +43,14 @@
   return peering::EncodeFailure(wire_, answer, kRetryAfter);
 }
 
-awaitable<void> step_gateway::Open(net::exchange& call) {
-  const auto submission = wire_.DecodeSubmission(call.Request());
+awaitable<void> step_gateway::Open(net::exchange& call, std::string customer) {
+  auto submission = wire_.DecodeSubmission(call.Request());
   if (!submission) {
     const std::string reason = core::LastReason().text;
     co_await call.Reply(wire_.EncodeFailure(400, reason, std::nullopt));
     co_return;
   }
+  submission->customer = std::move(customer);
   const core::time_point started = clock_.Now();
   const envelope answer = co_await caller_.Call(
       peering::kOpenStepMethod, core::EncodeBinary(*submission),
@@ -59,6 +60,7 @@
       std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
   LogEvent(is_accepted ? event_id::kStepOpened : event_id::kRequestRefused,
            {{"step", submission->id},
+            {"customer", submission->customer},
             {"tasks", std::to_string(submission->tasks.size())},
             {"number", std::to_string(submission->number)},
             {"reason", answer.reason},
@@ -71,25 +73,27 @@
   co_await call.Reply(std::move(reply));
 }
 
-awaitable<void> step_gateway::Serve(net::exchange& call,
-                                    fleet::step_call input) {
+awaitable<void> step_gateway::Serve(net::exchange& call, fleet::step_call input,
+                                    std::string customer) {
   net::response answer;
   if (auto* read = std::get_if<fleet::read_results_call>(&input)) {
-    answer = co_await Read(std::move(*read));
+    answer = co_await Read(std::move(*read), std::move(customer));
   } else if (auto* task = std::get_if<fleet::read_task_call>(&input)) {
-    answer = co_await ReadTask(std::move(*task));
+    answer = co_await ReadTask(std::move(*task), std::move(customer));
   } else if (auto* end = std::get_if<fleet::end_step_call>(&input)) {
-    answer = co_await End(std::move(*end));
+    answer = co_await End(std::move(*end), std::move(customer));
   } else if (auto* bad = std::get_if<fleet::malformed_call>(&input)) {
     answer = wire_.EncodeFailure(bad->status, bad->reason, std::nullopt);
   }
   co_await call.Reply(std::move(answer));
 }
 
-awaitable<net::response> step_gateway::Read(fleet::read_results_call input) {
+awaitable<net::response> step_gateway::Read(fleet::read_results_call input,
+                                            std::string customer) {
   const milliseconds wait = std::min(input.wait, kMaxWait);
   peering::read_results_request request;
   request.step = std::move(input.step);
+  request.customer = std::move(customer);
   request.after = input.after;
   request.wait_ms = wait.count();
   request.page_bytes = kMaxPageBytes;
@@ -109,8 +113,10 @@
   co_return wire_.EncodeResults(*page);
 }
 
-awaitable<net::response> step_gateway::ReadTask(fleet::read_task_call input) {
-  const peering::read_task_request request{input.step, input.task};
+awaitable<net::response> step_gateway::ReadTask(fleet::read_task_call input,
+                                                std::string customer) {
+  const peering::read_task_request request{input.step, input.task,
+                                           std::move(customer)};
   envelope answer = co_await caller_.Call(
       peering::kReadTaskMethod, core::EncodeBinary(request),
       clock_.Now() + kReadTimeoutSlack, kReadAttemptSlack);
@@ -129,8 +135,9 @@
   co_return reply;
 }
 
-awaitable<net::response> step_gateway::End(fleet::end_step_call input) {
-  const peering::named_item request{input.step};
+awaitable<net::response> step_gateway::End(fleet::end_step_call input,
+                                           std::string customer) {
+  const peering::end_step_request request{input.step, std::move(customer)};
   const envelope answer = co_await caller_.Call(
       peering::kEndStepMethod, core::EncodeBinary(request),
       clock_.Now() + kEndTimeout, kEndAttemptTimeout);
--- a/packages/entry/step_gateway.h
+++ b/packages/entry/step_gateway.h
@@ -18,15 +18,20 @@
   step_gateway(const core::runtime_clock& clock, const fleet::protocol& wire,
                peering::leader_caller& caller);
 
-  boost::asio::awaitable<void> Open(net::exchange& call);
+  // `customer`: on whose behalf the caller acts; empty: none.
+  boost::asio::awaitable<void> Open(net::exchange& call, std::string customer);
   // `input` must not be an other_call.
   boost::asio::awaitable<void> Serve(net::exchange& call,
-                                     fleet::step_call input);
+                                     fleet::step_call input,
+                                     std::string customer);
 
  private:
-  boost::asio::awaitable<net::response> Read(fleet::read_results_call input);
-  boost::asio::awaitable<net::response> ReadTask(fleet::read_task_call input);
-  boost::asio::awaitable<net::response> End(fleet::end_step_call input);
+  boost::asio::awaitable<net::response> Read(fleet::read_results_call input,
+                                             std::string customer);
+  boost::asio::awaitable<net::response> ReadTask(fleet::read_task_call input,
+                                                 std::string customer);
+  boost::asio::awaitable<net::response> End(fleet::end_step_call input,
+                                            std::string customer);
   net::response FailureOf(const peering::envelope& answer) const;
 
   const core::runtime_clock& clock_;
--- a/packages/fleet/configuration.cc
+++ b/packages/fleet/configuration.cc
@@ -1,5 +1,7 @@
 #include "fleet/configuration.h"
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -35,6 +37,28 @@
   }
 }
 
+// The findings name the places of the keys in place of the keys themselves,
+// which are secret.
+void CheckCustomers(const configuration& config,
+                    std::vector<std::string>& findings) {
+  struct key_place {
+    std::string customer;
+    size_t index = 0;
+  };
+  std::map<std::string_view, key_place> places;
+  for (const customer& holder : config.customers) {
+    for (size_t i = 0; i < holder.keys.size(); ++i) {
+      const auto [first, is_new] =
+          places.emplace(holder.keys[i], key_place{holder.name, i});
+      if (is_new || first->second.customer == holder.name) continue;
+      findings.push_back("customer '" + holder.name + "': its key " +
+                         std::to_string(i) + " is also key " +
+                         std::to_string(first->second.index) +
+                         " of customer '" + first->second.customer + "'");
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> CheckConfiguration(const configuration& config) {
@@ -54,6 +78,7 @@
       findings.push_back("service '" + item.name + "' is listed twice");
     }
   }
+  CheckCustomers(config, findings);
   return findings;
 }
 
@@ -69,6 +94,14 @@
   return best;
 }
 
+bool HasPublicSteps(const configuration& config, std::string_view host) {
+  return std::any_of(config.routes.begin(), config.routes.end(),
+                     [host](const route& where) {
+                       return where.kind == route_kind::kRollout &&
+                              where.is_public && where.host == host;
+                     });
+}
+
 const service* FindService(const configuration& config, std::string_view name) {
   for (const service& item : config.services) {
     if (item.name == name) return &item;
--- a/packages/fleet/configuration.h
+++ b/packages/fleet/configuration.h
@@ -49,13 +49,12 @@
   int64_t task_lifetime_ms = 0;  // steps: age at which a task may be abandoned
   bool is_single_version = false;  // steps: one weight version per result
   bool is_resumable = false;
+  bool is_public = false;  // needs no key, also if other routes do
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(route, name, host, path_prefix,
-                                                kind, services, timeout_ms,
-                                                objective_ms, priority,
-                                                max_attempts, due_ms,
-                                                task_lifetime_ms,
-                                                is_single_version, is_resumable)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    route, name, host, path_prefix, kind, services, timeout_ms, objective_ms,
+    priority, max_attempts, due_ms, task_lifetime_ms, is_single_version,
+    is_resumable, is_public)
 
 // The capacity of the endpoints of a service that are model engines.
 struct engine_shape {
@@ -88,18 +87,31 @@
                                                 body_bytes, header_timeout_ms,
                                                 idle_timeout_ms)
 
+// A customer whose callers identify themselves by one of its keys.
+struct customer {
+  std::string name;
+  std::vector<std::string> keys;
+  // Replaces the priority of the routes; -1: none.
+  int64_t priority = -1;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(customer, name, keys, priority)
+
 struct configuration {
   uint64_t version = 0;  // 0: none yet
   std::vector<route> routes;
   std::vector<service> services;
   request_limits limits;
+  // Whether requests of routes that are not public need the key of a customer.
+  bool needs_keys = false;
+  std::vector<customer> customers;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(configuration, version, routes,
-                                                services, limits)
+                                                services, limits, needs_keys,
+                                                customers)
 
 // Returns the faults of a configuration: routes to unknown services, two routes
-// with the same host and prefix, weights with the sum 0, a timeout of 0. Empty:
-// the configuration is valid.
+// with the same host and prefix, weights with the sum 0, a timeout of 0, a key
+// of two customers. Empty: the configuration is valid.
 std::vector<std::string> CheckConfiguration(const configuration& config);
 
 // Returns the route of a request: among those of its host the one with the
@@ -107,6 +119,11 @@
 const route* FindRoute(const configuration& config, std::string_view host,
                        std::string_view path);
 
+// Whether callers of steps at this host need no key: it has a public route for
+// steps. The calls about a submitted step contain the host, but not the path of
+// the route.
+bool HasPublicSteps(const configuration& config, std::string_view host);
+
 const service* FindService(const configuration& config, std::string_view name);
 
 // Selects the service for a request of the route `where` by weight, with `draw`
--- a/packages/fleet/protocol.h
+++ b/packages/fleet/protocol.h
@@ -124,6 +124,10 @@
   std::string endpoint;                // any other endpoint rejects the request
   std::optional<uint64_t> last_event;  // the endpoint resumes after this event
   std::optional<int64_t> priority;     // 0 is the most urgent
+  // Customer on whose behalf the request runs. If set, the caller's own
+  // statements on it are removed: its key and the name of a customer. Empty
+  // name: there is none.
+  std::optional<std::string> customer;
 };
 
 // The metadata of a response of an endpoint.
@@ -166,6 +170,8 @@
   virtual net::response EncodeTaskBody(const std::string& body) const = 0;
 
   virtual std::string RequestId(const net::request& input) const = 0;
+  // The key with which the caller identifies its customer, or empty.
+  virtual std::string CallerKey(const net::request& input) const = 0;
   // Returns the time for which the caller still waits, or nothing if the
   // request doesn't contain it.
   virtual std::optional<std::chrono::milliseconds> TimeLeft(
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -118,15 +118,26 @@
   uint64_t after = 0;
   int64_t wait_ms = 0;  // how long to wait for a result
   uint64_t page_bytes = 0;
+  std::string customer;  // on whose behalf the caller acts; empty: none
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(read_results_request, step,
-                                                after, wait_ms, page_bytes)
+                                                after, wait_ms, page_bytes,
+                                                customer)
 
 struct read_task_request {
   std::string step;
   std::string task;
+  std::string customer;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(read_task_request, step, task)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(read_task_request, step, task,
+                                                customer)
+
+struct end_step_request {
+  std::string name;  // of the step
+  std::string customer;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(end_step_request, name,
+                                                customer)
 
 }  // namespace hickorywood::peering
 
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -29,8 +29,9 @@
   return addresses;
 }
 
-view_follower::view_follower(leader_caller& caller, follower_options options)
-    : caller_(caller), options_(std::move(options)) {}
+view_follower::view_follower(const core::runtime_clock& clock,
+                             leader_caller& caller, follower_options options)
+    : clock_(clock), caller_(caller), options_(std::move(options)) {}
 
 awaitable<void> view_follower::Run() {
   for (;;) {
@@ -44,6 +45,7 @@
     input.held_config = view_.config.version;
     input.wait_ms = options_.wait.count();
     if (demands_) input.demands = demands_();
+    const core::boot_time_point requested_at = clock_.BootNow();
     const core::milliseconds attempt_timeout = options_.wait + options_.slack;
     const envelope answer =
         co_await caller_.Call(kViewMethod, core::EncodeBinary(input),
@@ -57,14 +59,15 @@
            {"configuration", std::to_string(view_.config.version)}});
     }
     if (is_answered) {
-      Apply(answer);
+      Apply(answer, requested_at);
     } else {
       co_await net::Sleep(kPauseWithoutLeader);
     }
   }
 }
 
-void view_follower::Apply(const envelope& answer) {
+void view_follower::Apply(const envelope& answer,
+                          core::boot_time_point requested_at) {
   const auto update = core::DecodeBinary<fleet::view_update>(answer.payload);
   if (!update) {
     LogEvent(event_id::kPeerMessageMalformed,
@@ -72,7 +75,13 @@
     return;
   }
   const uint64_t config_before = view_.config.version;
-  if (!fleet::ApplyUpdate(view_, *update)) return;
+  const bool is_changed = fleet::ApplyUpdate(view_, *update);
+  // An update that was rejected confirms nothing if it contains a newer
+  // configuration.
+  const bool has_latest =
+      !update->has_config || update->config.version <= view_.config.version;
+  if (has_latest) confirmed_at_ = requested_at;
+  if (!is_changed) return;
   if (update->has_members) {
     caller_.SetInstances(view_.members.controllers);
   }
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,12 +33,19 @@
 
 class view_follower {
  public:
-  view_follower(leader_caller& caller, follower_options options);
+  view_follower(const core::runtime_clock& clock, leader_caller& caller,
+                follower_options options);
 
   // Runs until the coroutine is cancelled.
   boost::asio::awaitable<void> Run();
 
   const fleet::view& View() const { return view_; }
+  // When the request was sent whose response last confirmed the configuration
+  // of the view: every configuration acknowledged before is in it. Nothing: no
+  // response was received yet.
+  std::optional<core::boot_time_point> ConfirmedAt() const {
+    return confirmed_at_;
+  }
   // Sets whether the weights of the engines are requested.
   void RequestWeights(bool wants) { wants_weights_ = wants; }
   // Sets the source of the demands that this process reports with each request.
@@ -51,11 +59,13 @@
   }
 
  private:
-  void Apply(const envelope& answer);
+  void Apply(const envelope& answer, core::boot_time_point requested_at);
 
+  const core::runtime_clock& clock_;
   leader_caller& caller_;
   const follower_options options_;
   fleet::view view_;
+  std::optional<core::boot_time_point> confirmed_at_;
   bool is_following_ = false;
   bool wants_weights_ = false;
   std::function<std::vector<fleet::model_demand>()> demands_;
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -209,6 +209,7 @@
   fleet::dispatch_terms terms;
   terms.time_left = Since(clock_.Now(), state->terms.deadline);
   terms.endpoint = target->name;
+  terms.customer = state->terms.customer;
   RecordSent(loads_, incarnation);
   net::SpawnCancellable(
       loop_, Attempt(state, *target, wire_.EncodeDispatch(input, terms)),
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -38,6 +38,8 @@
   fleet::route route;
   std::string id;               // of the request; answers repeat it
   core::time_point deadline{};  // of the complete answer
+  // Customer on whose behalf the request runs, see fleet::dispatch_terms.
+  std::optional<std::string> customer;
 };
 
 // The result of sending a request.
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -103,6 +103,10 @@
       {"drain.notice", type::kDuration, "2500ms", 0, kMillisPerHour,
        "How long a planned stop reports \"not ready\" before connections are "
        "closed."},
+      {"access.revocation_limit", type::kDuration, "0ms", 0, kMillisPerMinute,
+       "Time after which a withdrawn API key is accepted nowhere. An entry "
+       "that was out of contact for as long refuses requests with keys. 0: not "
+       "limited."},
       {"losses.instances", type::kInteger, "1", 0, 10,
        "Instances with a disk that may be lost at once."},
       {"memory_mb", type::kInteger, "256", 16, 1024 * 1024,
@@ -151,6 +155,7 @@
   settings.step_retention = read.Duration("steps.retention");
   settings.drain_grace = read.Duration("drain.grace");
   settings.drain_notice = read.Duration("drain.notice");
+  settings.revocation_limit = read.Duration("access.revocation_limit");
   settings.tolerated_losses = read.Integer("losses.instances");
   settings.memory_mb = read.Integer("memory_mb");
   CheckRole(settings, file, findings);
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -39,6 +39,8 @@
   std::chrono::milliseconds drain_notice{0};
   // Number of instances with a disk that may be lost at the same time.
   int64_t tolerated_losses = 1;
+  // Time after which a withdrawn key is accepted nowhere; 0: not limited.
+  std::chrono::milliseconds revocation_limit{0};
   int64_t memory_mb = 256;  // memory limit of the process, MB
 
   // Size of the outputs of ended steps that a store keeps in memory; older ones
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -46,6 +46,10 @@
   return table.emplace(id, std::move(opened)).second;
 }
 
+bool MayAccess(const step& owner, const std::string& customer) {
+  return owner.input.customer.empty() || owner.input.customer == customer;
+}
+
 bool HasResult(const step& owner, uint32_t task) {
   return std::any_of(
       owner.results.begin(), owner.results.end(),
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -59,15 +59,17 @@
   std::string id;
   std::string host;
   std::string path;
-  int64_t number = 0;  // of the step, from 0
+  std::string customer;  // that submitted it; empty: none
+  int64_t number = 0;    // of the step, from 0
   std::string model;
   uint64_t minimum_version = 0;  // oldest weights that may generate tokens
   int64_t wanted_groups = 0;     // complete groups that the trainer waits for
   std::vector<task> tasks;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(submission, id, host, path,
-                                                number, model, minimum_version,
-                                                wanted_groups, tasks)
+                                                customer, number, model,
+                                                minimum_version, wanted_groups,
+                                                tasks)
 
 struct task_result {
   uint32_t task = 0;               // index in the submission
@@ -146,6 +148,10 @@
 // were opened before `oldest_ms`.
 void RemoveSteps(step_table& table, int64_t limit_ms, int64_t oldest_ms);
 
+// Whether callers of this customer may read and end a step. A step without a
+// customer was submitted without a key.
+bool MayAccess(const step& owner, const std::string& customer);
+
 bool HasResult(const step& owner, uint32_t task);
 
 // Results from a position on, as many as fit in a page.
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -37,7 +37,8 @@
   }
   task->stage = task_stage::kScoring;
   task->completed_at = clock_.Now();
-  rewards_.Add({key, input->reward, steps_.at(key.step).opened_at});
+  rewards_.Add({key, input->reward, state_.Find(key.step)->input.customer,
+                steps_.at(key.step).opened_at});
   ScheduleDispatch();
 }
 
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -70,6 +70,7 @@
   fleet::dispatch_terms terms;
   terms.time_left = kTaskTimeLimit;
   terms.endpoint = self.engine.name;
+  if (view_.config.needs_keys) terms.customer = step.customer;
   if (text.events > 0) terms.last_event = text.events;
   net::request input =
       wire_.EncodeTask(step, step.tasks[item.key.task].id, *item.input, terms);
--- a/packages/store/reward_caller.cc
+++ b/packages/store/reward_caller.cc
@@ -117,6 +117,7 @@
   routing::send_terms terms;
   terms.route = route;
   terms.id = job->job.request.id;
+  if (view_.config.needs_keys) terms.customer = job->job.customer;
   terms.deadline = started + timeout;
   job->is_sent = true;
   job->cancel = net::MakeCancelSignal();
--- a/packages/store/reward_caller.h
+++ b/packages/store/reward_caller.h
@@ -30,6 +30,7 @@
 struct reward_job {
   task_key key;
   steps::reward_request request;
+  std::string customer;          // of the step; empty: none
   core::time_point opened_at{};  // when the step was submitted
 };
 
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -104,10 +104,22 @@
                      ""};
 }
 
+const steps::step* step_service::FindStep(const std::string& id,
+                                          const std::string& customer) const {
+  const steps::step* step = state_.Find(id);
+  const bool is_visible = step != nullptr && steps::MayAccess(*step, customer);
+  return is_visible ? step : nullptr;
+}
+
 awaitable<envelope> step_service::OpenStep(std::string payload) {
   const auto input = core::DecodeBinary<steps::submission>(payload);
   if (!input) co_return Malformed();
-  if (state_.Find(input->id) != nullptr) co_return Done();
+  const steps::step* opened = state_.Find(input->id);
+  if (opened != nullptr) {
+    if (steps::MayAccess(*opened, input->customer)) co_return Done();
+    co_return envelope{call_outcome::kConflict, "",
+                       "another customer's step has this id", ""};
+  }
   co_return co_await CommitCall(kOpenStepCommand, std::move(payload));
 }
 
@@ -118,7 +130,7 @@
   const time_point until = clock_.Now() + wait;
   for (;;) {
     if (!group_.IsServing()) co_return NotLeader();
-    const steps::step* step = state_.Find(input->step);
+    const steps::step* step = FindStep(input->step, input->customer);
     if (step == nullptr) co_return NoSuch("step");
     const bool has_all =
         step->is_ended || step->results.size() == step->input.tasks.size();
@@ -167,7 +179,7 @@
 awaitable<envelope> step_service::ReadTask(std::string payload) {
   const auto input = core::DecodeBinary<peering::read_task_request>(payload);
   if (!input) co_return Malformed();
-  const steps::step* step = state_.Find(input->step);
+  const steps::step* step = FindStep(input->step, input->customer);
   if (step == nullptr) co_return NoSuch("step");
   for (uint32_t i = 0; i < step->input.tasks.size(); ++i) {
     const steps::task& task = step->input.tasks[i];
@@ -186,9 +198,9 @@
 }
 
 awaitable<envelope> step_service::EndStep(std::string payload) {
-  const auto input = core::DecodeBinary<peering::named_item>(payload);
+  const auto input = core::DecodeBinary<peering::end_step_request>(payload);
   if (!input) co_return Malformed();
-  const steps::step* step = state_.Find(input->name);
+  const steps::step* step = FindStep(input->name, input->customer);
   if (step == nullptr) co_return NoSuch("step");
   if (step->is_ended) co_return Done();
   const size_t results = step->results.size();
--- a/packages/store/step_service.h
+++ b/packages/store/step_service.h
@@ -44,6 +44,10 @@
  private:
   using answer = boost::asio::awaitable<peering::envelope>;
 
+  // Returns the step if it exists and belongs to this customer. The callers of
+  // other customers don't learn that it exists.
+  const steps::step* FindStep(const std::string& id,
+                              const std::string& customer) const;
   answer OpenStep(std::string payload);
   bool ReadOutputs(const std::string& step, steps::result_page& page);
   answer ReadResults(std::string payload);
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -66,7 +66,7 @@
               group::MakeGroupSettings(node, kGroupName, node.DataVoters()),
               pool, state),
         caller(pool, node.seeds),
-        follower(caller, FollowerOptions(node)),
+        follower(runtime, caller, FollowerOptions(node)),
         service(io, runtime, group, state, ServiceOptions(node)),
         crashes(io, runtime, pool, follower.View(),
                 [this](fleet::crash_update update) {
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -153,7 +153,8 @@
       << "data_folder: " << folder_ << "/" << id << "\n"
       << "endpoints: {heartbeat: 10s}\n"
       << "orders: {holder_lease: 0ms}\n"
-      << "drain: {grace: 20s, notice: 300ms}\n";
+      << "drain: {grace: 20s, notice: 300ms}\n"
+      << extra_settings;
   out.close();
   item.was_started = true;
   item.is_up = true;
@@ -283,6 +284,7 @@
              {"engine",
               {{"slots", 8}, {"models", json::array({{{"name", "m"}}})}}}}})}};
   if (with_plain_route) body["routes"].push_back(PlainRoute());
+  if (!customers.is_null()) body["tenants"] = customers;
   size_t turn = 0;
   return WaitUntil([&] {
     const std::string& control = controls_[turn++ % controls_.size()];
@@ -312,12 +314,21 @@
   return web_.Send(std::move(input)).status / 100 == 2;
 }
 
+std::vector<transport::http_header> deployment::CallerHeaders() const {
+  std::vector<transport::http_header> headers = {{"Host", "h"}};
+  if (!caller_key.empty()) {
+    headers.push_back({"Authorization", "Bearer " + caller_key});
+  }
+  return headers;
+}
+
 transport::http_request deployment::MakeRequest(
     const std::string& entry, const std::string& path,
     const std::string& request_id) const {
   transport::http_request input;
   input.url = "http://" + Address(entry, callers_port_) + path;
-  input.headers = {{"Host", "h"}, {"X-Request-Id", request_id}};
+  input.headers = CallerHeaders();
+  input.headers.push_back({"X-Request-Id", request_id});
   input.total_timeout = std::chrono::milliseconds(30000);
   return input;
 }
@@ -400,9 +411,10 @@
                                          {"path", "/p/reward"},
                                          {"body", Base64(id)}};
   }
+  std::vector<transport::http_header> headers = CallerHeaders();
+  headers.push_back({"X-Request-Id", step});
   return WaitUntil([&] {
-    return web_.Post(Address(entry, callers_port_), "/s/" + step, body,
-                     {{"Host", "h"}, {"X-Request-Id", step}})
+    return web_.Post(Address(entry, callers_port_), "/s/" + step, body, headers)
                .status == 202;
   });
 }
@@ -412,6 +424,7 @@
     transport::http_request input;
     input.method = "DELETE";
     input.url = "http://" + Address(entry, callers_port_) + "/v1/lots/" + step;
+    input.headers = CallerHeaders();
     input.total_timeout = kCallTimeout;
     return web_.Send(std::move(input)).status / 100 == 2;
   });
@@ -421,14 +434,16 @@
                                               const std::string& step,
                                               int task) {
   return web_.Get(Address(entry, callers_port_),
-                  "/v1/items/" + step + "?id=" + TaskId(step, task));
+                  "/v1/items/" + step + "?id=" + TaskId(step, task),
+                  CallerHeaders());
 }
 
 transport::http_response deployment::ReadResults(const std::string& entry,
                                                  const std::string& step,
                                                  size_t after) {
   return web_.Get(Address(entry, callers_port_),
-                  "/v1/lots/" + step + "?after=" + std::to_string(after));
+                  "/v1/lots/" + step + "?after=" + std::to_string(after),
+                  CallerHeaders());
 }
 
 json deployment::WaitForResults(const std::string& entry,
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -58,6 +58,14 @@
   // bodies by incarnation. Must be set before Start().
   std::function<std::map<std::string, std::string>()> extra_heartbeats;
 
+  // Text that is appended to the settings of all instances that are started
+  // from now on.
+  std::string extra_settings;
+  // Customers of the next configurations, in the operator's format; null: none.
+  nlohmann::json customers;
+  // Key that is sent with all requests of callers; empty: none.
+  std::string caller_key;
+
   // Sends a configuration to the control instances in turn until one accepts
   // it.
   bool PutConfiguration(int version, bool with_plain_route);
@@ -136,6 +144,7 @@
     bool is_up = false;
   };
 
+  std::vector<transport::http_header> CallerHeaders() const;
   void AddNode(const std::string& id, const std::string& role);
   std::vector<std::string> GroupOf(const std::string& id) const;
   std::string Address(const std::string& id, int port) const;
--- a/tests/support/simulated_endpoints.cc
+++ b/tests/support/simulated_endpoints.cc
@@ -222,9 +222,22 @@
   return stream;
 }
 
-void simulated_endpoints::CountRun(const std::string& request_id) {
+void simulated_endpoints::CountRun(const net::request& input) {
+  const std::string id(net::Find(input.headers, "X-Request-Id"));
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++runs_[id];
+  customers_[id] = std::string(net::Find(input.headers, "X-Tenant"));
+  if (net::Has(input.headers, "Authorization")) ++keys_seen_;
+}
+
+std::string simulated_endpoints::CustomerOf(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return customers_[request_id];
+}
+
+int simulated_endpoints::KeysSeen() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  ++runs_[request_id];
+  return keys_seen_;
 }
 
 awaitable<void> simulated_endpoints::Serve(std::shared_ptr<endpoint> self,
@@ -257,7 +270,7 @@
   }
   const bool crashes_later = self->service == "engines" && crash_after_ > 0;
   if (IsCrashing(input) && !crashes_later) {
-    CountRun(std::string(net::Find(input.headers, "X-Request-Id")));
+    CountRun(input);
     // The endpoint crashes even if the caller disconnects in the meantime.
     boost::asio::co_spawn(loop_, CrashSoon(self, kTimeToCrash),
                           boost::asio::detached);
@@ -275,7 +288,7 @@
                                                 net::exchange& call) {
   const net::request& input = call.Request();
   const std::string id(net::Find(input.headers, "X-Request-Id"));
-  CountRun(id);
+  CountRun(input);
   int status = 200;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -294,7 +307,7 @@
   const net::request& input = call.Request();
   const std::string id(net::Find(input.headers, "X-Request-Id"));
   const std::string last(net::Find(input.headers, "Last-Event-Id"));
-  CountRun(id);
+  CountRun(input);
   net::response head = SignedAnswer(input, 200, "");
   head.headers.push_back({"X-Weight-Versions", std::to_string(self->version)});
   co_await call.BeginStream(std::move(head));
--- a/tests/support/simulated_endpoints.h
+++ b/tests/support/simulated_endpoints.h
@@ -59,6 +59,12 @@
   // The number of times that a request with this id was run.
   int RunsOf(const std::string& request_id);
 
+  // The customer that a request with this id was run for, as its endpoint was
+  // told; empty: none.
+  std::string CustomerOf(const std::string& request_id);
+  // The number of requests that arrived with their caller's key.
+  int KeysSeen();
+
   // The number of reward requests that arrived before the stream of their task
   // was complete.
   int EarlyRewards();
@@ -90,12 +96,14 @@
                                           net::exchange& call);
   boost::asio::awaitable<void> ServeStream(std::shared_ptr<endpoint> self,
                                            net::exchange& call);
-  void CountRun(const std::string& request_id);
+  void CountRun(const net::request& input);
 
   boost::asio::io_context loop_;
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<endpoint>> endpoints_;
   std::map<std::string, int> runs_;
+  std::map<std::string, std::string> customers_;  // by request
+  int keys_seen_ = 0;
   std::map<std::string, bool> was_interrupted_;
   std::map<std::string, int> failures_left_;  // by request
   std::set<std::string> complete_ids_;        // by task
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -48,7 +48,8 @@
         crashes_(
             loop, clock_, pool_, view_,
             [](fleet::crash_update) -> awaitable<bool> { co_return true; }),
-        relay_(loop, clock_, pool_, *wire_, view_, crashes_, "z"),
+        relay_(loop, clock_, pool_, *wire_, view_, crashes_, "z",
+               [](const std::string&, core::boot_time_point) {}),
         listener_(loop, ListenerOptions(),
                   [this](net::exchange& call) { return Serve(call); }) {
     route_.services = {{"echo", 1}};
@@ -81,7 +82,7 @@
   }
 
   awaitable<void> Serve(net::exchange& call) {
-    return relay_.Serve(call, route_);
+    return relay_.Serve(call, route_, std::nullopt);
   }
 
   core::runtime_clock clock_;
--- a/tests/unit/fleet/configuration_test.cc
+++ b/tests/unit/fleet/configuration_test.cc
@@ -54,6 +54,15 @@
   EXPECT_EQ(CheckConfiguration(no_version).size(), 1U);
 }
 
+TEST(ConfigurationTest, KeyOfTwoCustomersIsReportedWithItsPlaces) {
+  configuration config = MakeConfiguration(1);
+  config.customers = {{"x", {"1", "2", "2"}}, {"y", {"3", "2"}}};
+  const std::vector<std::string> findings = CheckConfiguration(config);
+  ASSERT_EQ(findings.size(), 1U);
+  EXPECT_EQ(findings[0],
+            "customer 'y': its key 1 is also key 1 of customer 'x'");
+}
+
 TEST(ConfigurationTest, ServicesAreChosenByWeight) {
   route where = MakeRoute("r", "/", "a");
   where.services = {{"a", 90}, {"b", 0}, {"c", 10}};
