Report the usage of each customer to the provider

Change: entries count the requests that began to run, by customer and window, and send the totals with their requests for views; totals replace earlier ones, so a lost response counts nothing twice, and a new leader gets all windows again. The control leader commits the sum of a window before it reports it: the counts never change, whoever leads. It closes a window after half of the time in which the report is due, so that entries out of contact for some seconds are still counted. The holder of the duty is the control leader; its token is the term and the number of its call; a new one waits for the lease of its predecessor, twice that where tokens are not checked.

Windows are of true time. Weighed: the leader's own clock (wrong by 30 s when it is stepped), the median of the clocks that come with the requests for views, kept as offsets from the boot clock (built; a minority of wrong clocks is outvoted, a step between two requests has no effect).

--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -32,6 +32,26 @@
   if (input && held.digest_key.empty()) held.digest_key = input->key;
 }
 
+// Reports that are kept for a provider that is unreachable. One more drops the
+// oldest.
+constexpr size_t kMaxUnreported = 256;
+
+void CloseUsage(control_state::content& held, const std::string& payload) {
+  auto input = core::DecodeBinary<fleet::usage_window>(payload);
+  if (!input || input->number <= held.latest_closed_usage) return;
+  held.latest_closed_usage = input->number;
+  held.unreported_usage[input->number] = std::move(input->counts);
+  if (held.unreported_usage.size() > kMaxUnreported) {
+    held.unreported_usage.erase(held.unreported_usage.begin());
+  }
+}
+
+void RecordUsageReported(control_state::content& held,
+                         const std::string& payload) {
+  const auto input = core::DecodeBinary<usage_reported_command>(payload);
+  if (input) held.unreported_usage.erase(input->window);
+}
+
 }  // namespace
 
 void control_state::Apply(const group::hosted_command& input) {
@@ -43,6 +63,10 @@
     FoundDataGroup(content_, input.payload);
   } else if (input.name == kSetDigestKeyCommand) {
     SetDigestKey(content_, input.payload);
+  } else if (input.name == kCloseUsageCommand) {
+    CloseUsage(content_, input.payload);
+  } else if (input.name == kUsageReportedCommand) {
+    RecordUsageReported(content_, input.payload);
   }
 }
 
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -10,6 +10,7 @@
 #include "core/json.h"
 #include "fleet/configuration.h"
 #include "fleet/endpoint_registry.h"
+#include "fleet/usage.h"
 #include "group/hosted_state.h"
 
 namespace hickorywood::controller {
@@ -18,6 +19,8 @@
 constexpr char kPublishVersionCommand[] = "publish_version";
 constexpr char kFoundDataGroupCommand[] = "found_data_group";
 constexpr char kSetDigestKeyCommand[] = "set_digest_key";
+constexpr char kCloseUsageCommand[] = "close_usage";
+constexpr char kUsageReportedCommand[] = "usage_reported";
 
 struct put_configuration_command {
   fleet::configuration config;
@@ -37,10 +40,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(set_digest_key_command, key)
 
+// The provider has acknowledged the report of a window.
+struct usage_reported_command {
+  int64_t window = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(usage_reported_command, window)
+
 class control_state : public group::hosted_state {
  public:
   // Ignores a configuration that is not newer, a version that is not higher, a
-  // second founder and a second key.
+  // second founder, a second key, and usage of a window that is not newer.
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
   consensus::saved_state Save(uint64_t applied) const override;
@@ -59,12 +68,21 @@
   // under every leader.
   const std::string& DigestKey() const { return content_.digest_key; }
 
+  // The latest window whose usage is final; 0: none.
+  int64_t LatestClosedUsage() const { return content_.latest_closed_usage; }
+  // The final usage that the provider has not acknowledged, by window.
+  const std::map<int64_t, fleet::customer_counts>& UnreportedUsage() const {
+    return content_.unreported_usage;
+  }
+
   struct content {
     fleet::configuration config;
     std::string config_text;
     std::map<std::string, uint64_t> versions;
     std::string data_founder;
     std::string digest_key;
+    int64_t latest_closed_usage = 0;
+    std::map<int64_t, fleet::customer_counts> unreported_usage;
   };
 
  private:
@@ -72,7 +90,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(control_state::content, config,
                                                 config_text, versions,
-                                                data_founder, digest_key)
+                                                data_founder, digest_key,
+                                                latest_closed_usage,
+                                                unreported_usage)
 
 }  // namespace hickorywood::controller
 
--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -8,6 +8,7 @@
 #include "controller/control_api.h"
 #include "controller/heartbeat_forwarder.h"
 #include "controller/leader_service.h"
+#include "controller/usage_reporter.h"
 #include "controller/weight_load_scheduler.h"
 #include "core/events.h"
 #include "group/group_host.h"
@@ -51,6 +52,19 @@
   return options;
 }
 
+usage_reporter_options ReporterOptions(
+    const settings::node_settings& settings) {
+  usage_reporter_options options;
+  options.is_enabled = settings.reports_usage;
+  options.holder = settings.id;
+  options.address = settings.provider_address;
+  options.window = settings.usage_window;
+  options.due = settings.usage_due;
+  options.holder_lease = settings.holder_lease;
+  options.is_fenced = settings.is_provider_fenced;
+  return options;
+}
+
 peering::follower_options FollowerOptions(
     const settings::node_settings& settings) {
   peering::follower_options options;
@@ -70,7 +84,9 @@
         group(io, runtime, group::MakeGroupSettings(node, kGroupName, kVoters),
               pool, state),
         stores_caller(pool, {}),
-        service(io, runtime, group, state, registry, weights, stores_caller),
+        usage(io, runtime, group, state, pool, wire, ReporterOptions(node)),
+        service(io, runtime, group, state, registry, weights, usage,
+                stores_caller),
         load_scheduler(io, runtime, group, state, pool, wire, registry, weights,
                        SchedulerOptions(node)),
         caller(pool, node.seeds),
@@ -166,6 +182,7 @@
   control_state state;
   group::group_host group;
   peering::leader_caller stores_caller;
+  usage_reporter usage;
   leader_service service;
   weight_load_scheduler load_scheduler;
   peering::leader_caller caller;
@@ -194,6 +211,7 @@
   if (is_founder) impl_->group.Bootstrap();
   impl_->service.Start();
   impl_->load_scheduler.Start();
+  impl_->usage.Start();
   impl_->heartbeats.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -56,7 +56,7 @@
                                group::group_host& group,
                                const control_state& state,
                                fleet::endpoint_registry& registry,
-                               weight_table& weights,
+                               weight_table& weights, usage_reporter& usage,
                                peering::leader_caller& stores)
     : loop_(loop),
       clock_(clock),
@@ -64,6 +64,7 @@
       state_(state),
       registry_(registry),
       weights_(weights),
+      usage_(usage),
       stores_caller_(stores),
       views_(loop, clock, Sources()) {}
 
@@ -145,6 +146,7 @@
   }
   // Heartbeats reach a new leader only after a while. Until then it uses the
   // endpoints that it had as a follower.
+  usage_.BeginTerm();
   registry_.endpoints.clear();
   fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
   stores_.clear();
@@ -199,10 +201,14 @@
   for (const fleet::model_demand& item : input->demands) {
     weights_.demands[item.model] = item.streams;
   }
+  usage_.Record(*input);
   std::string update = co_await views_.Answer(*input);
   // The lease may have expired while the request waited for a change.
   if (!group_.IsServing()) co_return NotLeader();
-  co_return Done(std::move(update));
+  envelope answer = Done(std::move(update));
+  const auto now = usage_.Now();
+  if (now) answer.time_ms = now->time_since_epoch().count();
+  co_return answer;
 }
 
 // The configuration lists the services, so before the first one every service
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -15,6 +15,7 @@
 
 #include "controller/control_state.h"
 #include "controller/heartbeat_cache.h"
+#include "controller/usage_reporter.h"
 #include "controller/view_publisher.h"
 #include "controller/weight_table.h"
 #include "core/clock.h"
@@ -32,7 +33,8 @@
   leader_service(boost::asio::io_context& loop,
                  const core::runtime_clock& clock, group::group_host& group,
                  const control_state& state, fleet::endpoint_registry& registry,
-                 weight_table& weights, peering::leader_caller& stores);
+                 weight_table& weights, usage_reporter& usage,
+                 peering::leader_caller& stores);
 
   void Start();
   boost::asio::awaitable<peering::envelope> Handle(std::string method,
@@ -85,6 +87,7 @@
   const control_state& state_;
   fleet::endpoint_registry& registry_;
   weight_table& weights_;
+  usage_reporter& usage_;
   peering::leader_caller& stores_caller_;
   quarantine::crash_ledger crashes_;
   view_publisher views_;
--- a/packages/core/clock.h
+++ b/packages/core/clock.h
@@ -54,6 +54,9 @@
 // records.
 int64_t ToUnixMillis(wall_time time);
 
+// A time of day to the millisecond, as in messages.
+using unix_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
 }  // namespace hickorywood::core
 
 #endif  // HICKORYWOOD_CORE_CLOCK_H_
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -182,6 +182,11 @@
        "runs of an unreachable store lost"},
       {event_id::kTaskQuarantined, kWarning, "rollout", "task quarantined"},
       {event_id::kTaskBodyRead, kInfo, "rollout", "body of a task read"},
+      {event_id::kUsageClosed, kInfo, "duties", "usage of a window is final"},
+      {event_id::kUsageReported, kInfo, "duties", "usage reported"},
+      {event_id::kUsageReportFailed, kWarning, "duties",
+       "report of usage failed"},
+      {event_id::kUsageOverdue, kError, "duties", "report of usage is overdue"},
   };
   return *kCatalogue;
 }
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -90,6 +90,10 @@
   kRunnerUnreachable = 6015,
   kTaskQuarantined = 6016,
   kTaskBodyRead = 6017,
+  kUsageClosed = 7001,
+  kUsageReported = 7002,
+  kUsageReportFailed = 7003,
+  kUsageOverdue = 7004,
 };
 
 struct event_info {
--- /dev/null
+++ b/packages/duties/fencing.cc
@@ -0,0 +1,25 @@
+#include "duties/fencing.h"
+
+#include <algorithm>
+
+namespace hickorywood::duties {
+namespace {
+
+// Calls of one term that have tokens of their own. A term in which more calls
+// are made goes on with the last one.
+constexpr int kCallBits = 20;
+constexpr uint64_t kMaxCallNumber = (uint64_t{1} << kCallBits) - 1;
+
+}  // namespace
+
+uint64_t FencingToken(uint64_t term, uint64_t call_number) {
+  return (term << kCallBits) | std::min(call_number, kMaxCallNumber);
+}
+
+bool MayAct(const holder_terms& terms, core::time_point now) {
+  const auto wait =
+      terms.is_fenced ? terms.holder_lease : 2 * terms.holder_lease;
+  return terms.is_leader && now - terms.elected_at >= wait;
+}
+
+}  // namespace hickorywood::duties
--- /dev/null
+++ b/packages/duties/fencing.h
@@ -0,0 +1,36 @@
+#ifndef HICKORYWOOD_DUTIES_FENCING_H_
+#define HICKORYWOOD_DUTIES_FENCING_H_
+
+// Who may carry out a duty of one instance at a time: the control leader. There
+// is no second election.
+
+#include <chrono>
+#include <cstdint>
+
+#include "core/clock.h"
+
+namespace hickorywood::duties {
+
+// Fencing token of a call: the term of the holder, then the number of its call.
+// A call without a response may be executed after later calls of the same
+// holder; its lower token then has it refused.
+uint64_t FencingToken(uint64_t term, uint64_t call_number);
+
+struct holder_terms {
+  bool is_leader = false;  // with a live lease
+  core::time_point elected_at{};
+  // Two holders must not act by turns within this time.
+  std::chrono::milliseconds holder_lease{0};
+  // Whether the receiver refuses calls with an older token. If it does not, a
+  // call of the previous holder may be executed when this one acts already, so
+  // the new holder waits for as long again.
+  bool is_fenced = true;
+};
+
+// Whether this instance may act as the holder now. Must be checked right before
+// each call, since a process may have been suspended in between.
+bool MayAct(const holder_terms& terms, core::time_point now);
+
+}  // namespace hickorywood::duties
+
+#endif  // HICKORYWOOD_DUTIES_FENCING_H_
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -8,6 +8,7 @@
 #include "access/caller_access.h"
 #include "core/events.h"
 #include "core/ids.h"
+#include "duties/usage_counter.h"
 #include "entry/relay.h"
 #include "entry/step_gateway.h"
 #include "net/connection_pool.h"
@@ -62,7 +63,11 @@
                 [this](fleet::crash_update update) {
                   return peering::SendCrashUpdate(caller, std::move(update));
                 }),
-        plain(io, runtime, pool, protocol, follower.View(), crashes, node.zone),
+        plain(io, runtime, pool, protocol, follower.View(), crashes, node.zone,
+              [this](const std::string& customer,
+                     core::boot_time_point began_at) {
+                duties::CountRequest(usage, customer, began_at);
+              }),
         stores_caller(pool, {}),
         gateway(runtime, protocol, stores_caller),
         callers(io, CallerOptions(),
@@ -71,6 +76,8 @@
           return AnswerReadiness(call);
         }) {
     limits.revocation = node.revocation_limit;
+    usage.window = node.usage_window;
+    FeedUsage();
     follower.OnChange([this] {
       UpdateKeys();
       plain.OnEndpointsChanged();
@@ -79,6 +86,21 @@
     });
   }
 
+  void FeedUsage() {
+    if (usage.window.count() == 0) return;
+    peering::usage_feed feed;
+    feed.source = settings.id + "/" + core::RandomId();
+    feed.pending = [this] {
+      sent_usage = usage.changes;
+      return duties::UnacknowledgedWindows(usage);
+    };
+    feed.received = [this](uint64_t term, std::optional<core::unix_time> time) {
+      duties::Acknowledge(usage, term, sent_usage);
+      if (time) duties::RecordLeaderTime(usage, *time, clock.BootNow());
+    };
+    follower.SetUsageFeed(std::move(feed));
+  }
+
   void UpdateKeys() {
     const fleet::configuration& config = follower.View().config;
     if (config.version == keys_version) return;
@@ -263,6 +285,8 @@
   const std::string key_secret = core::RandomId();
   access::key_directory keys;
   uint64_t keys_version = 0;  // of the configuration
+  duties::usage_counter usage;
+  uint64_t sent_usage = 0;  // its changes as of the latest request for a view
   bool is_stopping = false;
 };
 
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -36,13 +36,14 @@
 relay::relay(asio::io_context& loop, const core::runtime_clock& clock,
              net::connection_pool& pool, const fleet::protocol& wire,
              const fleet::view& view, quarantine::crash_detector& crashes,
-             std::string own_zone)
+             std::string own_zone, usage_recorder count_usage)
     : clock_(clock),
       pool_(pool),
       wire_(wire),
       view_(view),
       crashes_(crashes),
-      sender_(loop, clock, pool, wire, view, crashes, std::move(own_zone)) {}
+      sender_(loop, clock, pool, wire, view, crashes, std::move(own_zone)),
+      count_usage_(std::move(count_usage)) {}
 
 void relay::OnEndpointsChanged() { sender_.OnEndpointsChanged(); }
 
@@ -73,6 +74,11 @@
   terms.route = route;
   terms.id = wire_.RequestId(input);
   terms.deadline = DeadlineOf(input, route);
+  if (customer) {
+    terms.on_run = [this, name = *customer](core::boot_time_point began_at) {
+      count_usage_(name, began_at);
+    };
+  }
   terms.customer = std::move(customer);
   routing::send_outcome outcome = co_await sender_.Send(input, terms);
   net::response answer = outcome.answer ? std::move(*outcome.answer)
@@ -218,6 +224,7 @@
     const fleet::endpoint target = *chosen;
     tried.insert(target.incarnation);
     open_request open(crashes_, identity, target);
+    const core::boot_time_point sent_at = clock_.BootNow();
     stream_start stream =
         co_await StartStream(input, target, deadline, customer);
     if (stream.how == stream_start::outcome::kNotSent) {
@@ -230,6 +237,7 @@
       open.Settle();
       continue;
     }
+    if (customer) count_usage_(*customer, sent_at);
     if (stream.how == stream_start::outcome::kNoAnswer) {
       routing::RecordFailure(loads, target.incarnation, clock_.Now());
       const auto cancellation = co_await asio::this_coro::cancellation_state;
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -21,12 +21,16 @@
 
 namespace hickorywood::entry {
 
+// Counts a request of a customer that began to run.
+using usage_recorder = std::function<void(const std::string& customer,
+                                          core::boot_time_point began_at)>;
+
 class relay {
  public:
   relay(boost::asio::io_context& loop, const core::runtime_clock& clock,
         net::connection_pool& pool, const fleet::protocol& wire,
         const fleet::view& view, quarantine::crash_detector& crashes,
-        std::string own_zone);
+        std::string own_zone, usage_recorder count_usage);
 
   // Answers the exchange on behalf of `customer`, see fleet::dispatch_terms.
   // The coroutine is cancelled when the caller disconnects, which also cancels
@@ -61,6 +65,7 @@
   const fleet::view& view_;
   quarantine::crash_detector& crashes_;
   routing::request_sender sender_;
+  const usage_recorder count_usage_;
 };
 
 }  // namespace hickorywood::entry
--- a/packages/fleet/protocol.h
+++ b/packages/fleet/protocol.h
@@ -14,6 +14,7 @@
 
 #include "fleet/configuration.h"
 #include "fleet/endpoint_registry.h"
+#include "fleet/usage.h"
 #include "net/message.h"
 #include "steps/step.h"
 
@@ -102,6 +103,19 @@
   kElsewhere,  // another endpoint has the address
 };
 
+// Reports the usage of a window to the provider.
+struct usage_report {
+  usage_window usage;
+  std::string holder;  // instance that sends the report
+  uint64_t fencing_token = 0;
+};
+
+enum class report_outcome {
+  kAccepted,
+  kFenced,    // the provider has received a higher token
+  kRejected,  // not accepted; a later attempt may be
+};
+
 // The state that an endpoint reports on request. The state is a few hundred
 // milliseconds old.
 struct endpoint_report {
@@ -205,6 +219,9 @@
   virtual net::request EncodeOrder(const load_order& order) const = 0;
   // `status`: HTTP status of the response to an order.
   virtual order_outcome DecodeOrderAnswer(int status) const = 0;
+  virtual net::request EncodeUsageReport(const usage_report& report) const = 0;
+  // `status`: HTTP status of the response to a report of usage.
+  virtual report_outcome DecodeUsageAnswer(int status) const = 0;
   virtual net::request EncodeReportCall(const std::string& endpoint) const = 0;
   virtual std::optional<endpoint_report> DecodeReport(
       const net::response& answer) const = 0;
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -12,6 +12,7 @@
 #include "fleet/configuration.h"
 #include "fleet/endpoint_registry.h"
 #include "fleet/request_warning.h"
+#include "fleet/usage.h"
 
 namespace hickorywood::fleet {
 
@@ -94,11 +95,18 @@
   int64_t wait_ms = 0;
   // Reported by the instance that runs the tasks; empty for all others.
   std::vector<model_demand> demands;
+  // Time of day by the clock of the requester, Unix ms; 0: not sent.
+  int64_t clock_ms = 0;
+  // Identifies the process that counted `usage`. Its counts begin at 0.
+  std::string usage_source;
+  // Totals of the windows that changed; entries only.
+  std::vector<usage_window> usage;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_request, instance, address,
                                                 may_found, wants_weights,
                                                 held_weights, held, held_config,
-                                                wait_ms, demands)
+                                                wait_ms, demands, clock_ms,
+                                                usage_source, usage)
 
 // Which part of a list an update contains.
 enum class list_part {
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -75,9 +75,12 @@
   std::string leader;  // peer address; empty: unknown
   std::string reason;
   std::string payload;  // of kDone: the encoded result
+  // With a view: the time of day by which usage is counted, Unix ms. 0: the
+  // leader does not know it yet.
+  int64_t time_ms = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(envelope, outcome, leader,
-                                                reason, payload)
+                                                reason, payload, time_ms)
 
 struct consensus_messages {
   std::vector<consensus::message> messages;
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -45,6 +45,11 @@
     input.held_config = view_.config.version;
     input.wait_ms = options_.wait.count();
     if (demands_) input.demands = demands_();
+    input.clock_ms = core::ToUnixMillis(clock_.WallNow());
+    if (usage_.pending) {
+      input.usage_source = usage_.source;
+      input.usage = usage_.pending();
+    }
     const core::boot_time_point requested_at = clock_.BootNow();
     const core::milliseconds attempt_timeout = options_.wait + options_.slack;
     const envelope answer =
@@ -75,6 +80,13 @@
     return;
   }
   const uint64_t config_before = view_.config.version;
+  if (usage_.received) {
+    std::optional<core::unix_time> time;
+    if (answer.time_ms > 0) {
+      time = core::unix_time(core::milliseconds(answer.time_ms));
+    }
+    usage_.received(update->version.term, time);
+  }
   const bool is_changed = fleet::ApplyUpdate(view_, *update);
   // An update that was rejected confirms nothing if it contains a newer
   // configuration.
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -31,6 +31,17 @@
 // Returns the peer addresses of the stores in a view.
 std::vector<std::string> StoreAddresses(const fleet::view& held);
 
+// Counts of usage that are sent with the requests.
+struct usage_feed {
+  std::string source;  // see fleet::view_request
+  // Called before each request.
+  std::function<std::vector<fleet::usage_window>()> pending;
+  // Called after each response, with the term of the leader that received the
+  // counts and with its time of day, if it knows it.
+  std::function<void(uint64_t term, std::optional<core::unix_time> time)>
+      received;
+};
+
 class view_follower {
  public:
   view_follower(const core::runtime_clock& clock, leader_caller& caller,
@@ -53,6 +64,7 @@
       std::function<std::vector<fleet::model_demand>()> demands) {
     demands_ = std::move(demands);
   }
+  void SetUsageFeed(usage_feed feed) { usage_ = std::move(feed); }
   // Called after each change.
   void OnChange(std::function<void()> changed) {
     changed_ = std::move(changed);
@@ -69,6 +81,7 @@
   bool is_following_ = false;
   bool wants_weights_ = false;
   std::function<std::vector<fleet::model_demand>()> demands_;
+  usage_feed usage_;
   std::function<void()> changed_;
 };
 
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -58,6 +58,7 @@
 
 // The result of one attempt.
 struct request_sender::attempt_result {
+  core::boot_time_point sent_at{};
   bool is_cancelled = false;
   bool may_have_run = false;
   bool is_usable = false;  // complete and marked by its endpoint
@@ -73,6 +74,9 @@
   std::vector<attempt_result> results;  // not processed yet
   std::vector<net::cancel_signal> cancels;
   int running = 0;
+  std::multiset<core::boot_time_point> running_since;  // running attempts
+  // When the first of the finished attempts that may have run was sent.
+  std::optional<core::boot_time_point> began_at;
   int may_have_run = 0;  // finished attempts
   int refusals = 0;
   int failed_answers = 0;
@@ -85,6 +89,18 @@
   void CancelAll() {
     for (const net::cancel_signal& signal : cancels) net::Cancel(signal);
   }
+
+  // Attempts that are still running count as run: hardly any are rejected as
+  // late as that.
+  void ReportRun() const {
+    if (!terms.on_run) return;
+    std::optional<core::boot_time_point> first = began_at;
+    if (!running_since.empty()) {
+      const core::boot_time_point oldest = *running_since.begin();
+      first = std::min(first.value_or(oldest), oldest);
+    }
+    if (first) terms.on_run(*first);
+  }
 };
 
 request_sender::request_sender(asio::io_context& loop,
@@ -152,7 +168,10 @@
   // answer, at the deadline, or when the caller has disconnected.
   struct canceller {
     std::shared_ptr<send_state> owner;
-    ~canceller() { owner->CancelAll(); }
+    ~canceller() {
+      owner->ReportRun();
+      owner->CancelAll();
+    }
   };
   const canceller guard{state};
   state->terms = terms;
@@ -204,6 +223,8 @@
   state->tried.insert(target->incarnation);
   state->hedge_at = clock_.Now() + HedgeDelay(state->terms.route);
   ++state->running;
+  const core::boot_time_point sent_at = clock_.BootNow();
+  state->running_since.insert(sent_at);
   state->cancels.push_back(net::MakeCancelSignal());
   const std::string incarnation = target->incarnation;
   fleet::dispatch_terms terms;
@@ -214,9 +235,11 @@
   net::SpawnCancellable(
       loop_, Attempt(state, *target, wire_.EncodeDispatch(input, terms)),
       state->cancels.back(),
-      [this, state, incarnation](const std::exception_ptr& failure,
-                                 attempt_result result) {
+      [this, state, incarnation, sent_at](const std::exception_ptr& failure,
+                                          attempt_result result) {
         RecordFinished(loads_, incarnation);
+        state->running_since.erase(state->running_since.find(sent_at));
+        result.sent_at = sent_at;
         result.is_cancelled = result.is_cancelled || failure != nullptr;
         --state->running;
         state->results.push_back(std::move(result));
@@ -288,6 +311,8 @@
     if (result.is_cancelled) continue;
     if (result.may_have_run) {
       ++state.may_have_run;
+      state.began_at =
+          std::min(state.began_at.value_or(result.sent_at), result.sent_at);
     } else {
       ++state.refusals;
     }
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,12 +35,17 @@
 // how long a request is offered to full endpoints.
 constexpr int kMaxRefusals = 4;
 
+// Called once for a request that an endpoint began to run, with the time at
+// which it was sent there.
+using run_observer = std::function<void(core::boot_time_point began_at)>;
+
 struct send_terms {
   fleet::route route;
   std::string id;               // of the request; answers repeat it
   core::time_point deadline{};  // of the complete answer
   // Customer on whose behalf the request runs, see fleet::dispatch_terms.
   std::optional<std::string> customer;
+  run_observer on_run;  // empty: nobody is told
 };
 
 // The result of sending a request.
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -1,5 +1,6 @@
 #include "settings/node_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "settings/instance_settings.h"
@@ -10,6 +11,7 @@
 
 constexpr double kMillisPerMinute = 60.0 * 1000;
 constexpr double kMillisPerHour = 60 * kMillisPerMinute;
+constexpr char kUsageDuty[] = "usage";
 
 // Returns the port of an address "IP:PORT".
 std::string PortOf(const std::string& address) {
@@ -107,6 +109,19 @@
        "Time after which a withdrawn API key is accepted nowhere. An entry "
        "that was out of contact for as long refuses requests with keys. 0: not "
        "limited."},
+      {"usage.window", type::kDuration, "0ms", 0, kMillisPerHour,
+       "Length of the windows for which the requests of each customer are "
+       "counted. 0: they are not counted."},
+      {"usage.due", type::kDuration, "10s", 0, kMillisPerHour,
+       "Time after the end of a window in which its report must arrive."},
+      {"provider.address", type::kText, "", 0, 0,
+       "Address of the provider's API, `IP:PORT`. Control instances only. "
+       "Empty: nothing is reported."},
+      {"provider.duties", type::kTextList, "", 0, 0,
+       "Calls to the provider that the control leader makes: `usage`. Other "
+       "names are ignored."},
+      {"provider.fenced", type::kFlag, "true", 0, 0,
+       "Whether the provider refuses calls with an older fencing token."},
       {"losses.instances", type::kInteger, "1", 0, 10,
        "Instances with a disk that may be lost at once."},
       {"memory_mb", type::kInteger, "256", 16, 1024 * 1024,
@@ -156,6 +171,14 @@
   settings.drain_grace = read.Duration("drain.grace");
   settings.drain_notice = read.Duration("drain.notice");
   settings.revocation_limit = read.Duration("access.revocation_limit");
+  settings.usage_window = read.Duration("usage.window");
+  settings.usage_due = read.Duration("usage.due");
+  settings.provider_address = read.Text("provider.address");
+  const std::vector<std::string> duties = read.List("provider.duties");
+  settings.reports_usage =
+      !settings.provider_address.empty() && settings.usage_window.count() > 0 &&
+      std::find(duties.begin(), duties.end(), kUsageDuty) != duties.end();
+  settings.is_provider_fenced = read.Flag("provider.fenced");
   settings.tolerated_losses = read.Integer("losses.instances");
   settings.memory_mb = read.Integer("memory_mb");
   CheckRole(settings, file, findings);
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -41,7 +41,13 @@
   int64_t tolerated_losses = 1;
   // Time after which a withdrawn key is accepted nowhere; 0: not limited.
   std::chrono::milliseconds revocation_limit{0};
-  int64_t memory_mb = 256;  // memory limit of the process, MB
+  std::chrono::milliseconds usage_window{0};  // 0: usage is not counted
+  std::chrono::milliseconds usage_due{0};     // after the end of a window
+  // Address of the provider's API; empty: there is none.
+  std::string provider_address;
+  bool reports_usage = false;
+  bool is_provider_fenced = true;  // it refuses calls with an older token
+  int64_t memory_mb = 256;         // memory limit of the process, MB
 
   // Size of the outputs of ended steps that a store keeps in memory; older ones
   // are read from disk. The share is small because these outputs are rarely
--- a/tests/unit/platform/protocol_test.cc
+++ b/tests/unit/platform/protocol_test.cc
@@ -412,6 +412,22 @@
   EXPECT_TRUE(std::holds_alternative<fleet::malformed_call>(call));
 }
 
+TEST_F(ProtocolTest, UsageReport) {
+  fleet::usage_report report;
+  report.usage = {353445120, {{"a", 412}}};
+  report.holder = "c1";
+  report.fencing_token = 12;
+  const net::request output = wire_->EncodeUsageReport(report);
+  EXPECT_EQ(output.method, "POST");
+  EXPECT_EQ(output.target, "/usage");
+  EXPECT_EQ(net::Find(output.headers, "X-Duty-Holder"), "c1");
+  EXPECT_EQ(net::Find(output.headers, "X-Fence-Token"), "12");
+  EXPECT_EQ(output.body, R"({"counts":{"a":412},"window_id":353445120})");
+  EXPECT_EQ(wire_->DecodeUsageAnswer(200), fleet::report_outcome::kAccepted);
+  EXPECT_EQ(wire_->DecodeUsageAnswer(409), fleet::report_outcome::kFenced);
+  EXPECT_EQ(wire_->DecodeUsageAnswer(429), fleet::report_outcome::kRejected);
+}
+
 TEST_F(ProtocolTest, MarksOfResponses) {
   net::response answer;
   answer.headers = {{"X-Request-Id", "r"},
