Use idle connections up to the idle timeout that the endpoint states

Change: the pool keeps an idle connection until one second before the end of the timeout in the peer's Keep-Alive header, half of it if it is short; 4 s as before where the peer states none.

Test: ConnectionPoolTest.IdleTimeoutOfThePeerReplacesTheDefault.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -9,11 +9,14 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <string_view>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -37,6 +40,19 @@
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
 
+// Reads "timeout=15" in the value of a Keep-Alive header.
+std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const size_t start = value.find(kName);
+  if (start == std::string_view::npos) return std::nullopt;
+  value.remove_prefix(start + kName.size());
+  int seconds = 0;
+  const auto [end, failure] =
+      std::from_chars(value.data(), value.data() + value.size(), seconds);
+  if (failure != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
 class pooled_connection : public connection {
  public:
   pooled_connection(asio::io_context& loop, std::string address)
@@ -143,6 +159,13 @@
 
   void MarkReused() { is_reused_ = true; }
 
+  // The idle timeout that the peer stated with its latest answer.
+  std::optional<std::chrono::seconds> StatedIdleTimeout() const {
+    const auto field = parser_->get().find(http::field::keep_alive);
+    if (field == parser_->get().end()) return std::nullopt;
+    return ParseKeepAlive(field->value());
+  }
+
  private:
   // An interim response is followed by the final one (RFC 9110, section 15.2).
   static bool IsInterim(unsigned status) {
@@ -183,7 +206,7 @@
 
 struct idle_connection {
   std::unique_ptr<pooled_connection> item;
-  time_point since{};
+  time_point usable_until{};
 };
 
 }  // namespace
@@ -204,8 +227,8 @@
     for (size_t i = waiting.size(); i > 0 && !selected; --i) {
       const auto candidate =
           waiting.begin() + static_cast<std::ptrdiff_t>(i - 1);
-      const bool is_usable = now - candidate->since < options.idle_limit &&
-                             candidate->item->IsOpenWithoutData();
+      const bool is_usable =
+          now < candidate->usable_until && candidate->item->IsOpenWithoutData();
       if (is_usable && candidate->item->HasCarried(request_id)) continue;
       if (is_usable) selected = std::move(candidate->item);
       waiting.erase(candidate);
@@ -214,6 +237,13 @@
     return selected;
   }
 
+  std::chrono::milliseconds IdleLimitOf(const pooled_connection& item) const {
+    const auto stated = item.StatedIdleTimeout();
+    if (!stated) return options.idle_limit;
+    const std::chrono::milliseconds timeout = *stated;
+    return std::max(timeout - options.idle_margin, timeout / 2);
+  }
+
   asio::io_context& loop;
   const pool_options options;
   std::map<std::string, std::deque<idle_connection>> idle;
@@ -268,7 +298,9 @@
   if (!is_pooled) return;
   std::deque<idle_connection>& waiting = impl_->idle[item->Address()];
   if (waiting.size() >= impl_->options.idle_per_address) waiting.pop_front();
-  waiting.push_back({std::move(owner), std::chrono::steady_clock::now()});
+  const time_point usable_until =
+      std::chrono::steady_clock::now() + impl_->IdleLimitOf(*item);
+  waiting.push_back({std::move(owner), usable_until});
 }
 
 void connection_pool::CloseIdle(const std::string& address) {
--- a/packages/net/connection_pool.h
+++ b/packages/net/connection_pool.h
@@ -64,9 +64,13 @@
 };
 
 struct pool_options {
-  // Idle time after which a connection is not used again. It is below the idle
-  // timeouts that endpoints commonly have.
+  // Idle time after which a connection is not used again, if the peer states no
+  // idle timeout of its own. It is below the ones that endpoints commonly have.
   std::chrono::milliseconds idle_limit{4000};
+  // A peer that states its idle timeout closes connections after it; a
+  // connection is not used in this last part of it (half, if it is short),
+  // since the peer may close it before the request arrives.
+  std::chrono::milliseconds idle_margin{1000};
   size_t idle_per_address = 64;
   // A connection stores the ids of all requests that it carried, so this number
   // bounds its memory.
--- a/tests/unit/net/connection_pool_test.cc
+++ b/tests/unit/net/connection_pool_test.cc
@@ -100,5 +100,70 @@
   EXPECT_EQ(open_streams, 0);
 }
 
+// Sends `calls` requests one after the other to a server that states its idle
+// timeout, or none if `keep_alive` is empty. Returns how many of them used a
+// connection again.
+int CountReused(const std::string& keep_alive, milliseconds idle_limit) {
+  constexpr int kCalls = 4;
+  io_context loop;
+  listener_options options;
+  options.address = "127.0.0.1:0";
+  options.limits = [] { return caller_limits{}; };
+  listener server(
+      loop, options, [&keep_alive](exchange& call) -> awaitable<void> {
+        response answer;
+        answer.headers = {
+            {"Id", std::string(Find(call.Request().headers, "Id"))}};
+        if (!keep_alive.empty()) {
+          answer.headers.push_back({"Keep-Alive", keep_alive});
+        }
+        co_await call.Reply(std::move(answer));
+      });
+  EXPECT_TRUE(server.Start());
+  const std::string address = "127.0.0.1:" + std::to_string(server.Port());
+  pool_options limits;
+  limits.idle_limit = idle_limit;
+  connection_pool pool(loop, limits);
+  int reused = 0;
+  const auto send_all = [&]() -> awaitable<void> {
+    for (int i = 0; i < kCalls; ++i) {
+      acquire_terms terms;
+      terms.request_id = std::to_string(i);
+      std::unique_ptr<connection> open = co_await pool.Acquire(
+          address, In(milliseconds(2000)), std::move(terms));
+      if (open->IsReused()) ++reused;
+      request input;
+      input.target = "/";
+      input.headers = {{"Id", std::to_string(i)}};
+      co_await open->Write(input, In(milliseconds(2000)));
+      response head;
+      co_await open->ReadHead(head, In(milliseconds(2000)));
+      open->MarkIdentified();
+      body_state state = body_state::kMore;
+      while (state == body_state::kMore) {
+        std::string body;
+        state = co_await open->ReadSome(body, In(milliseconds(2000)));
+      }
+      pool.Release(std::move(open));
+    }
+    loop.stop();
+  };
+  boost::asio::co_spawn(loop, send_all(), boost::asio::detached);
+  loop.run_for(std::chrono::seconds(20));
+  return reused;
+}
+
+// Guards against a new connection for nearly every request of an entry that
+// sends one to each endpoint only every few seconds.
+TEST(ConnectionPoolTest, IdleTimeoutOfThePeerReplacesTheDefault) {
+  constexpr milliseconds kNoTime{0};
+  constexpr milliseconds kLong{60000};
+  EXPECT_EQ(CountReused("", kNoTime), 0);
+  EXPECT_EQ(CountReused("", kLong), 3);
+  EXPECT_EQ(CountReused("timeout=30, max=9", kNoTime), 3);
+  EXPECT_EQ(CountReused("max=9, timeout=0", kLong), 0);
+  EXPECT_EQ(CountReused("timeout=soon", kLong), 3);
+}
+
 }  // namespace
 }  // namespace hickorywood::net
