A leader that is elected again need not wait for its own lease

Change: the wait begins with the first of the consecutive terms that an instance leads. In each term there is one leader at most, so no other one can have acted in between; after a term that it did not lead the wait begins again.

Test: GroupTest.LeaderThatIsElectedAgainHasLedAllAlong.

--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -97,6 +97,10 @@
   bool is_lease_released = false;
   time_point transfer_started_at{};
   time_point elected_at{};
+  // The latest term that this replica led, and since when it has led without
+  // another leader in between: in each term there is one leader at most.
+  uint64_t led_term = 0;
+  time_point led_since{};
   std::set<std::string> leaving;  // nodes that must not be members
   // Follower only: the snapshot being received, in pieces.
   snapshot incoming;
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -312,6 +312,8 @@
   state.followers.clear();
   state.is_lease_released = false;
   state.elected_at = now;
+  if (state.hard.term != state.led_term + 1) state.led_since = now;
+  state.led_term = state.hard.term;
   RefreshFollowers(state);
   state.term_start_index = LastIndex(state.log) + 1;
   AppendAsLeader(state, entry_kind::kNoop, "", out);
--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -65,7 +65,7 @@
 
 bool weight_load_scheduler::MayOrder() const {
   return group_.IsServing() &&
-         clock_.Now() - group_.ElectedAt() >= options_.holder_lease;
+         clock_.Now() - group_.LedSince() >= options_.holder_lease;
 }
 
 // Updates the average time between two versions of each model.
--- a/packages/controller/weight_load_scheduler.h
+++ b/packages/controller/weight_load_scheduler.h
@@ -29,8 +29,8 @@
 
 struct weight_load_scheduler_options {
   std::string holder;  // name of this instance in orders
-  // Time between an election and the first order. Orders of two leaders that
-  // both reach an engine must not alternate within it.
+  // Time between the election of another leader and its first order. Orders of
+  // two leaders that both reach an engine must not alternate within it.
   std::chrono::milliseconds holder_lease{3000};
 };
 
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -128,6 +128,31 @@
   }
 }
 
+// Guards against a leader that waits for its own lease after each of several
+// elections that it wins one after the other.
+TEST(GroupTest, LeaderThatIsElectedAgainHasLedAllAlong) {
+  raft_state state;
+  state.self = {"n0", "disk"};
+  raft_output out;
+  time_point now{milliseconds(1000)};
+  ASSERT_TRUE(BootstrapGroup(state, "g", now, out));
+  const auto elect = [&](uint64_t term) {
+    internal::BecomeFollower(state, term, member{}, out);
+    now += 10 * state.options.election_timeout;
+    Tick(state, now, out);
+    EXPECT_EQ(state.role, raft_role::kLeader);
+  };
+  elect(state.hard.term);
+  const time_point first = state.led_since;
+  EXPECT_EQ(first, now);
+  elect(state.hard.term);
+  EXPECT_EQ(state.led_since, first);
+  EXPECT_EQ(state.elected_at, now);
+  // Another replica may have led in the term that was skipped.
+  elect(state.hard.term + 1);
+  EXPECT_EQ(state.led_since, now);
+}
+
 // A group of which only two instances exist must not wait for a third one
 // forever.
 TEST(GroupTest, GroupOfTwoInstancesGetsTwoVoters) {
