Send the changes of a configuration, not all of it

Each change was sent whole to 71 processes; the control leader was busy for longer than its followers wait for a heartbeat and lost its leadership three times. Meanwhile no weights were loaded, and the tasks of three steps waited for 8.6 s.

Change: a process that has one of the latest six configurations receives the routes, services and customers that differ. Every control instance keeps them, so that a new leader can tell the changes too. Any other process, and one of an older release, receives all.

--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -25,6 +25,10 @@
 // leaving endpoint must get no new work.
 constexpr milliseconds kMaxGatherTime{400};
 
+// Configurations that are kept to tell what changed since. Processes lag behind
+// by one or two, and one with thousands of routes takes about a megabyte.
+constexpr size_t kRecentConfigs = 6;
+
 // Counts a process as a follower while it waits for changes.
 class follower_count {
  public:
@@ -64,6 +68,7 @@
 
 void view_publisher::BeginTerm(uint64_t term, time_point complete_at) {
   fleet::BeginTerm(log_, term);
+  if (sources_.config().version > 0) RecordConfiguration();
   complete_at_ = complete_at;
   UpdateLists();
   UpdateWeights();
@@ -83,7 +88,18 @@
 
 void view_publisher::OnWeightsChanged() { ScheduleUpdate(weights_); }
 
-void view_publisher::OnConfigurationChanged() { Wake(lists_); }
+void view_publisher::OnConfigurationChanged() {
+  RecordConfiguration();
+  Wake(lists_);
+}
+
+void view_publisher::RecordConfiguration() {
+  const fleet::configuration& config = sources_.config();
+  recent_configs_[config.version] = config;
+  if (recent_configs_.size() > kRecentConfigs) {
+    recent_configs_.erase(recent_configs_.begin());
+  }
+}
 
 void view_publisher::ScheduleUpdate(update_channel& channel) {
   channel.has_changes = true;
@@ -153,6 +169,20 @@
   co_return EncodedUpdate(std::move(input));
 }
 
+void view_publisher::AddConfiguration(const fleet::view_request& input,
+                                      fleet::view_update& update) const {
+  const fleet::configuration& config = sources_.config();
+  if (config.version <= input.held_config) return;
+  const auto held = recent_configs_.find(input.held_config);
+  if (input.takes_config_changes && held != recent_configs_.end()) {
+    update.has_config_changes = true;
+    update.config_changes = fleet::ChangesBetween(held->second, config);
+    return;
+  }
+  update.has_config = true;
+  update.config = config;
+}
+
 const std::string& view_publisher::EncodedUpdate(fleet::view_request input) {
   // Versions of another term are not comparable, so all processes with such a
   // version get the same response.
@@ -161,13 +191,12 @@
     input.held_weights = 0;
   }
   const answer_key key(input.held.term, input.held.count, input.held_weights,
-                       input.held_config, input.wants_weights);
+                       input.held_config, input.wants_weights,
+                       input.takes_config_changes);
   const auto cached = answers_.find(key);
   if (cached != answers_.end()) return cached->second;
   fleet::view_update update = fleet::MakeUpdate(log_, input);
-  const fleet::configuration& config = sources_.config();
-  update.has_config = config.version > input.held_config;
-  if (update.has_config) update.config = config;
+  AddConfiguration(input, update);
   return answers_[key] = core::EncodeBinary(update);
 }
 
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -42,8 +42,9 @@
 
   void Start();
   // Begins a term of this leader: every process receives the complete view.
-  // Until `complete_at` this leader may lack changes that other processes have,
-  // and a process without a view gets no response.
+  // Until `complete_at`
+  // this leader may lack changes that other processes have, and a process
+  // without a view gets no response.
   void BeginTerm(uint64_t term, core::time_point complete_at);
 
   // Schedules the publication of the changed part.
@@ -81,6 +82,9 @@
   bool UpdateWeights();
   bool HasChangesFor(const fleet::view_request& input) const;
   const std::string& EncodedUpdate(fleet::view_request input);
+  void AddConfiguration(const fleet::view_request& input,
+                        fleet::view_update& update) const;
+  void RecordConfiguration();
   void Wake(update_channel& channel);
 
   boost::asio::io_context& loop_;
@@ -91,9 +95,13 @@
   update_channel weights_;  // for stores, which also follow the lists
   uint64_t interruptions_ = 0;
   core::time_point complete_at_{};
+  // The latest configurations, by version. Most processes have one of them, and
+  // receive only the changes since.
+  std::map<uint64_t, fleet::configuration> recent_configs_;
   // Responses encoded since the last change. Most processes have the same
   // version, and encoding is the main cost of a response.
-  using answer_key = std::tuple<uint64_t, uint64_t, uint64_t, uint64_t, bool>;
+  using answer_key =
+      std::tuple<uint64_t, uint64_t, uint64_t, uint64_t, bool, bool>;
   std::map<answer_key, std::string> answers_;
 };
 
--- a/packages/fleet/configuration.h
+++ b/packages/fleet/configuration.h
@@ -31,6 +31,8 @@
 struct weighted_service {
   std::string service;
   double weight = 1;
+
+  bool operator==(const weighted_service& other) const = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(weighted_service, service,
                                                 weight)
@@ -50,6 +52,8 @@
   bool is_single_version = false;  // steps: one weight version per result
   bool is_resumable = false;
   bool is_public = false;  // needs no key, also if other routes do
+
+  bool operator==(const route& other) const = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     route, name, host, path_prefix, kind, services, timeout_ms, objective_ms,
@@ -61,6 +65,8 @@
   int64_t slots = 0;  // requests in one batch
   int64_t kv_tokens = 0;
   std::vector<std::string> models;
+
+  bool operator==(const engine_shape& other) const = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_shape, slots, kv_tokens,
                                                 models)
@@ -71,6 +77,8 @@
   int64_t max_connections = 0;
   bool has_engines = false;
   engine_shape engine;
+
+  bool operator==(const service& other) const = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(service, name, health_path,
                                                 max_connections, has_engines,
@@ -93,6 +101,8 @@
   std::vector<std::string> keys;
   // Replaces the priority of the routes; -1: none.
   int64_t priority = -1;
+
+  bool operator==(const customer& other) const = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(customer, name, keys, priority)
 
--- a/packages/fleet/view.cc
+++ b/packages/fleet/view.cc
@@ -69,14 +69,22 @@
 
 }  // namespace
 
+uint64_t ConfigVersionOf(const view_update& update) {
+  if (update.has_config) return update.config.version;
+  return update.has_config_changes ? update.config_changes.version : 0;
+}
+
 bool ApplyUpdate(view& held, const view_update& update) {
   if (update.version < held.version) return false;
   const bool has_other_base =
       HasChanges(update) && !(update.base == held.version);
   if (has_other_base) return false;
-  const bool is_newer_config =
-      update.has_config && update.config.version > held.config.version;
-  if (is_newer_config) held.config = update.config;
+  const bool is_newer_config = ConfigVersionOf(update) > held.config.version;
+  if (is_newer_config && update.has_config) held.config = update.config;
+  const bool has_other_config =
+      is_newer_config && !update.has_config &&
+      !ApplyChanges(held.config, update.config_changes);
+  if (has_other_config) return false;
   ApplyLists(held, update);
   ApplyWeights(held, update);
   held.version = update.version;
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -10,6 +10,7 @@
 
 #include "core/json.h"
 #include "fleet/configuration.h"
+#include "fleet/configuration_changes.h"
 #include "fleet/endpoint_registry.h"
 #include "fleet/request_warning.h"
 #include "fleet/usage.h"
@@ -92,6 +93,8 @@
   uint64_t held_weights = 0;  // its version of the weights
   view_version held;
   uint64_t held_config = 0;  // its version of the configuration
+  // Whether it can apply changes of the configuration.
+  bool takes_config_changes = false;
   int64_t wait_ms = 0;
   // Reported by the instance that runs the tasks; empty for all others.
   std::vector<model_demand> demands;
@@ -105,8 +108,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_request, instance, address,
                                                 may_found, wants_weights,
                                                 held_weights, held, held_config,
-                                                wait_ms, demands, clock_ms,
-                                                usage_source, usage)
+                                                takes_config_changes, wait_ms,
+                                                demands, clock_ms, usage_source,
+                                                usage)
 
 // Which part of a list an update contains.
 enum class list_part {
@@ -121,8 +125,10 @@
 struct view_update {
   view_version version;
   view_version base;        // of the requester; changes are relative to it
-  bool has_config = false;  // false: the requester has it
+  bool has_config = false;  // the complete configuration
   configuration config;
+  bool has_config_changes = false;  // its changes since that of the requester
+  configuration_changes config_changes;
   list_part lists = list_part::kNone;  // endpoints and warnings
   std::vector<endpoint> endpoints;
   std::vector<std::string> gone;  // removed incarnations; only with kChanges
@@ -135,12 +141,10 @@
   uint64_t weights_count = 0;
   std::vector<engine_weights_entry> weights;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_update, version, base,
-                                                has_config, config, lists,
-                                                endpoints, gone, warnings,
-                                                lifted, has_members, members,
-                                                weights_part, weights_count,
-                                                weights)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    view_update, version, base, has_config, config, has_config_changes,
+    config_changes, lists, endpoints, gone, warnings, lifted, has_members,
+    members, weights_part, weights_count, weights)
 
 // Applies an update to a view. Returns false when it changes nothing, and when
 // it is rejected: it is older than the view, or its changes are relative to
@@ -148,6 +152,9 @@
 // return to an older version.
 bool ApplyUpdate(view& held, const view_update& update);
 
+// The version of the configuration in an update; 0: it contains none.
+uint64_t ConfigVersionOf(const view_update& update);
+
 }  // namespace hickorywood::fleet
 
 #endif  // HICKORYWOOD_FLEET_VIEW_H_
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -43,6 +43,7 @@
     input.held_weights = view_.weights_count;
     input.held = view_.version;
     input.held_config = view_.config.version;
+    input.takes_config_changes = true;
     input.wait_ms = options_.wait.count();
     if (demands_) input.demands = demands_();
     input.clock_ms = core::ToUnixMillis(clock_.WallNow());
@@ -91,7 +92,7 @@
   // An update that was rejected confirms nothing if it contains a newer
   // configuration.
   const bool has_latest =
-      !update->has_config || update->config.version <= view_.config.version;
+      fleet::ConfigVersionOf(*update) <= view_.config.version;
   if (has_latest) confirmed_at_ = requested_at;
   if (!is_changed) return;
   if (update->has_members) {
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -35,6 +35,7 @@
     fleet::view_request input;
     input.wait_ms = 5000;
     input.wants_weights = wants_weights;
+    input.takes_config_changes = true;
     if (!has_no_view) {
       input.held = held.version;
       input.held_weights = held.weights_count;
@@ -133,6 +134,42 @@
   EXPECT_EQ(entry->lists, fleet::list_part::kNone);
 }
 
+// A configuration with 1,400 routes and 10,000 keys changes in one route.
+// Guards against a response with all of them to each process, which kept the
+// leader busy for longer than its followers wait for a heartbeat.
+TEST_F(ViewPublisherTest, OnlyChangesOfALargeConfigurationAreSent) {
+  constexpr int kRoutes = 1400;
+  constexpr int kKeys = 10000;
+  constexpr size_t kMaxChangeBytes = 2000;
+  config.version = 1;
+  for (int i = 0; i < kRoutes; ++i) {
+    fleet::route where;
+    where.path_prefix = "/" + std::to_string(i) + "/";
+    where.timeout_ms = 1;
+    config.routes.push_back(where);
+  }
+  fleet::customer holder;
+  holder.name = "a";
+  for (int i = 0; i < kKeys; ++i) holder.keys.push_back(std::to_string(i));
+  config.customers.push_back(holder);
+  publisher.OnConfigurationChanged();
+  CatchUp();
+  ASSERT_EQ(held.config.routes.size(), static_cast<size_t>(kRoutes));
+  config.version = 2;
+  config.routes[7].timeout_ms = 2;
+  publisher.OnConfigurationChanged();
+  std::optional<fleet::view_update> change;
+  RequestUpdate(change, false);
+  RunUntil(change);
+  EXPECT_FALSE(change->has_config);
+  EXPECT_LT(core::EncodeBinary(*change).size(), kMaxChangeBytes);
+  EXPECT_EQ(held.config.version, 2U);
+  const fleet::route* changed = fleet::FindRoute(held.config, "", "/7/x");
+  ASSERT_NE(changed, nullptr);
+  EXPECT_EQ(changed->timeout_ms, 2);
+  EXPECT_EQ(held.config.customers, config.customers);
+}
+
 // Guards against a process that starts at the same time as a new leader,
 // receives an incomplete list of warnings, and sends a request that all others
 // have quarantined.
