A new leader goes on from the lists that it followed

Cause: after an election every process received the whole list of endpoints, since counts began anew: 390 kB for each of 300 processes at 3,000 endpoints.

Change: a new leader begins with the lists that it had as a follower, under their version. Processes with the same version, which are nearly all, receive what changed since; the others receive complete lists as before.

Test: ViewLogTest.NewLeaderSendsChangesToProcessesWithItsLists (3,000 endpoints, 300 processes, less than 300 kB in all) and FollowersConvergeOverLeaderChanges (property: any series of changes, lost contact and new leaders).

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -166,7 +166,8 @@
   const bool is_complete = has_followed || is_first_start;
   views_.BeginTerm(
       group_.Term(),
-      clock_.Now() + (is_complete ? milliseconds(0) : kWarningSyncTime));
+      clock_.Now() + (is_complete ? milliseconds(0) : kWarningSyncTime),
+      followed);
   asio::co_spawn(loop_, CommitDigestKey(), asio::detached);
   if (on_endpoints) on_endpoints();
 }
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -66,8 +66,10 @@
                  asio::detached);
 }
 
-void view_publisher::BeginTerm(uint64_t term, time_point complete_at) {
+void view_publisher::BeginTerm(uint64_t term, time_point complete_at,
+                               const fleet::view& followed) {
   fleet::BeginTerm(log_, term);
+  fleet::InheritLists(log_, followed);
   if (sources_.config().version > 0) RecordConfiguration();
   complete_at_ = complete_at;
   UpdateLists();
@@ -184,12 +186,9 @@
 }
 
 const std::string& view_publisher::EncodedUpdate(fleet::view_request input) {
-  // Versions of another term are not comparable, so all processes with such a
-  // version get the same response.
-  if (input.held.term != log_.term) {
-    input.held = {};
-    input.held_weights = 0;
-  }
+  // All processes whose version is not known get the same response.
+  if (!fleet::IsKnownVersion(log_, input.held)) input.held = {};
+  if (input.held.term != log_.term) input.held_weights = 0;
   const answer_key key(input.held.term, input.held.count, input.held_weights,
                        input.held_config, input.wants_weights,
                        input.takes_config_changes);
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -41,11 +41,12 @@
                  const core::runtime_clock& clock, view_sources sources);
 
   void Start();
-  // Begins a term of this leader: every process receives the complete view.
-  // Until `complete_at`
+  // Begins a term of this leader, which had the view `followed` before.
+  // Processes with another view receive the complete one. Until `complete_at`
   // this leader may lack changes that other processes have, and a process
   // without a view gets no response.
-  void BeginTerm(uint64_t term, core::time_point complete_at);
+  void BeginTerm(uint64_t term, core::time_point complete_at,
+                 const fleet::view& followed);
 
   // Schedules the publication of the changed part.
   void OnEndpointsChanged();
--- a/packages/fleet/view_log.cc
+++ b/packages/fleet/view_log.cc
@@ -79,18 +79,21 @@
   }
 }
 
-// Whether the changes since the version of the requester are recorded.
-bool CanSendChanges(const view_log& log, const view_request& input) {
-  return input.held.term == log.term && input.held.count >= log.complete_from &&
-         input.held.count > 0 && input.held.count <= log.count;
+// Count of the lists with which a term begins.
+constexpr uint64_t kFirstCount = 1;
+
+// Returns the count of this term's lists that a version stands for; 0: none.
+uint64_t CountOf(const view_log& log, const view_version& held) {
+  if (held.term == log.term) return held.count;
+  const bool is_inherited = log.inherited.term != 0 && held == log.inherited;
+  return is_inherited ? kFirstCount : 0;
 }
 
 void AddLists(const view_log& log, const view_request& input,
               view_update& update) {
-  update.lists =
-      CanSendChanges(log, input) ? list_part::kChanges : list_part::kAll;
-  const uint64_t since =
-      update.lists == list_part::kChanges ? input.held.count : 0;
+  const bool is_known = IsKnownVersion(log, input.held);
+  update.lists = is_known ? list_part::kChanges : list_part::kAll;
+  const uint64_t since = is_known ? CountOf(log, input.held) : 0;
   AddSince(log.endpoints, since, update.endpoints);
   AddSince(log.warnings, since, update.warnings);
   if (update.lists == list_part::kChanges) {
@@ -128,6 +131,24 @@
   log.term = term;
 }
 
+void InheritLists(view_log& log, const view& followed) {
+  if (followed.version.term == 0) return;
+  log.inherited = followed.version;
+  for (const endpoint& item : followed.endpoints) {
+    log.endpoints[item.incarnation] = {item, kFirstCount};
+  }
+  for (const request_warning& item : followed.warnings) {
+    log.warnings[item.digest] = {item, kFirstCount};
+  }
+  log.members = followed.members;
+  log.members_changed_at = kFirstCount;
+}
+
+bool IsKnownVersion(const view_log& log, const view_version& held) {
+  const uint64_t count = CountOf(log, held);
+  return count > 0 && count >= log.complete_from && count <= log.count;
+}
+
 bool UpdateEndpoints(view_log& log, const std::vector<endpoint>& endpoints) {
   const uint64_t next = log.count + 1;
   const bool is_changed = UpdateItems(log.endpoints, log.gone, endpoints,
--- a/packages/fleet/view_log.h
+++ b/packages/fleet/view_log.h
@@ -26,6 +26,9 @@
 
 struct view_log {
   uint64_t term = 0;
+  // The version of an earlier term with whose lists this term began; term 0:
+  // none.
+  view_version inherited;
   // Version of the lists that every process gets: endpoints, warnings and
   // members.
   uint64_t count = 1;
@@ -51,6 +54,15 @@
 // another term get the complete lists.
 void BeginTerm(view_log& log, uint64_t term);
 
+// Begins with the lists that this leader had as a follower, right after
+// BeginTerm(). Processes with the same version get the changes since, in place
+// of complete lists to all of them at once.
+void InheritLists(view_log& log, const view& followed);
+
+// Whether the changes since this version can be told, as far as the lists are
+// concerned.
+bool IsKnownVersion(const view_log& log, const view_version& held);
+
 // Record the current items. Return true when they differ from the published
 // ones.
 bool UpdateEndpoints(view_log& log, const std::vector<endpoint>& endpoints);
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -16,7 +16,7 @@
  protected:
   ViewPublisherTest() : publisher(loop, clock, Sources()) {
     publisher.Start();
-    publisher.BeginTerm(1, clock.Now());
+    publisher.BeginTerm(1, clock.Now(), {});
   }
 
   view_sources Sources() {
@@ -176,7 +176,7 @@
 TEST_F(ViewPublisherTest, ProcessWithoutViewWaitsForCompleteWarnings) {
   CatchUp();
   clock.Pause();
-  publisher.BeginTerm(2, clock.Now() + milliseconds(300));
+  publisher.BeginTerm(2, clock.Now() + milliseconds(300), {});
   std::optional<fleet::view_update> follower;
   RequestUpdate(follower, false);
   RunUntil(follower);
--- a/tests/unit/fleet/view_log_test.cc
+++ b/tests/unit/fleet/view_log_test.cc
@@ -3,9 +3,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 
+#include "core/binary.h"
+
 namespace hickorywood::fleet {
 namespace {
 
@@ -118,6 +121,74 @@
 }
 
 // A process was suspended while more endpoints were removed than are recorded.
+// A leader is lost before 3,000 endpoints, and 300 processes follow the next
+// one. Guards against complete lists to all of them at once, 117 MB, which kept
+// the new leader busy for seconds.
+TEST(ViewLogTest, NewLeaderSendsChangesToProcessesWithItsLists) {
+  constexpr int kEndpoints = 3000;
+  constexpr size_t kProcesses = 300;
+  constexpr size_t kMaxBytes = 300000;
+  view_log first;
+  BeginTerm(first, 3);
+  std::vector<endpoint> list = MakeEndpoints(kEndpoints);
+  ASSERT_TRUE(UpdateEndpoints(first, list));
+  view held;
+  Follow(held, first);
+  view_log next;
+  BeginTerm(next, 4);
+  InheritLists(next, held);
+  list[17].state = endpoint_state::kUnresponsive;
+  list.erase(list.begin() + 20);
+  ASSERT_TRUE(UpdateEndpoints(next, list));
+  const view_update update = MakeUpdate(next, RequestOf(held));
+  EXPECT_EQ(update.lists, list_part::kChanges);
+  EXPECT_LT(core::EncodeBinary(update).size() * kProcesses, kMaxBytes);
+  ASSERT_TRUE(ApplyUpdate(held, update));
+  EXPECT_EQ(held.endpoints, Sorted(list));
+  view outdated;
+  outdated.version = {3, 1};
+  Follow(outdated, next);
+  EXPECT_EQ(outdated.endpoints, Sorted(list));
+}
+
+// Guards against processes that keep another list than their leader, over any
+// series of changes, lost contact and new leaders.
+RC_GTEST_PROP(ViewLogTest, FollowersConvergeOverLeaderChanges, ()) {
+  constexpr size_t kFollowers = 4;
+  std::vector<view> followers(kFollowers);
+  view_log log;
+  uint64_t term = 1;
+  BeginTerm(log, term);
+  std::vector<endpoint> list = MakeEndpoints(5);
+  UpdateEndpoints(log, list);
+  const auto actions = *rc::gen::container<std::vector<int>>(
+      rc::gen::inRange<int>(0, 3 * static_cast<int>(kFollowers)));
+  for (const int action : actions) {
+    view& follower = followers[static_cast<size_t>(action) % kFollowers];
+    const int kind = action / static_cast<int>(kFollowers);
+    if (kind == 0) {
+      Follow(follower, log);
+    } else if (kind == 1) {
+      const int number = *rc::gen::inRange(0, 8);
+      std::erase_if(list, [number](const endpoint& item) {
+        return item.incarnation == "i-" + std::to_string(number);
+      });
+      const bool is_added = *rc::gen::arbitrary<bool>();
+      if (is_added) list.push_back(MakeEndpoint(number, "b:2"));
+      UpdateEndpoints(log, list);
+    } else {
+      BeginTerm(log, ++term);
+      InheritLists(log, follower);
+      list = follower.endpoints;
+      UpdateEndpoints(log, list);
+    }
+  }
+  for (view& follower : followers) {
+    Follow(follower, log);
+    RC_ASSERT(follower.endpoints == Sorted(list));
+  }
+}
+
 TEST(ViewLogTest, OutdatedFollowerGetsCompleteLists) {
   view_log log;
   BeginTerm(log, 1);
