One rule for who may act as the holder of a duty

The scheduler of weight loads and the reports of usage each compared the time since an election with the lease of the holder. Both use duties::MayAct() now. The reports go on counting from the latest election, since entries send their counts again after it.

--- a/packages/controller/usage_reporter.cc
+++ b/packages/controller/usage_reporter.cc
@@ -88,7 +88,9 @@
 bool usage_reporter::MayAct() const {
   duties::holder_terms terms;
   terms.is_leader = group_.IsServing();
-  terms.elected_at = group_.ElectedAt();
+  // Entries send their counts again after each election, also of a leader that
+  // has led before.
+  terms.leads_since = group_.ElectedAt();
   terms.holder_lease = std::max(options_.holder_lease, kResendTime);
   terms.is_fenced = options_.is_fenced;
   return duties::MayAct(terms, clock_.Now());
--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/events.h"
+#include "duties/fencing.h"
 #include "net/call.h"
 
 namespace hickorywood::controller {
@@ -64,8 +65,11 @@
 }
 
 bool weight_load_scheduler::MayOrder() const {
-  return group_.IsServing() &&
-         clock_.Now() - group_.LedSince() >= options_.holder_lease;
+  duties::holder_terms terms;
+  terms.is_leader = group_.IsServing();
+  terms.leads_since = group_.LedSince();
+  terms.holder_lease = options_.holder_lease;
+  return duties::MayAct(terms, clock_.Now());
 }
 
 // Updates the average time between two versions of each model.
--- a/packages/duties/fencing.cc
+++ b/packages/duties/fencing.cc
@@ -19,7 +19,7 @@
 bool MayAct(const holder_terms& terms, core::time_point now) {
   const auto wait =
       terms.is_fenced ? terms.holder_lease : 2 * terms.holder_lease;
-  return terms.is_leader && now - terms.elected_at >= wait;
+  return terms.is_leader && now - terms.leads_since >= wait;
 }
 
 }  // namespace hickorywood::duties
--- a/packages/duties/fencing.h
+++ b/packages/duties/fencing.h
@@ -18,7 +18,7 @@
 
 struct holder_terms {
   bool is_leader = false;  // with a live lease
-  core::time_point elected_at{};
+  core::time_point leads_since{};
   // Two holders must not act by turns within this time.
   std::chrono::milliseconds holder_lease{0};
   // Whether the receiver refuses calls with an older token. If it does not, a
--- a/tests/unit/duties/fencing_test.cc
+++ b/tests/unit/duties/fencing_test.cc
@@ -18,13 +18,13 @@
 // Guards against two holders that act by turns within the lease.
 TEST(FencingTest, NewLeaderWaitsForTheLeaseOfItsPredecessor) {
   holder_terms terms;
-  terms.elected_at = time_point(milliseconds(1000));
+  terms.leads_since = time_point(milliseconds(1000));
   terms.holder_lease = kLease;
-  const time_point before = terms.elected_at + kLease - milliseconds(1);
-  EXPECT_FALSE(MayAct(terms, terms.elected_at + kLease));
+  const time_point before = terms.leads_since + kLease - milliseconds(1);
+  EXPECT_FALSE(MayAct(terms, terms.leads_since + kLease));
   terms.is_leader = true;
   EXPECT_FALSE(MayAct(terms, before));
-  EXPECT_TRUE(MayAct(terms, terms.elected_at + kLease));
+  EXPECT_TRUE(MayAct(terms, terms.leads_since + kLease));
 }
 
 // Guards against a call of the predecessor that is executed after one of the
@@ -34,8 +34,8 @@
   terms.is_leader = true;
   terms.is_fenced = false;
   terms.holder_lease = kLease;
-  EXPECT_FALSE(MayAct(terms, terms.elected_at + kLease));
-  EXPECT_TRUE(MayAct(terms, terms.elected_at + 2 * kLease));
+  EXPECT_FALSE(MayAct(terms, terms.leads_since + kLease));
+  EXPECT_TRUE(MayAct(terms, terms.leads_since + 2 * kLease));
 }
 
 }  // namespace
