--- a/tests/support/simulated_provider.cc
+++ b/tests/support/simulated_provider.cc
@@ -70,7 +70,9 @@
     }
   }
   // A request without a reply closes the connection.
-  if (!is_lost) co_await call.Reply(std::move(answer));
+  if (!is_lost) {
+    co_await call.Reply(std::move(answer));
+  }
 }
 
 }  // namespace hickorywood::testing
--- a/tests/unit/access/caller_access_test.cc
+++ b/tests/unit/access/caller_access_test.cc
@@ -138,15 +138,13 @@
     const milliseconds step(*rc::gen::inRange(0, 3000));
     const core::boot_time_point requested_at = follower.clock.BootNow();
     switch (what) {
-      case happening::kPoll: {
+      case happening::kPoll:
         // The leader reads its state at some time between the request and the
         // response.
-        const fleet::configuration answer = acknowledged;
+        follower.held = acknowledged;
         follower.clock.Advance(step);
-        follower.held = answer;
         follower.confirmed_at = requested_at;
         break;
-      }
       case happening::kLostPoll:
       case happening::kWait:
         follower.clock.Advance(step);
