--- a/packages/access/caller_access.h
+++ b/packages/access/caller_access.h
@@ -16,7 +16,7 @@
 enum class access_outcome {
   kGranted,
   kUnknownKey,   // no customer holds the key, or there is none
-  kUnconfirmed,  // this instance can't be sure: it is out of contact
+  kUnconfirmed,  // unknown, because this instance is out of contact
 };
 
 struct access_decision {
--- a/packages/access/configuration_lease.h
+++ b/packages/access/configuration_lease.h
@@ -3,8 +3,8 @@
 
 // How long an instance may act on its copy of the configuration. A key that was
 // withdrawn must stop working everywhere within a bound, also at an instance
-// that can't be told: one that is cut off, was frozen, or has just been
-// started. Each instance therefore limits the age of its copy by itself.
+// that is partitioned, was frozen, or has just started and can't be notified.
+// Each instance therefore limits the age of its copy by itself.
 
 #include <chrono>
 #include <optional>
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -166,7 +166,7 @@
 // Whether the appends in `out` may be sent before its writes are durable. A
 // leader counts its own copy of an entry only after the sync. Its other
 // messages depend on its durable state. So do changes of the members: an only
-// voter that forgot such an entry would go on alone, beside the others.
+// voter that lost such an entry would continue as a group of its own.
 bool MaySendBeforeSync(const raft_state& state, const raft_output& out);
 
 // Leader: releases the lease for the rest of the term and asks an up-to-date
--- a/packages/duties/fencing.cc
+++ b/packages/duties/fencing.cc
@@ -5,8 +5,8 @@
 namespace hickorywood::duties {
 namespace {
 
-// Calls of one term that have tokens of their own. A term in which more calls
-// are made goes on with the last one.
+// Number of calls of one term that have distinct tokens. All later calls of the
+// term share the last token.
 constexpr int kCallBits = 20;
 constexpr uint64_t kMaxCallNumber = (uint64_t{1} << kCallBits) - 1;
 
--- a/packages/fleet/view_log.h
+++ b/packages/fleet/view_log.h
@@ -59,8 +59,7 @@
 // of complete lists to all of them at once.
 void InheritLists(view_log& log, const view& followed);
 
-// Whether the changes since this version can be told, as far as the lists are
-// concerned.
+// Whether the log contains all changes of the lists since this version.
 bool IsKnownVersion(const view_log& log, const view_version& held);
 
 // Record the current items. Return true when they differ from the published
--- a/packages/quarantine/suspect_separation.h
+++ b/packages/quarantine/suspect_separation.h
@@ -1,10 +1,10 @@
 #ifndef HICKORYWOOD_QUARANTINE_SUSPECT_SEPARATION_H_
 #define HICKORYWOOD_QUARANTINE_SUSPECT_SEPARATION_H_
 
-// Keeps the possible causes of a crash apart. When an endpoint crashes, the
-// cause and the innocent requests beside it look the same. If they ran together
-// again, each crash would count against all of them, until all were
-// quarantined. Decisions over plain data.
+// Keeps the possible causes of a crash on separate endpoints. After a crash the
+// cause can't be distinguished from the other requests that were running there.
+// If they ran together again, each crash would be attributed to all of them,
+// until all were quarantined. Decisions over plain data.
 
 #include <cstddef>
 #include <cstdint>
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -45,7 +45,7 @@
   core::time_point deadline{};  // of the complete answer
   // Customer on whose behalf the request runs, see fleet::dispatch_terms.
   std::optional<std::string> customer;
-  run_observer on_run;  // empty: nobody is told
+  run_observer on_run;  // empty: not called
 };
 
 // The result of sending a request.
--- a/tests/support/simulated_endpoints.h
+++ b/tests/support/simulated_endpoints.h
@@ -59,8 +59,8 @@
   // The number of times that a request with this id was run.
   int RunsOf(const std::string& request_id);
 
-  // The customer that a request with this id was run for, as its endpoint was
-  // told; empty: none.
+  // The customer of a request with this id, as its endpoint received it; empty:
+  // none.
   std::string CustomerOf(const std::string& request_id);
   // The number of requests that arrived with their caller's key.
   int KeysSeen();
--- a/tests/unit/quarantine/suspect_separation_test.cc
+++ b/tests/unit/quarantine/suspect_separation_test.cc
@@ -1,5 +1,5 @@
-// A request that crashes its endpoints, beside innocent ones, over a small
-// model of endpoints: innocent requests must never be quarantined.
+// A small model of endpoints that run innocent requests and one that crashes
+// its endpoints: innocent requests must never be quarantined.
 
 #include "quarantine/suspect_separation.h"
 
@@ -164,8 +164,8 @@
   size_t innocents;
 };
 
-// Guards against an innocent request that is quarantined because it ran beside
-// the cause at each crash.
+// Guards against an innocent request that is quarantined because it ran on the
+// same endpoint as the cause at each crash.
 TEST(SuspectSeparationTest, CrashingRequestBesideInnocentOnes) {
   constexpr uint64_t kLimit = 1000;
   constexpr uint64_t kSeeds = 200;
