Ask again soon whether a load of weights is done

With a report each 100 ms half of the loads were noticed after 1.0 s in place of 0.9.

Change: the first report comes after 0.97 of the usual time, the next one 30 ms later, each further pause is 1.5 times the one before, 200 ms at most: a load near its usual time is noticed at once, one that takes much longer costs few reports.

--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -21,14 +21,18 @@
 
 constexpr milliseconds kPlanPeriod{200};
 constexpr milliseconds kCallTimeout{700};
-// Pause between two requests for a report while a load runs. A report needs a
-// connection of its own and shows the state of some hundred ms ago, so more
-// frequent ones would cost much and show little.
-constexpr milliseconds kReportPeriod{100};
+// Pause between the first two requests for a report while a load runs, and
+// factor and maximum of the following ones. The next load waits for the report
+// of the previous one, so a load near its usual time must be noticed at once.
+// Each report needs a connection of its own, so one that takes much longer is
+// asked for less often.
+constexpr milliseconds kReportPause{30};
+constexpr double kReportPauseGrowth = 1.5;
+constexpr milliseconds kMaxReportPause{200};
 // Share of the average load time after which the first report is requested. It
 // is less than the full time, so that the average follows loads that became
 // faster.
-constexpr double kFirstReportShare = 0.95;
+constexpr double kFirstReportShare = 0.97;
 // Divisor of a new sample in the exponential smoothing.
 constexpr int kSmoothingDivisor = 4;
 // Bounds of the time that is assumed between two versions.
@@ -200,6 +204,7 @@
   const time_point started = clock_.Now();
   co_await net::Sleep(
       std::chrono::duration_cast<milliseconds>(kFirstReportShare * load_time_));
+  milliseconds pause = kReportPause;
   while (clock_.Now() - started < kLoadTimeout && group_.IsServing()) {
     const auto after = co_await Report(target);
     if (after) {
@@ -215,7 +220,9 @@
       // arrive, but its precondition fails once another order was accepted.
       if (!outcome && !after->is_busy) co_return load_outcome::kRetryLater;
     }
-    co_await net::Sleep(kReportPeriod);
+    co_await net::Sleep(pause);
+    pause = std::min(kMaxReportPause, std::chrono::duration_cast<milliseconds>(
+                                          kReportPauseGrowth * pause));
   }
   co_return load_outcome::kRetryLater;
 }
