Forget the order counts of endpoints that are gone

Entries of endpoints that are not registered are removed in each round.

Read, not seen in a run. DeploymentTest, UsageReportTest, KeyedCallersTest, CrashingRequestTest and WeightTableTest: 37 of 37 passed.

--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -100,6 +100,9 @@
     co_await wake_.WaitUntil(clock_.Now() +
                              (is_idle ? milliseconds(1000) : kPlanPeriod));
     RecordPublications();
+    std::erase_if(order_sequences_, [this](const auto& item) {
+      return registry_.endpoints.count(item.first) == 0;
+    });
     if (!MayOrder()) continue;
     for (const fleet::service& service : state_.Config().services) {
       if (service.has_engines) PlanService(service);
