Log how old the copy of the configuration was

Whether a late change was late at the leader, on its way or at the entry can't be told from HK3003 alone. It, HK3008 and HK3009 say now how long ago this process's copy was last confirmed.

--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -62,7 +62,8 @@
       LogEvent(
           is_answered ? event_id::kLeaderFound : event_id::kLeaderUnreachable,
           {{"reason", answer.reason},
-           {"configuration", std::to_string(view_.config.version)}});
+           {"configuration", std::to_string(view_.config.version)},
+           {"age_ms", AgeText()}});
     }
     if (is_answered) {
       Apply(answer, requested_at);
@@ -72,6 +73,15 @@
   }
 }
 
+// Returns the time since the configuration was last confirmed, in
+// milliseconds; empty: it never was.
+std::string view_follower::AgeText() const {
+  if (!confirmed_at_) return "";
+  const auto age = std::chrono::duration_cast<core::milliseconds>(
+      clock_.BootNow() - *confirmed_at_);
+  return std::to_string(age.count());
+}
+
 void view_follower::Apply(const envelope& answer,
                           core::boot_time_point requested_at) {
   const auto update = core::DecodeBinary<fleet::view_update>(answer.payload);
@@ -81,6 +91,7 @@
     return;
   }
   const uint64_t config_before = view_.config.version;
+  const std::string age_before = AgeText();
   if (usage_.received) {
     std::optional<core::unix_time> time;
     if (answer.time_ms > 0) {
@@ -101,7 +112,8 @@
   if (view_.config.version != config_before) {
     LogEvent(event_id::kConfigurationInForce,
              {{"version", std::to_string(view_.config.version)},
-              {"before", std::to_string(config_before)}});
+              {"before", std::to_string(config_before)},
+              {"age_ms", age_before}});
   }
   if (changed_) changed_();
 }
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -72,6 +72,7 @@
 
  private:
   void Apply(const envelope& answer, core::boot_time_point requested_at);
+  std::string AgeText() const;
 
   const core::runtime_clock& clock_;
   leader_caller& caller_;
