Acknowledge a configuration when every instance in contact has it

What callers saw: requests were run by a route that a confirmed change had removed, and a route that it had added was answered 404, at entries that nobody had disturbed.

Cause: the control leader acknowledged a change once it was committed. Entries and stores learn of it by requests of their own, each of which is given 1.1 s; an entry whose request was open at a leader that stands still was told 2.4 s later, and nothing kept it from routing by its old copy meanwhile, or for good. The product's own interface has waited for its instances all along; the platform's has not.

Change: the leader keeps the version of each instance that acts on the configuration and has requested a view in the last 1.5 s, and acknowledges a change when all of them have it; until then the call is answered 504 with the time to come back, and a repeat waits on. A new leader waits until it must know all of them. An instance that is not known to the leader was confirmed before that time, and starts nothing once its copy is older than 1.5 s and the new setting access.apply_limit.

Operators in the tests switch to another instance after a second, as they do on the platform; one attempt at a frozen instance took the whole 30 s.

--- a/packages/access/configuration_lease.h
+++ b/packages/access/configuration_lease.h
@@ -5,6 +5,11 @@
 // withdrawn must stop working everywhere within a bound, also at an instance
 // that is partitioned, was frozen, or has just started and can't be notified.
 // Each instance therefore limits the age of its copy by itself.
+//
+// Routes have the same problem, and the control leader helps to solve it: it
+// acknowledges a change only when every instance that has requested a view
+// within kContactLease has the change. The others were confirmed for the last
+// time before that, so they stop by themselves in time.
 
 #include <chrono>
 #include <optional>
@@ -13,7 +18,14 @@
 
 namespace hickorywood::access {
 
+// How long an instance counts as in contact after its latest request for a view
+// arrived. Requests are 0.7 s apart, 1.1 s when a response is lost.
+constexpr std::chrono::milliseconds kContactLease{1500};
+
 struct lease_limits {
+  // Longest time after the acknowledgement of a change for which requests may
+  // be served without it. 0: not limited.
+  std::chrono::milliseconds apply{0};
   // Longest time after the withdrawal of a key for which it may be accepted.
   // 0: not limited.
   std::chrono::milliseconds revocation{0};
@@ -28,6 +40,10 @@
 // Nothing: no response was received since the start.
 using confirmation = std::optional<core::boot_time_point>;
 
+// Whether requests may be served by the routes of the copy.
+bool MayServe(const confirmation& confirmed_at, const lease_limits& limits,
+              core::boot_time_point now);
+
 // Whether a key that the copy contains may be accepted.
 bool MayAcceptKeys(const confirmation& confirmed_at, const lease_limits& limits,
                    core::boot_time_point now);
--- a/packages/control/configuration_lease.cc
+++ b/packages/control/configuration_lease.cc
@@ -10,6 +10,10 @@
 // milliseconds.
 constexpr int kMarginDivisor = 10;
 
+bool MayBeServing(const lease_holder& holder, core::time_point now) {
+  return holder.expires_at > now || holder.may_still_serve;
+}
+
 }  // namespace
 
 void StartLeaseTable(lease_table& leases, core::milliseconds duration,
@@ -50,14 +54,26 @@
 
 bool IsInForceEverywhere(const lease_table& leases, uint64_t index,
                          core::time_point now) {
-  if (now < leases.complete_at) return false;
-  return std::all_of(leases.holders.begin(), leases.holders.end(),
-                     [index, now](const auto& item) {
-                       const lease_holder& holder = item.second;
-                       const bool is_expired =
-                           holder.expires_at <= now && !holder.may_still_serve;
-                       return holder.applied >= index || is_expired;
-                     });
+  return now >= leases.complete_at &&
+         InstancesWithout(leases, index, now).empty();
+}
+
+std::vector<std::string> InstancesWithout(const lease_table& leases,
+                                          uint64_t index,
+                                          core::time_point now) {
+  std::vector<std::string> missing;
+  for (const auto& [instance, holder] : leases.holders) {
+    if (holder.applied < index && MayBeServing(holder, now)) {
+      missing.push_back(instance);
+    }
+  }
+  return missing;
+}
+
+void RemoveExpired(lease_table& leases, core::time_point now) {
+  std::erase_if(leases.holders, [now](const auto& item) {
+    return !MayBeServing(item.second, now);
+  });
 }
 
 std::vector<std::string> UnreachableSites(
--- a/packages/control/configuration_lease.h
+++ b/packages/control/configuration_lease.h
@@ -60,6 +60,14 @@
 bool IsInForceEverywhere(const lease_table& leases, uint64_t index,
                          core::time_point now);
 
+// Returns the instances for which log entry `index` is not known to be in force
+// although they may be serving at `now`.
+std::vector<std::string> InstancesWithout(const lease_table& leases,
+                                          uint64_t index, core::time_point now);
+
+// Removes the instances that can't be serving at `now`.
+void RemoveExpired(lease_table& leases, core::time_point now);
+
 // Returns the sites where no majority of the instances has a valid lease and
 // has log entry `index` in force. With index 0 only the lease counts.
 // `site_sizes` is the number of instances of each site. The majority matters
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "access/configuration_lease.h"
 #include "core/binary.h"
 #include "core/events.h"
 #include "core/ids.h"
@@ -38,6 +39,12 @@
 // quarantined requests: one round of requests and one call.
 constexpr milliseconds kWarningSyncTime{300};
 
+// How long the acknowledgement of a configuration is delayed for the instances
+// that do not have it yet. Less than the timeout of the forwarded call.
+constexpr milliseconds kInForceWait{500};
+// Time after which it is checked again whether instances have lost contact.
+constexpr milliseconds kContactPoll{50};
+
 std::vector<fleet::engine_weights_entry> ListWeights(
     const weight_table& table) {
   std::vector<fleet::engine_weights_entry> list;
@@ -146,6 +153,11 @@
   }
   // Heartbeats reach a new leader only after a while. Until then it uses the
   // endpoints that it had as a follower.
+  // Before an election in between, other leaders may have had contact with
+  // instances that this one does not know.
+  if (group_.LedSince() == group_.ElectedAt()) {
+    control::StartLeaseTable(contacts_, access::kContactLease, clock_.Now());
+  }
   usage_.BeginTerm();
   registry_.endpoints.clear();
   fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
@@ -199,6 +211,7 @@
   const auto input = core::DecodeBinary<fleet::view_request>(payload);
   if (!input) co_return Malformed();
   RecordStore(*input);
+  RecordContact(*input);
   for (const fleet::model_demand& item : input->demands) {
     weights_.demands[item.model] = item.streams;
   }
@@ -305,21 +318,63 @@
   if (input->config.version <= held) {
     LogEvent(event_id::kConfigurationNotNewer,
              {{"version", version}, {"held", std::to_string(held)}});
-    co_return Done();
+    co_return co_await AwaitInForce(input->config.version);
   }
   // Entries serve from the first configuration on, and need the digest key by
   // then.
   co_await CommitDigestKey();
+  const uint64_t number = input->config.version;
   put_configuration_command command;
   command.config = std::move(input->config);
   command.text = std::move(input->text);
   envelope answer = co_await CommitCall(kPutConfigurationCommand,
                                         core::EncodeBinary(command));
-  if (answer.outcome == call_outcome::kDone) {
-    LogEvent(event_id::kConfigurationAccepted,
-             {{"version", version}, {"before", std::to_string(held)}});
-  }
-  co_return answer;
+  if (answer.outcome != call_outcome::kDone) co_return answer;
+  LogEvent(event_id::kConfigurationAccepted,
+           {{"version", version}, {"before", std::to_string(held)}});
+  // Instances without a configuration serve nothing, so the first one replaces
+  // nothing that could be obeyed for too long.
+  if (held == 0) co_return answer;
+  co_return co_await AwaitInForce(number);
+}
+
+void leader_service::RecordContact(const fleet::view_request& input) {
+  if (!input.acts_on_config) return;
+  control::RenewLease(contacts_, input.instance, "", input.held_config, 0,
+                      clock_.Now());
+  contact_.Notify();
+}
+
+awaitable<envelope> leader_service::AwaitInForce(uint64_t version) {
+  const time_point started = clock_.Now();
+  const time_point until = started + kInForceWait;
+  for (;;) {
+    if (!group_.IsServing()) {
+      co_return envelope{call_outcome::kUnknown, "",
+                         "leadership ended before the change was in force", ""};
+    }
+    const time_point now = clock_.Now();
+    if (control::IsInForceEverywhere(contacts_, version, now)) break;
+    if (now >= until) {
+      const std::vector<std::string> missing =
+          control::InstancesWithout(contacts_, version, now);
+      LogEvent(event_id::kConfigurationPending,
+               {{"version", std::to_string(version)},
+                {"instances", std::to_string(missing.size())},
+                {"first", missing.empty() ? "" : missing.front()}});
+      co_return envelope{call_outcome::kPending, "",
+                         "committed, but not in force at every instance yet",
+                         ""};
+    }
+    co_await contact_.WaitUntil(std::min(until, now + kContactPoll));
+  }
+  const auto waited =
+      std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
+  LogEvent(event_id::kConfigurationConfirmed,
+           {{"version", std::to_string(version)},
+            {"instances", std::to_string(contacts_.holders.size())},
+            {"ms", std::to_string(waited.count())}});
+  co_return Done();
 }
 
 awaitable<envelope> leader_service::GetConfiguration() {
@@ -447,6 +502,7 @@
     if (!group_.IsServing()) continue;
     co_await CommitDigestKey();
     ExpireStores();
+    control::RemoveExpired(contacts_, clock_.Now());
     const auto lifted = quarantine::Expire(crashes_, clock_.Now());
     if (!lifted.empty()) OnQuarantineChanges(lifted);
     if (!fleet::ExpireEndpoints(registry_, clock_.Now())) continue;
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "control/configuration_lease.h"
 #include "controller/control_state.h"
 #include "controller/heartbeat_cache.h"
 #include "controller/usage_reporter.h"
@@ -22,6 +23,7 @@
 #include "fleet/endpoint_registry.h"
 #include "fleet/view.h"
 #include "group/group_host.h"
+#include "net/event.h"
 #include "peering/leader_caller.h"
 #include "peering/messages.h"
 #include "quarantine/crash_ledger.h"
@@ -61,6 +63,10 @@
   std::string AcceptHeartbeat(const fleet::heartbeat& input);
   answer HandleLeave(std::string payload);
   answer PutConfiguration(std::string payload);
+  // Waits until a configuration is in force at every instance that acts on it
+  // and has contact.
+  answer AwaitInForce(uint64_t version);
+  void RecordContact(const fleet::view_request& input);
   answer GetConfiguration();
   answer PublishVersion(std::string payload);
   answer Retire(std::string method, std::string payload);
@@ -101,6 +107,9 @@
   };
   std::map<std::string, store_record> stores_;  // by instance
   bool is_choosing_founder_ = false;
+  // The instances that act on the configuration, and the versions they have.
+  control::lease_table contacts_;
+  net::event contact_;  // one of them requested a view
 };
 
 }  // namespace hickorywood::controller
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -52,6 +52,8 @@
   kLeaderUnreachable = 3009,
   kPeerMessageMalformed = 3010,
   kConfigurationNotNewer = 3011,
+  kConfigurationPending = 3012,
+  kConfigurationConfirmed = 3013,
   kEndpointJoined = 4001,
   kEndpointLeft = 4002,
   kEndpointLeaseExpired = 4003,
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -44,6 +44,7 @@
     const settings::node_settings& settings) {
   peering::follower_options options;
   options.instance = settings.id;
+  options.acts_on_config = true;
   return options;
 }
 
@@ -75,6 +76,7 @@
         readiness(io, ReadinessOptions(), [this](net::exchange& call) {
           return AnswerReadiness(call);
         }) {
+    limits.apply = node.apply_limit;
     limits.revocation = node.revocation_limit;
     usage.window = node.usage_window;
     FeedUsage();
@@ -142,15 +144,19 @@
     return limits;
   }
 
-  // An entry that may accept no keys would refuse nearly every request, so the
-  // callers should use other entries.
+  // An entry that may serve no routes or accept no keys would refuse nearly
+  // every request, so the callers should use other entries.
   bool IsReady() const {
     const fleet::configuration& config = follower.View().config;
-    if (is_stopping || config.version == 0) return false;
+    if (is_stopping || config.version == 0 || !MayServe()) return false;
     return !config.needs_keys || access::MayAcceptKeys(follower.ConfirmedAt(),
                                                        limits, clock.BootNow());
   }
 
+  bool MayServe() const {
+    return access::MayServe(follower.ConfirmedAt(), limits, clock.BootNow());
+  }
+
   awaitable<void> AnswerReadiness(net::exchange& call) {
     net::response answer;
     answer.status = IsReady() ? 200 : kUnavailable;
@@ -219,6 +225,14 @@
     }
     fleet::step_call step = wire.DecodeStepCall(input);
     const bool is_step = !std::holds_alternative<fleet::other_call>(step);
+    // The calls about a submitted step need no route.
+    if (!is_step && !MayServe()) {
+      co_await call.Reply(
+          Refuse(input, kUnavailable,
+                 "this instance is out of contact and its routes may be old",
+                 kOutOfContactRetryAfter));
+      co_return;
+    }
     const std::string_view host = net::Find(input.headers, "Host");
     const fleet::route* route =
         is_step ? nullptr
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -95,6 +95,8 @@
   uint64_t held_config = 0;  // its version of the configuration
   // Whether it can apply changes of the configuration.
   bool takes_config_changes = false;
+  // Whether it decides by the configuration: entries and stores.
+  bool acts_on_config = false;
   int64_t wait_ms = 0;
   // Reported by the instance that runs the tasks; empty for all others.
   std::vector<model_demand> demands;
@@ -105,12 +107,10 @@
   // Totals of the windows that changed; entries only.
   std::vector<usage_window> usage;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_request, instance, address,
-                                                may_found, wants_weights,
-                                                held_weights, held, held_config,
-                                                takes_config_changes, wait_ms,
-                                                demands, clock_ms, usage_source,
-                                                usage)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    view_request, instance, address, may_found, wants_weights, held_weights,
+    held, held_config, takes_config_changes, acts_on_config, wait_ms, demands,
+    clock_ms, usage_source, usage)
 
 // Which part of a list an update contains.
 enum class list_part {
--- a/packages/peering/failure_answer.cc
+++ b/packages/peering/failure_answer.cc
@@ -11,6 +11,8 @@
       return wire.EncodeFailure(404, answer.reason, std::nullopt);
     case call_outcome::kConflict:
       return wire.EncodeFailure(409, answer.reason, std::nullopt);
+    case call_outcome::kPending:
+      return wire.EncodeFailure(504, answer.reason, retry_after);
     case call_outcome::kUnknown:
       return wire.EncodeFailure(
           504, "the outcome of the call is unknown: " + answer.reason,
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -76,6 +76,7 @@
     case call_outcome::kRefused:
     case call_outcome::kNotFound:
     case call_outcome::kConflict:
+    case call_outcome::kPending:
       leader_ = target;
       return;
   }
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -59,6 +59,7 @@
   kRefused,      // can never succeed; see `reason`
   kNotFound,
   kConflict,  // would leave too few instances; not executed
+  kPending,   // executed, but not in force everywhere yet; may be repeated
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(call_outcome,
                              {{call_outcome::kUnavailable, "unavailable"},
@@ -67,7 +68,8 @@
                               {call_outcome::kUnknown, "unknown"},
                               {call_outcome::kRefused, "refused"},
                               {call_outcome::kNotFound, "not_found"},
-                              {call_outcome::kConflict, "conflict"}})
+                              {call_outcome::kConflict, "conflict"},
+                              {call_outcome::kPending, "pending"}})
 
 // The reply to each call.
 struct envelope {
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -44,6 +44,7 @@
     input.held = view_.version;
     input.held_config = view_.config.version;
     input.takes_config_changes = true;
+    input.acts_on_config = options_.acts_on_config;
     input.wait_ms = options_.wait.count();
     if (demands_) input.demands = demands_();
     input.clock_ms = core::ToUnixMillis(clock_.WallNow());
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -18,8 +18,9 @@
 
 struct follower_options {
   std::string instance;
-  std::string store_address;  // peer address of a store; empty: not a store
-  bool may_found = false;     // a store that starts for the first time
+  std::string store_address;    // peer address of a store; empty: not a store
+  bool may_found = false;       // a store that starts for the first time
+  bool acts_on_config = false;  // see fleet::view_request
   // How long the leader may delay a response. It also limits the time until a
   // broken connection is detected: twice this value is well below the time in
   // which a change must take effect.
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -105,6 +105,11 @@
       {"drain.notice", type::kDuration, "2500ms", 0, kMillisPerHour,
        "How long a planned stop reports \"not ready\" before connections are "
        "closed."},
+      {"access.apply_limit", type::kDuration, "0ms", 0, kMillisPerMinute,
+       "Time after the acknowledgement of a configuration within which it is "
+       "in force everywhere. An entry or a store that was out of contact for "
+       "1.5 s longer starts no requests until it has contact again. 0: not "
+       "limited."},
       {"access.revocation_limit", type::kDuration, "0ms", 0, kMillisPerMinute,
        "Time after which a withdrawn API key is accepted nowhere. An entry "
        "that was out of contact for as long refuses requests with keys. 0: not "
@@ -170,6 +175,7 @@
   settings.step_retention = read.Duration("steps.retention");
   settings.drain_grace = read.Duration("drain.grace");
   settings.drain_notice = read.Duration("drain.notice");
+  settings.apply_limit = read.Duration("access.apply_limit");
   settings.revocation_limit = read.Duration("access.revocation_limit");
   settings.usage_window = read.Duration("usage.window");
   settings.usage_due = read.Duration("usage.due");
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -39,6 +39,9 @@
   std::chrono::milliseconds drain_notice{0};
   // Number of instances with a disk that may be lost at the same time.
   int64_t tolerated_losses = 1;
+  // Time after the acknowledgement of a configuration within which it is in
+  // force everywhere; 0: not limited.
+  std::chrono::milliseconds apply_limit{0};
   // Time after which a withdrawn key is accepted nowhere; 0: not limited.
   std::chrono::milliseconds revocation_limit{0};
   std::chrono::milliseconds usage_window{0};  // 0: usage is not counted
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -268,6 +268,7 @@
 
 void dispatcher::DispatchTasks() {
   if (!is_leading_ || !group_.IsServing()) return;
+  if (!may_use_routes()) return;
   dispatch_pass pass;
   pass.starting = CountStartingRuns();
   for (const std::string& id : StepsByAge()) {
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -60,6 +60,8 @@
   void OnApplied();
   // Called after a change of the endpoints, their weights or the configuration.
   void OnView();
+  // Set before Start(): whether requests may be sent by the routes of the view.
+  std::function<bool()> may_use_routes;
   // Handles the polls and reports of other stores that run tasks. Returns
   // kNotLeader while this instance does not hold a live lease.
   boost::asio::awaitable<peering::envelope> HandleRunner(std::string method,
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "access/configuration_lease.h"
 #include "core/events.h"
 #include "group/group_host.h"
 #include "net/connection_pool.h"
@@ -39,6 +40,7 @@
   options.instance = settings.id;
   options.store_address = settings.peers_address;
   options.may_found = settings.is_first_start;
+  options.acts_on_config = true;
   return options;
 }
 
@@ -59,6 +61,7 @@
   impl(asio::io_context& io, const core::runtime_clock& runtime,
        const settings::node_settings& node, const fleet::protocol& wire)
       : loop(io),
+        clock(runtime),
         settings(node),
         pool(io),
         state(node.OutputBudget()),
@@ -80,6 +83,10 @@
                [this] { return group.IsServing(); }),
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
+    limits.apply = node.apply_limit;
+    dispatch.may_use_routes = [this] {
+      return access::MayServe(follower.ConfirmedAt(), limits, clock.BootNow());
+    };
     group.on_leadership = [this](bool is_leader) {
       must_log_loaded_steps = is_leader;
       dispatch.OnLeadership(is_leader);
@@ -159,6 +166,7 @@
   }
 
   asio::io_context& loop;
+  const core::runtime_clock& clock;
   const settings::node_settings settings;
   net::connection_pool pool;
   step_state state;
@@ -172,6 +180,7 @@
   peering::leader_caller leader;  // calls the leader of the data group
   remote_runner runner;
   net::listener peers;
+  access::lease_limits limits;
   bool must_log_loaded_steps = false;
 };
 
--- /dev/null
+++ b/tests/integration/configuration_in_force_test.cc
@@ -0,0 +1,89 @@
+// Promise 9 on a deployment: a change that was acknowledged is obeyed by every
+// entry and store, and none of them falls back to an older one.
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <string>
+
+#include "support/deployment.h"
+
+namespace hickorywood::testing {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// With a limit this small, entries may obey an older configuration for no
+// longer than they may be without contact before the acknowledgement.
+constexpr char kShortestLimit[] = "access: {apply_limit: 1ms}\n";
+
+// Expects that no entry routes by a configuration before `version`, which was
+// acknowledged. An entry without contact may refuse.
+void ExpectInForce(deployment& fleet, int version) {
+  for (const std::string entry : {"e1", "e2"}) {
+    const std::string suffix = entry + "-" + std::to_string(version);
+    const int removed =
+        fleet.UseVersion(entry, version - 1, "removed-" + suffix).status;
+    EXPECT_TRUE(removed == kNotFound || removed == kUnavailable)
+        << removed << " from " << entry << " by version " << version - 1;
+    EXPECT_EQ(fleet.Endpoints().RunsOf("removed-" + suffix), 0);
+    EXPECT_NE(fleet.UseVersion(entry, version, "added-" + suffix).status,
+              kNotFound)
+        << entry << " lacks version " << version;
+  }
+}
+
+// Guards against an acknowledgement that does not wait for the entries: those
+// that still had a request open at a frozen leader obeyed the older version.
+TEST(ConfigurationInForceTest, AcknowledgedWhileLeadersFreeze) {
+  deployment fleet;
+  fleet.extra_settings = kShortestLimit;
+  ASSERT_TRUE(fleet.Start());
+  constexpr int kRounds = 3;
+  int version = 1;
+  for (int round = 0; round < kRounds; ++round) {
+    for (const std::string& control : fleet.Controls()) {
+      fleet.Node(control).Signal(SIGSTOP);
+      ASSERT_TRUE(fleet.PutConfiguration(++version, true));
+      ExpectInForce(fleet, version);
+      fleet.Node(control).Signal(SIGCONT);
+      ASSERT_TRUE(
+          WaitUntil([&] { return fleet.VersionAt(control) == version; }));
+    }
+  }
+}
+
+// Guards against entries and stores that go on routing by a copy that nobody
+// can replace: its routes may have been moved or removed since.
+TEST(ConfigurationInForceTest, InstancesOutOfContactStartNothing) {
+  deployment fleet;
+  fleet.extra_settings = kShortestLimit;
+  ASSERT_TRUE(fleet.Start());
+  for (const std::string& control : fleet.Controls()) {
+    fleet.Node(control).Signal(SIGSTOP);
+  }
+  for (const std::string entry : {"e1", "e2"}) {
+    int requests = 0;
+    std::string last;
+    ASSERT_TRUE(WaitUntil([&] {
+      last = entry + "-cut-" + std::to_string(++requests);
+      return fleet.Plain(entry, last).status == kUnavailable;
+    })) << entry;
+    EXPECT_FALSE(fleet.IsReady(entry));
+    EXPECT_EQ(fleet.Endpoints().RunsOf(last), 0);
+  }
+  for (const std::string& control : fleet.Controls()) {
+    fleet.Node(control).Signal(SIGCONT);
+  }
+  for (const std::string entry : {"e1", "e2"}) {
+    int requests = 0;
+    EXPECT_TRUE(WaitUntil([&] {
+      return fleet.Plain(entry, entry + "-back-" + std::to_string(++requests))
+                 .status == kOk;
+    })) << entry;
+  }
+}
+
+}  // namespace
+}  // namespace hickorywood::testing
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kHeartbeatPeriod{150};
 constexpr std::chrono::milliseconds kHeartbeatTimeout{1000};
 constexpr std::chrono::milliseconds kCallTimeout{3000};
+// After this time an operator's client switches to another instance.
+constexpr std::chrono::milliseconds kOperatorTimeout{1000};
 
 std::string NodeAddress(int number) {
   return "127.1.1." + std::to_string(number + 1);
@@ -79,6 +81,14 @@
           {"service", "echo"}, {"max_attempts", 1}};
 }
 
+// A route that only one version of the configuration has.
+json VersionRoute(int version) {
+  return {{"name", "version"}, {"host", "h"},
+          {"kind", "safe"},    {"path_prefix", deployment::PathOf(version)},
+          {"service", "echo"}, {"timeout_ms", 20000},
+          {"goal_ms", 10000},  {"max_attempts", 2}};
+}
+
 json StreamRoute() {
   return {{"name", "streams"},    {"host", "h"},         {"path_prefix", "/q/"},
           {"kind", "stream"},     {"timeout_ms", 20000}, {"goal_ms", 10000},
@@ -276,7 +286,8 @@
 bool deployment::PutConfiguration(int version, bool with_plain_route) {
   json body = {
       {"version", version},
-      {"routes", json::array({StepRoute(), StreamRoute(), SingleRoute()})},
+      {"routes", json::array({StepRoute(), StreamRoute(), SingleRoute(),
+                              VersionRoute(version)})},
       {"services",
        json::array(
            {{{"name", "echo"}},
@@ -288,11 +299,24 @@
   size_t turn = 0;
   return WaitUntil([&] {
     const std::string& control = controls_[turn++ % controls_.size()];
-    return web_.Post(Address(control, control_port_), "/v1/config/put", body)
-               .status == 200;
+    transport::http_request input;
+    input.url = "http://" + Address(control, control_port_) + "/v1/config/put";
+    input.body = body.dump();
+    input.total_timeout = kOperatorTimeout;
+    return web_.Send(std::move(input)).status == 200;
   });
 }
 
+std::string deployment::PathOf(int version) {
+  return "/version-" + std::to_string(version) + "/";
+}
+
+transport::http_response deployment::UseVersion(const std::string& entry,
+                                                int version,
+                                                const std::string& request_id) {
+  return web_.Send(MakeRequest(entry, PathOf(version), request_id));
+}
+
 int deployment::VersionAt(const std::string& control) {
   const json tree =
       web_.GetJson(Address(control, control_port_), "/v1/config/get");
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -69,6 +69,11 @@
   // Sends a configuration to the control instances in turn until one accepts
   // it.
   bool PutConfiguration(int version, bool with_plain_route);
+  // Path of the route that only this version of the configuration has.
+  static std::string PathOf(int version);
+  // Sends a request of that route.
+  transport::http_response UseVersion(const std::string& entry, int version,
+                                      const std::string& request_id);
   // The configuration version that a control instance reports; 0 if it reports
   // none.
   int VersionAt(const std::string& control);
