Find the leader before sending it a call that may be held

What callers saw: after an election, entries obeyed a change seconds later than others, and refused for as long once the age of their copy was limited.

Cause: a process without a leader sent its request for a view, which may be held for 0.7 s and therefore has 1.1 s, to one instance after the other. Each one that stands still took all of it, and the leader that others name may be the one that stands still. Besides, a late failure at one instance made concurrent calls forget the leader that had been found since.

Evidence: LeaderCallerTest.LeaderIsFoundBesideAnInstanceThatStandsStill: before, the call took its 5 s at the silent instance and failed; now it is answered.

Change: calls are sent only to an instance that has answered as the leader. Who that is is asked first, with 300 ms for each instance. The stand-in of the heartbeat test answers that question too.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -85,6 +85,7 @@
 awaitable<envelope> leader_service::Handle(std::string method,
                                            std::string payload) {
   if (!group_.IsServing()) co_return NotLeader();
+  if (method == peering::kLeaderMethod) co_return Done();
   if (method == peering::kViewMethod) {
     co_return co_await GetView(std::move(payload));
   }
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -18,6 +18,9 @@
 // Pause between two attempts: an election takes a few hundred milliseconds, and
 // a tight loop would load the instances that conduct it.
 constexpr milliseconds kRetryPause{40};
+// Time limit for an instance to say who leads. Its loop is rarely busy for
+// longer, and an election takes longer anyway.
+constexpr milliseconds kSearchTimeout{300};
 
 // Time limit of sending an update: the request that crashed an endpoint may
 // arrive again for as long. After a failure the caller queues the update again.
@@ -64,6 +67,13 @@
 
 void leader_caller::UpdateLeader(const std::string& target,
                                  const envelope& answer) {
+  const bool is_from_leader = answer.outcome != call_outcome::kNotLeader &&
+                              answer.outcome != call_outcome::kUnavailable &&
+                              answer.outcome != call_outcome::kUnknown;
+  // A late failure of another instance says nothing about the leader that was
+  // found meanwhile.
+  if (has_answered_ && target != leader_ && !is_from_leader) return;
+  has_answered_ = is_from_leader;
   switch (answer.outcome) {
     case call_outcome::kNotLeader:
       leader_ = answer.leader == target ? "" : answer.leader;
@@ -110,13 +120,34 @@
   co_return answer;
 }
 
+awaitable<bool> leader_caller::FindLeader(time_point deadline) {
+  while (!has_answered_) {
+    const std::string target = NextTarget();
+    const time_point until = std::min(deadline, Now() + kSearchTimeout);
+    const envelope answer =
+        co_await AttemptCall(target, kLeaderMethod, "", until);
+    UpdateLeader(target, answer);
+    if (has_answered_) break;
+    if (Now() + kRetryPause >= deadline) co_return false;
+    if (leader_.empty()) {
+      co_await net::Sleep(kRetryPause);
+    }
+  }
+  co_return true;
+}
+
 awaitable<envelope> leader_caller::Call(std::string method, std::string payload,
                                         time_point deadline,
                                         milliseconds attempt_timeout) {
   bool is_unknown = false;
   envelope answer;
   for (;;) {
-    const std::string target = NextTarget();
+    const bool has_leader = co_await FindLeader(deadline);
+    if (!has_leader) {
+      answer.reason = "no instance answered as the leader";
+      break;
+    }
+    const std::string target = leader_;
     const time_point until = std::min(deadline, Now() + attempt_timeout);
     answer = co_await AttemptCall(target, method, payload, until);
     UpdateLeader(target, answer);
@@ -125,10 +156,8 @@
                               answer.outcome == call_outcome::kUnknown;
     if (!should_retry) co_return answer;
     is_unknown = is_unknown || answer.outcome == call_outcome::kUnknown;
-    const bool has_new_leader =
-        answer.outcome == call_outcome::kNotLeader && !leader_.empty();
     if (Now() + kRetryPause >= deadline) break;
-    if (!has_new_leader) {
+    if (leader_.empty()) {
       co_await net::Sleep(kRetryPause);
     }
   }
--- a/packages/peering/leader_caller.h
+++ b/packages/peering/leader_caller.h
@@ -3,7 +3,9 @@
 
 // Calls to the current leader of a group. Starts with the seeds, adds the
 // instances from the views, and switches to another instance when the leader
-// changes, is unreachable or has terminated.
+// changes, is unreachable or has terminated. A call, which may be held for
+// long, is sent only to an instance that has answered as the leader: an
+// instance that stands still would otherwise take the time limit of the call.
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -40,6 +42,10 @@
                                         core::time_point deadline,
                                         core::milliseconds attempt_timeout);
 
+  // Asks the instances in turn which of them leads. Returns false when none of
+  // them answered as the leader by `deadline`.
+  boost::asio::awaitable<bool> FindLeader(core::time_point deadline);
+
   // Makes one attempt at one instance.
   boost::asio::awaitable<envelope> AttemptCall(const std::string& address,
                                                const std::string& method,
@@ -54,6 +60,7 @@
   std::vector<std::string> seeds_;
   std::vector<std::string> controllers_;  // from the latest view
   std::string leader_;                    // latest known; empty: none
+  bool has_answered_ = false;             // as the leader
   size_t next_target_ = 0;
   std::string own_address_;
   local_handler local_;
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -26,6 +26,8 @@
 // control leader the ones before them, and both leaders those about the
 // retirement of a store. Every replica handles consensus messages.
 constexpr char kConsensusMethod[] = "consensus";
+// Answered at once by the leader of either group.
+constexpr char kLeaderMethod[] = "leader";
 constexpr char kViewMethod[] = "view";
 constexpr char kHeartbeatsMethod[] = "heartbeats";
 constexpr char kLeaveMethod[] = "leave";
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -34,7 +34,10 @@
     : clock_(clock), caller_(caller), options_(std::move(options)) {}
 
 awaitable<void> view_follower::Run() {
+  const core::milliseconds attempt_timeout = options_.wait + options_.slack;
   for (;;) {
+    // Separate from the call, which needs its whole time limit.
+    co_await caller_.FindLeader(Now() + attempt_timeout);
     fleet::view_request input;
     input.instance = options_.instance;
     input.address = options_.store_address;
@@ -53,7 +56,6 @@
       input.usage = usage_.pending();
     }
     const core::boot_time_point requested_at = clock_.BootNow();
-    const core::milliseconds attempt_timeout = options_.wait + options_.slack;
     const envelope answer =
         co_await caller_.Call(kViewMethod, core::EncodeBinary(input),
                               Now() + attempt_timeout, attempt_timeout);
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -82,6 +82,7 @@
 awaitable<envelope> step_service::Handle(std::string method,
                                          std::string payload) {
   if (!group_.IsServing()) co_return NotLeader();
+  if (method == peering::kLeaderMethod) co_return Done();
   if (method == peering::kOpenStepMethod) {
     co_return co_await OpenStep(std::move(payload));
   }
--- a/tests/unit/controller/heartbeat_forwarder_test.cc
+++ b/tests/unit/controller/heartbeat_forwarder_test.cc
@@ -135,6 +135,9 @@
     caller.ServeLocally("here",
                         [this](std::string method, std::string payload)
                             -> boost::asio::awaitable<peering::envelope> {
+                          peering::envelope done;
+                          done.outcome = peering::call_outcome::kDone;
+                          if (method == peering::kLeaderMethod) co_return done;
                           EXPECT_EQ(method, peering::kHeartbeatsMethod);
                           const auto batch =
                               core::DecodeBinary<heartbeat_batch>(payload);
@@ -144,8 +147,6 @@
                           heartbeat_batch_answer answer;
                           answer.term = 1;
                           answer.refusals.resize(batch->heartbeats.size());
-                          peering::envelope done;
-                          done.outcome = peering::call_outcome::kDone;
                           done.payload = core::EncodeBinary(answer);
                           co_return done;
                         });
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <list>
 #include <sstream>
 #include <string>
@@ -153,5 +154,46 @@
   EXPECT_EQ(peer.Connections(), 1U);
 }
 
+// Guards against an instance that stands still, here one that never accepts a
+// connection, and takes the time limit of the call: entries that asked it after
+// an election learned of no change for seconds.
+TEST(LeaderCallerTest, LeaderIsFoundBesideAnInstanceThatStandsStill) {
+  io_context loop;
+  boost::asio::ip::tcp::acceptor silent(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  net::listener leader(
+      loop, PeerListenerOptions("127.0.0.1:0"),
+      [](net::exchange& call) -> awaitable<void> {
+        return ServePeer(
+            call,
+            [](std::string payload) -> awaitable<std::string> {
+              co_return payload;
+            },
+            [](std::string /*method*/,
+               std::string /*payload*/) -> awaitable<envelope> {
+              envelope answer;
+              answer.outcome = call_outcome::kDone;
+              co_return answer;
+            });
+      });
+  ASSERT_TRUE(leader.Start());
+  net::connection_pool pool(loop);
+  leader_caller caller(
+      pool, {"127.0.0.1:" + std::to_string(silent.local_endpoint().port()),
+             "127.0.0.1:" + std::to_string(leader.Port())});
+  envelope answer;
+  constexpr milliseconds kCallLimit{5000};
+  boost::asio::co_spawn(
+      loop,
+      caller.Call("method", "", std::chrono::steady_clock::now() + kCallLimit,
+                  kCallLimit),
+      [&](const std::exception_ptr& /*failure*/, envelope received) {
+        answer = std::move(received);
+        loop.stop();
+      });
+  loop.run_for(kLimit);
+  EXPECT_EQ(answer.outcome, call_outcome::kDone) << answer.reason;
+}
+
 }  // namespace
 }  // namespace hickorywood::peering
