Acknowledge nothing before there are voters enough for the losses to tolerate

What callers could see: a configuration or a step that was acknowledged during the first moments of a deployment is gone after a loss of two disks that the deployment must tolerate.

Cause: commands were acknowledged from three voters on, whatever losses are to be tolerated. Three voters acknowledge with two copies.

Evidence: ConfigurationInForceTest.NothingIsAcknowledgedThatLossesCanDestroy: with three control instances and two losses to tolerate, a configuration was committed before ("committed, but not in force at every instance yet"); now the call is refused with 503, "too few instances have a copy of the state".

Change: the number of voters below which nothing is acknowledged is the one below which the group does not shrink: two for each loss, and one.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -420,7 +420,7 @@
   // Exactly one store may bootstrap the data group, so the choice is committed.
   const bool is_needed = input.may_found && state_.DataFounder().empty() &&
                          !is_choosing_founder_ &&
-                         group_.IsReplicatedBeyondOneDisk();
+                         group_.HasEnoughVoters();
   if (!is_needed) return;
   is_choosing_founder_ = true;
   asio::co_spawn(
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -57,8 +57,8 @@
   settings.raft.leader_lease = node.leader_lease;
   settings.raft.reply_timeout = node.leader_lease;
   settings.raft.wanted_voters = wanted_voters;
-  settings.raft.min_voters =
-      std::max(settings.spread_voters, node.DataVoters());
+  settings.spread_voters = std::max(kMinSpreadVoters, node.DataVoters());
+  settings.raft.min_voters = settings.spread_voters;
   return settings;
 }
 
@@ -219,7 +219,7 @@
   return DecodeCommand(*data);
 }
 
-bool group_host::IsReplicatedBeyondOneDisk() const {
+bool group_host::HasEnoughVoters() const {
   return Voters().size() >= settings_.spread_voters;
 }
 
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -23,14 +23,17 @@
 
 namespace hickorywood::group {
 
+// With fewer voters, the loss of one disk could destroy all copies.
+constexpr size_t kMinSpreadVoters = 3;
+
 struct group_settings {
   std::string name;         // of the group
   std::string own_address;  // peer address; identifies the instance
   std::string data_folder;
   consensus::raft_options raft;
   // Number of voters below which no command is acknowledged: with fewer, the
-  // loss of one disk could destroy all copies.
-  size_t spread_voters = 3;
+  // losses to tolerate could destroy all copies, or leave no quorum.
+  size_t spread_voters = kMinSpreadVoters;
 };
 
 // Returns the settings of a group with `wanted_voters` voters from the settings
@@ -76,9 +79,9 @@
   // before each external effect, since a process may have been suspended in
   // between.
   bool IsServing() const { return replica_.IsServing(); }
-  // Whether enough voters have the state, so that the loss of a single disk
-  // can't destroy acknowledged commands.
-  bool IsReplicatedBeyondOneDisk() const;
+  // Whether there are enough voters, so that the losses to tolerate can't
+  // destroy acknowledged commands.
+  bool HasEnoughVoters() const;
   bool HasFailed() const { return replica_.HasFailed(); }
   uint64_t Term() const { return replica_.Raft().hard.term; }
   core::time_point ElectedAt() const { return replica_.Raft().elected_at; }
--- a/packages/group/leader_calls.cc
+++ b/packages/group/leader_calls.cc
@@ -30,7 +30,7 @@
 boost::asio::awaitable<envelope> CommitCall(group_host& host, std::string name,
                                             std::string payload) {
   envelope answer;
-  if (!host.IsReplicatedBeyondOneDisk()) {
+  if (!host.HasEnoughVoters()) {
     answer.reason = "too few instances have a copy of the state";
     co_return answer;
   }
--- a/tests/integration/configuration_in_force_test.cc
+++ b/tests/integration/configuration_in_force_test.cc
@@ -85,5 +85,21 @@
   }
 }
 
+// Guards against an acknowledgement while the group is still growing: with
+// three voters, the loss of two disks that the deployment must tolerate can
+// destroy all copies.
+TEST(ConfigurationInForceTest, NothingIsAcknowledgedThatLossesCanDestroy) {
+  deployment fleet;
+  fleet.extra_settings = "losses: {instances: 2}\n";
+  for (const std::string& control : fleet.Controls()) fleet.StartNode(control);
+  transport::http_response answer;
+  ASSERT_TRUE(WaitUntil([&] {
+    answer = fleet.PutConfigurationAt("c1", fleet.Configuration(1, true));
+    return answer.status == kOk || fleet.IsVoter("c1", "c3");
+  }));
+  answer = fleet.PutConfigurationAt("c1", fleet.Configuration(1, true));
+  EXPECT_EQ(answer.status, kUnavailable) << answer.body;
+}
+
 }  // namespace
 }  // namespace hickorywood::testing
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -283,7 +283,7 @@
   }
 }
 
-bool deployment::PutConfiguration(int version, bool with_plain_route) {
+json deployment::Configuration(int version, bool with_plain_route) const {
   json body = {
       {"version", version},
       {"routes", json::array({StepRoute(), StreamRoute(), SingleRoute(),
@@ -296,14 +296,24 @@
               {{"slots", 8}, {"models", json::array({{{"name", "m"}}})}}}}})}};
   if (with_plain_route) body["routes"].push_back(PlainRoute());
   if (!customers.is_null()) body["tenants"] = customers;
+  return body;
+}
+
+transport::http_response deployment::PutConfigurationAt(
+    const std::string& control, const json& configuration) {
+  transport::http_request input;
+  input.url = "http://" + Address(control, control_port_) + "/v1/config/put";
+  input.body = configuration.dump();
+  input.total_timeout = kOperatorTimeout;
+  return web_.Send(std::move(input));
+}
+
+bool deployment::PutConfiguration(int version, bool with_plain_route) {
+  const json body = Configuration(version, with_plain_route);
   size_t turn = 0;
   return WaitUntil([&] {
     const std::string& control = controls_[turn++ % controls_.size()];
-    transport::http_request input;
-    input.url = "http://" + Address(control, control_port_) + "/v1/config/put";
-    input.body = body.dump();
-    input.total_timeout = kOperatorTimeout;
-    return web_.Send(std::move(input)).status == 200;
+    return PutConfigurationAt(control, body).status == 200;
   });
 }
 
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -66,6 +66,10 @@
   // Key that is sent with all requests of callers; empty: none.
   std::string caller_key;
 
+  nlohmann::json Configuration(int version, bool with_plain_route) const;
+  // Sends a configuration to one control instance once.
+  transport::http_response PutConfigurationAt(
+      const std::string& control, const nlohmann::json& configuration);
   // Sends a configuration to the control instances in turn until one accepts
   // it.
   bool PutConfiguration(int version, bool with_plain_route);
