Withhold the acknowledgement of a configuration for one lease at most

What operators would see: a valid change that is never acknowledged, since one instance requests views but receives no response, for instance as responses arrive later than it waits for them.

Cause: each request renewed the lease of its instance, whatever became of the response. But a response that is made after the change was applied contains the change, so an instance without it was last confirmed by an earlier one.

Change: a change is acknowledged when all instances in contact have it, or one lease after it was applied.

--- a/packages/control/configuration_lease.cc
+++ b/packages/control/configuration_lease.cc
@@ -20,7 +20,12 @@
                      core::time_point now) {
   leases.duration = duration;
   leases.holders.clear();
-  leases.complete_at = now + duration + duration / kMarginDivisor;
+  leases.complete_at = LeaseEnd(leases, now);
+}
+
+core::time_point LeaseEnd(const lease_table& leases,
+                          core::time_point granted_at) {
+  return granted_at + leases.duration + leases.duration / kMarginDivisor;
 }
 
 void RenewLease(lease_table& leases, const std::string& instance,
@@ -30,7 +35,7 @@
   holder.site = site;
   holder.applied = applied;
   holder.revision = revision;
-  holder.expires_at = now + leases.duration + leases.duration / kMarginDivisor;
+  holder.expires_at = LeaseEnd(leases, now);
   holder.may_still_serve = false;
 }
 
--- a/packages/control/configuration_lease.h
+++ b/packages/control/configuration_lease.h
@@ -40,6 +40,10 @@
 void StartLeaseTable(lease_table& leases, core::milliseconds duration,
                      core::time_point now);
 
+// When a lease that is granted at `granted_at` has certainly expired.
+core::time_point LeaseEnd(const lease_table& leases,
+                          core::time_point granted_at);
+
 // Grants or renews the lease of `instance`.
 void RenewLease(lease_table& leases, const std::string& instance,
                 const std::string& site, uint64_t applied, uint64_t revision,
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
-#include "access/configuration_lease.h"
 #include "core/binary.h"
 #include "core/events.h"
 #include "core/ids.h"
@@ -39,9 +38,9 @@
 // quarantined requests: one round of requests and one call.
 constexpr milliseconds kWarningSyncTime{300};
 
-// How long the acknowledgement of a configuration is delayed for the instances
-// that do not have it yet. Less than the timeout of the forwarded call.
-constexpr milliseconds kInForceWait{500};
+// How long a call waits for the instances that do not have its change yet. Less
+// than the timeout of a forwarded call.
+constexpr milliseconds kAcknowledgementWait{500};
 // Time after which it is checked again whether instances have lost contact.
 constexpr milliseconds kContactPoll{50};
 
@@ -152,14 +151,13 @@
     views_.Interrupt();
     return;
   }
+  // After a term of another leader, there may be instances in contact that this
+  // one does not know.
+  const bool has_led_before = group_.LedSince() < group_.ElectedAt();
+  if (!has_led_before) StartContacts(config_contacts_, clock_.Now());
+  usage_.BeginTerm();
   // Heartbeats reach a new leader only after a while. Until then it uses the
   // endpoints that it had as a follower.
-  // Before an election in between, other leaders may have had contact with
-  // instances that this one does not know.
-  if (group_.LedSince() == group_.ElectedAt()) {
-    control::StartLeaseTable(contacts_, access::kContactLease, clock_.Now());
-  }
-  usage_.BeginTerm();
   registry_.endpoints.clear();
   fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
   stores_.clear();
@@ -188,6 +186,7 @@
 void leader_service::OnApplied() {
   if (state_.Config().version != published_config_) {
     published_config_ = state_.Config().version;
+    config_applied_at_ = clock_.Now();
     views_.OnConfigurationChanged();
   }
   std::vector<std::string> members = group_.Members();
@@ -212,7 +211,7 @@
   const auto input = core::DecodeBinary<fleet::view_request>(payload);
   if (!input) co_return Malformed();
   RecordStore(*input);
-  RecordContact(*input);
+  RecordRequest(*input);
   for (const fleet::model_demand& item : input->demands) {
     weights_.demands[item.model] = item.streams;
   }
@@ -306,6 +305,7 @@
 awaitable<envelope> leader_service::PutConfiguration(std::string payload) {
   auto input = core::DecodeBinary<peering::configuration_text>(payload);
   if (!input) co_return Malformed();
+  const time_point until = clock_.Now() + kAcknowledgementWait;
   const std::vector<std::string> findings =
       fleet::CheckConfiguration(input->config);
   const std::string version = std::to_string(input->config.version);
@@ -319,7 +319,7 @@
   if (input->config.version <= held) {
     LogEvent(event_id::kConfigurationNotNewer,
              {{"version", version}, {"held", std::to_string(held)}});
-    co_return co_await AwaitInForce(input->config.version);
+    co_return co_await AwaitInForce(input->config.version, until);
   }
   // Entries serve from the first configuration on, and need the digest key by
   // then.
@@ -333,32 +333,30 @@
   if (answer.outcome != call_outcome::kDone) co_return answer;
   LogEvent(event_id::kConfigurationAccepted,
            {{"version", version}, {"before", std::to_string(held)}});
-  // Instances without a configuration serve nothing, so the first one replaces
-  // nothing that could be obeyed for too long.
-  if (held == 0) co_return answer;
-  co_return co_await AwaitInForce(number);
+  co_return co_await AwaitInForce(number, until);
 }
 
-void leader_service::RecordContact(const fleet::view_request& input) {
+void leader_service::RecordRequest(const fleet::view_request& input) {
   if (!input.acts_on_config) return;
-  control::RenewLease(contacts_, input.instance, "", input.held_config, 0,
-                      clock_.Now());
+  RecordContact(config_contacts_, input.instance, input.held_config,
+                clock_.Now());
   contact_.Notify();
 }
 
-awaitable<envelope> leader_service::AwaitInForce(uint64_t version) {
-  const time_point started = clock_.Now();
-  const time_point until = started + kInForceWait;
+awaitable<envelope> leader_service::AwaitInForce(uint64_t version,
+                                                 time_point until) {
   for (;;) {
     if (!group_.IsServing()) {
       co_return envelope{call_outcome::kUnknown, "",
                          "leadership ended before the change was in force", ""};
     }
     const time_point now = clock_.Now();
-    if (control::IsInForceEverywhere(contacts_, version, now)) break;
+    if (IsKnownEverywhere(config_contacts_, version, config_applied_at_, now)) {
+      break;
+    }
     if (now >= until) {
       const std::vector<std::string> missing =
-          control::InstancesWithout(contacts_, version, now);
+          InstancesWithout(config_contacts_, version, now);
       LogEvent(event_id::kConfigurationPending,
                {{"version", std::to_string(version)},
                 {"instances", std::to_string(missing.size())},
@@ -369,12 +367,12 @@
     }
     co_await contact_.WaitUntil(std::min(until, now + kContactPoll));
   }
-  const auto waited =
-      std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
+  const auto age = std::chrono::duration_cast<milliseconds>(clock_.Now() -
+                                                            config_applied_at_);
   LogEvent(event_id::kConfigurationConfirmed,
            {{"version", std::to_string(version)},
-            {"instances", std::to_string(contacts_.holders.size())},
-            {"ms", std::to_string(waited.count())}});
+            {"latest", std::to_string(state_.Config().version)},
+            {"age_ms", std::to_string(age.count())}});
   co_return Done();
 }
 
@@ -419,8 +417,7 @@
   }
   // Exactly one store may bootstrap the data group, so the choice is committed.
   const bool is_needed = input.may_found && state_.DataFounder().empty() &&
-                         !is_choosing_founder_ &&
-                         group_.HasEnoughVoters();
+                         !is_choosing_founder_ && group_.HasEnoughVoters();
   if (!is_needed) return;
   is_choosing_founder_ = true;
   asio::co_spawn(
@@ -503,7 +500,7 @@
     if (!group_.IsServing()) continue;
     co_await CommitDigestKey();
     ExpireStores();
-    control::RemoveExpired(contacts_, clock_.Now());
+    RemoveExpired(config_contacts_, clock_.Now());
     const auto lifted = quarantine::Expire(crashes_, clock_.Now());
     if (!lifted.empty()) OnQuarantineChanges(lifted);
     if (!fleet::ExpireEndpoints(registry_, clock_.Now())) continue;
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "control/configuration_lease.h"
+#include "controller/contact_table.h"
 #include "controller/control_state.h"
 #include "controller/heartbeat_cache.h"
 #include "controller/usage_reporter.h"
@@ -63,10 +63,10 @@
   std::string AcceptHeartbeat(const fleet::heartbeat& input);
   answer HandleLeave(std::string payload);
   answer PutConfiguration(std::string payload);
-  // Waits until a configuration is in force at every instance that acts on it
-  // and has contact.
-  answer AwaitInForce(uint64_t version);
-  void RecordContact(const fleet::view_request& input);
+  // Waits until no instance acts on a configuration before `version`, or until
+  // `until`.
+  answer AwaitInForce(uint64_t version, core::time_point until);
+  void RecordRequest(const fleet::view_request& input);
   answer GetConfiguration();
   answer PublishVersion(std::string payload);
   answer Retire(std::string method, std::string payload);
@@ -107,9 +107,9 @@
   };
   std::map<std::string, store_record> stores_;  // by instance
   bool is_choosing_founder_ = false;
-  // The instances that act on the configuration, and the versions they have.
-  control::lease_table contacts_;
-  net::event contact_;  // one of them requested a view
+  contact_table config_contacts_;  // instances that act on the configuration
+  core::time_point config_applied_at_{};  // the latest one, at this instance
+  net::event contact_;                    // an instance requested a view
 };
 
 }  // namespace hickorywood::controller
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -104,9 +104,10 @@
   }
   const bool is_changed = fleet::ApplyUpdate(view_, *update);
   // An update that was rejected confirms nothing if it contains a newer
-  // configuration.
+  // configuration, or if its sender is a leader that was replaced.
   const bool has_latest =
-      fleet::ConfigVersionOf(*update) <= view_.config.version;
+      fleet::ConfigVersionOf(*update) <= view_.config.version &&
+      update->version.term >= view_.version.term;
   if (has_latest) confirmed_at_ = requested_at;
   if (!is_changed) return;
   if (update->has_members) {
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -250,8 +250,7 @@
   const std::vector<std::string> members = group_.Members();
   const bool is_member =
       std::find(members.begin(), members.end(), input->name) != members.end();
-  const peering::flag_answer answer{!is_member &&
-                                    group_.HasEnoughVoters()};
+  const peering::flag_answer answer{!is_member && group_.HasEnoughVoters()};
   co_return Done(core::EncodeBinary(answer));
 }
 
