Acknowledge that an endpoint leaves when no instance sends it work any more

The control leader acknowledged a departure, or that an endpoint drains, before anybody else knew of it; changes of endpoints are collected for up to 0.4 s before they are published. When the leader is lost in that time, its successor begins with the list that it followed, in which the endpoint is ready.

Change: the acknowledgement waits until all instances in contact, the control instances among them, have the list without the endpoint, or until the requests that got an older one have expired. Until then the endpoint is answered 504 and repeats its call. Heartbeats of draining endpoints are forwarded apart from the others, which need not wait.

--- a/packages/controller/heartbeat_forwarder.cc
+++ b/packages/controller/heartbeat_forwarder.cc
@@ -1,7 +1,9 @@
 #include "controller/heartbeat_forwarder.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <iterator>
 #include <utility>
 
 #include "controller/call_limits.h"
@@ -74,6 +76,18 @@
                                      : refreshed_at_ + kRefreshPeriod);
       continue;
     }
+    // The acknowledgement that an endpoint may leave waits for other instances,
+    // and must not delay those of other endpoints.
+    const auto leaving = std::stable_partition(
+        queue_.begin(), queue_.end(),
+        [](const waiting_heartbeat& item) { return !item.input.is_draining; });
+    std::vector<waiting_heartbeat> draining(
+        std::make_move_iterator(leaving),
+        std::make_move_iterator(queue_.end()));
+    queue_.erase(leaving, queue_.end());
+    if (!draining.empty()) {
+      asio::co_spawn(loop_, Send(std::move(draining)), asio::detached);
+    }
     asio::co_spawn(loop_, Send(std::move(queue_)), asio::detached);
     queue_.clear();
     co_await net::Sleep(kBatchPeriod);
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <optional>
 #include <utility>
 
 #include "core/binary.h"
@@ -155,6 +156,9 @@
   // one does not know.
   const bool has_led_before = group_.LedSince() < group_.ElectedAt();
   if (!has_led_before) StartContacts(config_contacts_, clock_.Now());
+  // Versions of lists begin anew with each term.
+  StartContacts(list_contacts_, clock_.Now());
+  leaving_.clear();
   usage_.BeginTerm();
   // Heartbeats reach a new leader only after a while. Until then it uses the
   // endpoints that it had as a follower.
@@ -238,16 +242,28 @@
 awaitable<envelope> leader_service::HandleHeartbeats(std::string payload) {
   const auto input = core::DecodeBinary<heartbeat_batch>(payload);
   if (!input) co_return Malformed();
+  const time_point until = clock_.Now() + kAcknowledgementWait;
   heartbeat_batch_answer answer;
   answer.term = group_.Term();
+  std::vector<std::string> leaving;
   for (const fleet::heartbeat& item : input->heartbeats) {
     answer.refusals.push_back(AcceptHeartbeat(item));
+    std::string incarnation = fleet::IncarnationOf(item.name, item.started_ms);
+    if (item.is_draining) {
+      leaving.push_back(std::move(incarnation));
+    } else {
+      leaving_.erase(incarnation);
+    }
   }
   for (const fleet::heartbeat_refresh& item : input->refreshes) {
     const bool is_known = fleet::ApplyRefresh(registry_, item, clock_.Now());
     if (!is_known) answer.unknown.push_back(item.incarnation);
   }
-  co_return Done(core::EncodeBinary(answer));
+  envelope known = co_await AwaitLeaving(std::move(leaving), until);
+  if (known.outcome == call_outcome::kDone) {
+    known.payload = core::EncodeBinary(answer);
+  }
+  co_return known;
 }
 
 // Returns the reason for which the heartbeat is rejected; empty: it is
@@ -288,13 +304,37 @@
 awaitable<envelope> leader_service::HandleLeave(std::string payload) {
   const auto input = core::DecodeBinary<fleet::departure>(payload);
   if (!input) co_return Malformed();
+  const time_point until = clock_.Now() + kAcknowledgementWait;
   if (fleet::ApplyDeparture(registry_, *input, clock_.Now())) {
     LogEvent(
         event_id::kEndpointLeft,
         {{"endpoint", fleet::IncarnationOf(input->name, input->started_ms)}});
     OnEndpointsChanged();
   }
-  co_return Done();
+  std::vector<std::string> leaving;
+  leaving.push_back(fleet::IncarnationOf(input->name, input->started_ms));
+  co_return co_await AwaitLeaving(std::move(leaving), until);
+}
+
+awaitable<envelope> leader_service::AwaitLeaving(
+    std::vector<std::string> incarnations, time_point until) {
+  if (incarnations.empty()) co_return Done();
+  const std::optional<uint64_t> published =
+      co_await views_.AwaitPublished(until);
+  if (!published) {
+    co_return envelope{call_outcome::kPending, "",
+                       "recorded, but not published yet", ""};
+  }
+  published_change latest;
+  for (const std::string& incarnation : incarnations) {
+    const auto [found, is_new] = leaving_.try_emplace(
+        incarnation, published_change{*published, clock_.Now()});
+    const published_change& change = found->second;
+    latest.version = std::max(latest.version, change.version);
+    latest.published_at = std::max(latest.published_at, change.published_at);
+  }
+  co_return co_await AwaitKnown(list_contacts_, latest.version,
+                                latest.published_at, until);
 }
 
 awaitable<envelope> leader_service::CommitCall(std::string name,
@@ -337,43 +377,58 @@
 }
 
 void leader_service::RecordRequest(const fleet::view_request& input) {
-  if (!input.acts_on_config) return;
-  RecordContact(config_contacts_, input.instance, input.held_config,
-                clock_.Now());
+  const time_point now = clock_.Now();
+  RecordContact(list_contacts_, input.instance, views_.CountOf(input.held),
+                now);
+  if (input.acts_on_config) {
+    RecordContact(config_contacts_, input.instance, input.held_config, now);
+  }
   contact_.Notify();
 }
 
-awaitable<envelope> leader_service::AwaitInForce(uint64_t version,
-                                                 time_point until) {
+awaitable<envelope> leader_service::AwaitKnown(const contact_table& contacts,
+                                               uint64_t version,
+                                               time_point since,
+                                               time_point until) {
+  const uint64_t term = group_.Term();
   for (;;) {
-    if (!group_.IsServing()) {
+    const bool is_same_term = group_.IsServing() && group_.Term() == term;
+    if (!is_same_term) {
       co_return envelope{call_outcome::kUnknown, "",
-                         "leadership ended before the change was in force", ""};
+                         "leadership ended before all instances were told", ""};
     }
     const time_point now = clock_.Now();
-    if (IsKnownEverywhere(config_contacts_, version, config_applied_at_, now)) {
-      break;
-    }
+    if (IsKnownEverywhere(contacts, version, since, now)) co_return Done();
     if (now >= until) {
-      const std::vector<std::string> missing =
-          InstancesWithout(config_contacts_, version, now);
-      LogEvent(event_id::kConfigurationPending,
-               {{"version", std::to_string(version)},
-                {"instances", std::to_string(missing.size())},
-                {"first", missing.empty() ? "" : missing.front()}});
       co_return envelope{call_outcome::kPending, "",
-                         "committed, but not in force at every instance yet",
-                         ""};
+                         "recorded, but not known at every instance yet", ""};
     }
     co_await contact_.WaitUntil(std::min(until, now + kContactPoll));
   }
-  const auto age = std::chrono::duration_cast<milliseconds>(clock_.Now() -
-                                                            config_applied_at_);
-  LogEvent(event_id::kConfigurationConfirmed,
-           {{"version", std::to_string(version)},
-            {"latest", std::to_string(state_.Config().version)},
-            {"age_ms", std::to_string(age.count())}});
-  co_return Done();
+}
+
+awaitable<envelope> leader_service::AwaitInForce(uint64_t version,
+                                                 time_point until) {
+  const time_point applied_at = config_applied_at_;
+  const envelope answer =
+      co_await AwaitKnown(config_contacts_, version, applied_at, until);
+  const time_point now = clock_.Now();
+  const auto age = std::chrono::duration_cast<milliseconds>(now - applied_at);
+  if (answer.outcome == call_outcome::kDone) {
+    LogEvent(event_id::kConfigurationConfirmed,
+             {{"version", std::to_string(version)},
+              {"age_ms", std::to_string(age.count())}});
+  }
+  if (answer.outcome == call_outcome::kPending) {
+    const std::vector<std::string> missing =
+        InstancesWithout(config_contacts_, version, now);
+    LogEvent(event_id::kConfigurationPending,
+             {{"version", std::to_string(version)},
+              {"age_ms", std::to_string(age.count())},
+              {"instances", std::to_string(missing.size())},
+              {"first", missing.empty() ? "" : missing.front()}});
+  }
+  co_return answer;
 }
 
 awaitable<envelope> leader_service::GetConfiguration() {
@@ -501,6 +556,12 @@
     co_await CommitDigestKey();
     ExpireStores();
     RemoveExpired(config_contacts_, clock_.Now());
+    RemoveExpired(list_contacts_, clock_.Now());
+    const time_point oldest =
+        clock_.Now() - registry_.options.departed_retention;
+    std::erase_if(leaving_, [oldest](const auto& item) {
+      return item.second.published_at < oldest;
+    });
     const auto lifted = quarantine::Expire(crashes_, clock_.Now());
     if (!lifted.empty()) OnQuarantineChanges(lifted);
     if (!fleet::ExpireEndpoints(registry_, clock_.Now())) continue;
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -63,8 +63,14 @@
   std::string AcceptHeartbeat(const fleet::heartbeat& input);
   answer HandleLeave(std::string payload);
   answer PutConfiguration(std::string payload);
-  // Waits until no instance acts on a configuration before `version`, or until
-  // `until`.
+  // Waits until no instance acts on a version before `version`, which is in all
+  // views since `since`. Returns kPending when some still may at `until`.
+  answer AwaitKnown(const contact_table& contacts, uint64_t version,
+                    core::time_point since, core::time_point until);
+  // Waits until no instance sends work to these endpoints any more.
+  answer AwaitLeaving(std::vector<std::string> incarnations,
+                      core::time_point until);
+  // Waits until no instance acts on a configuration before `version`.
   answer AwaitInForce(uint64_t version, core::time_point until);
   void RecordRequest(const fleet::view_request& input);
   answer GetConfiguration();
@@ -109,7 +115,15 @@
   bool is_choosing_founder_ = false;
   contact_table config_contacts_;  // instances that act on the configuration
   core::time_point config_applied_at_{};  // the latest one, at this instance
-  net::event contact_;                    // an instance requested a view
+  contact_table list_contacts_;  // all instances, with their version of lists
+  // The first version of this term's lists in which an endpoint is leaving, and
+  // when it was published.
+  struct published_change {
+    uint64_t version = 0;
+    core::time_point published_at{};
+  };
+  std::map<std::string, published_change> leaving_;  // by incarnation
+  net::event contact_;                               // a view was requested
 };
 
 }  // namespace hickorywood::controller
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -134,6 +134,19 @@
   }
 }
 
+awaitable<std::optional<uint64_t>> view_publisher::AwaitPublished(
+    time_point until) {
+  while (lists_.has_changes && clock_.Now() < until) {
+    co_await lists_.published.WaitUntil(until);
+  }
+  if (lists_.has_changes) co_return std::nullopt;
+  co_return log_.count;
+}
+
+uint64_t view_publisher::CountOf(const fleet::view_version& held) const {
+  return held.term == log_.term ? held.count : 0;
+}
+
 bool view_publisher::UpdateLists() {
   const bool has_endpoints = fleet::UpdateEndpoints(log_, sources_.endpoints());
   const bool has_warnings = fleet::UpdateWarnings(log_, sources_.warnings());
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -55,6 +56,13 @@
   void OnWeightsChanged();
   void OnConfigurationChanged();
 
+  // Waits until the changes of the lists so far are published. Returns their
+  // version, of this term; nothing: they were not published by `until`.
+  boost::asio::awaitable<std::optional<uint64_t>> AwaitPublished(
+      core::time_point until);
+  // The version of this term's lists that a process has; 0: of another term.
+  uint64_t CountOf(const fleet::view_version& held) const;
+
   // Handles the end of leadership: all waiting requests are answered at once.
   void Interrupt();
 
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -333,6 +333,33 @@
   return tree.is_object() ? tree.value("version", 0) : 0;
 }
 
+std::string deployment::ControlLeader() const {
+  std::string leader;
+  int64_t latest_term = 0;
+  for (const std::string& control : controls_) {
+    std::ifstream log(LogOf(control));
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("HK2005") == std::string::npos) continue;
+      const std::string text = json::parse(line).value("term", "0");
+      const int64_t term = std::stoll(text);
+      if (term <= latest_term) continue;
+      latest_term = term;
+      leader = control;
+    }
+  }
+  return leader;
+}
+
+bool deployment::Leave(const std::string& control,
+                       const std::string& incarnation) {
+  transport::http_request input;
+  input.url = "http://" + Address(control, control_port_) + "/v1/instances/" +
+              incarnation + "/leave";
+  input.body = "{}";
+  input.total_timeout = kOperatorTimeout;
+  return web_.Send(std::move(input)).status == 200;
+}
+
 json deployment::Quarantine(const std::string& control) {
   const json tree =
       web_.GetJson(Address(control, control_port_), "/hickory/v1/quarantine");
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -82,6 +82,12 @@
   // none.
   int VersionAt(const std::string& control);
 
+  // The control instance that was elected last; empty: none.
+  std::string ControlLeader() const;
+  // Reports to a control instance that an endpoint leaves. Returns whether it
+  // was acknowledged.
+  bool Leave(const std::string& control, const std::string& incarnation);
+
   // The quarantined and suspected requests that a control instance reports.
   nlohmann::json Quarantine(const std::string& control);
   bool Lift(const std::string& control, const std::string& digest);
--- a/tests/support/simulated_endpoints.cc
+++ b/tests/support/simulated_endpoints.cc
@@ -57,8 +57,8 @@
   bool has_crashed = false;
 };
 
-simulated_endpoints::simulated_endpoints()
-    : thread_([this] {
+simulated_endpoints::simulated_endpoints(std::string prefix)
+    : prefix_(std::move(prefix)), thread_([this] {
         const auto guard = boost::asio::make_work_guard(loop_);
         loop_.run();
       }) {}
@@ -89,7 +89,8 @@
   created->listening->Start();
   created->address = "127.0.0.1:" + std::to_string(created->listening->Port());
   const std::lock_guard<std::mutex> lock(mutex_);
-  created->incarnation = "i-" + service + "-" + std::to_string(started_++);
+  created->incarnation =
+      prefix_ + "-" + service + "-" + std::to_string(started_++);
   endpoints_[created->incarnation] = created;
   return created;
 }
--- a/tests/support/simulated_endpoints.h
+++ b/tests/support/simulated_endpoints.h
@@ -22,7 +22,8 @@
 
 class simulated_endpoints {
  public:
-  simulated_endpoints();
+  // `prefix`: of the incarnations, which differ between several of these.
+  explicit simulated_endpoints(std::string prefix = "i");
   ~simulated_endpoints();
   simulated_endpoints(const simulated_endpoints&) = delete;
   simulated_endpoints& operator=(const simulated_endpoints&) = delete;
@@ -98,6 +99,7 @@
                                            net::exchange& call);
   void CountRun(const net::request& input);
 
+  const std::string prefix_;
   boost::asio::io_context loop_;
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<endpoint>> endpoints_;
