Keep the times of consensus on the boot clock

What callers would see: after the machine of a leader was suspended for seconds, it answers reads with an older configuration than one that was acknowledged meanwhile, confirms to entries and stores that their old copies are current, so that they go on accepting withdrawn keys and running removed routes, and sends orders beside its successor.

Cause: the lease, the promises and the election deadlines followed the steady clock, which stands still while a machine is suspended. The others elect another leader within two election timeouts; the first one wakes up with as much of its lease as it had left when it was suspended.

Why it works: the boot clock counts the time of a suspension, on the leader's machine as on its followers'. The argument of lease.h holds again: the lease starts when the confirmed messages were sent and is shorter than the promises, both measured in time that passes everywhere. To consensus, a suspended machine is now the same as a frozen process, which GroupTest covers.

consensus::time_point is the boot clock's type, so mixing both clocks does not compile. ElectedAt(), LedSince() and duties::MayAct() follow. Timers stay on the steady clock. The leader's table of contacts stays there too: a clock that stood still expires a contact later, which only delays an acknowledgement.

--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -68,7 +68,7 @@
       machine_(machine) {}
 
 bool group_replica::Load() {
-  const core::time_point start = clock_.Now();
+  const time_point start = clock_.BootNow();
   storage_.SetReplay({[this](const snapshot& snap) { RestoreFrom(snap); },
                       [this](const log_entry& entry) { ApplyEntry(entry); }});
   std::optional<stored_state> stored = storage_.Load();
@@ -90,7 +90,7 @@
   raft_.hard = stored->hard;
   raft_.log = std::move(stored->log);
   raft_.random.seed(settings_.random_seed);
-  StartReplica(raft_, start, clock_.Now());
+  StartReplica(raft_, start, clock_.BootNow());
   if (stored->replayed) {
     raft_.delivered_index = std::max(raft_.delivered_index, *stored->replayed);
   } else {
@@ -108,9 +108,9 @@
   return true;
 }
 
-void group_replica::LogLoadedState(core::time_point start) const {
+void group_replica::LogLoadedState(time_point start) const {
   const auto took =
-      std::chrono::duration_cast<core::milliseconds>(clock_.Now() - start);
+      std::chrono::duration_cast<core::milliseconds>(clock_.BootNow() - start);
   LogEvent(event_id::kStateLoaded,
            {{"entries", std::to_string(LastIndex(raft_.log))},
             {"snapshot", std::to_string(raft_.log.snap.index)},
@@ -120,7 +120,7 @@
 }
 
 bool group_replica::Bootstrap(const std::string& group) {
-  if (!BootstrapGroup(raft_, group, clock_.Now(), out_)) {
+  if (!BootstrapGroup(raft_, group, clock_.BootNow(), out_)) {
     core::SetLastReason(
         core::reason_code::kConflict,
         "this instance is in group " + raft_.group + " already");
@@ -133,7 +133,7 @@
 }
 
 void group_replica::Tick() {
-  const core::time_point now = clock_.Now();
+  const time_point now = clock_.BootNow();
   health_.BeforeTick(raft_, now);
   consensus::Tick(raft_, now, out_);
 }
@@ -142,7 +142,7 @@
   if (has_failed_) return;
   // A commit can cause further messages, so repeat until there is no work left.
   for (;;) {
-    SendPending(raft_, clock_.Now(), out_);
+    SendPending(raft_, clock_.BootNow(), out_);
     raft_output out = std::move(out_);
     out_ = raft_output{};
     SendBeforeSync(out);
@@ -348,7 +348,7 @@
 
 void group_replica::Receive(const message& input, reply_messages reply) {
   inbound_.push_back({input.from, std::move(reply)});
-  consensus::Receive(raft_, clock_.Now(), input, out_);
+  consensus::Receive(raft_, clock_.BootNow(), input, out_);
 }
 
 void group_replica::ReportUnreachable(const member& to) {
@@ -358,7 +358,7 @@
 bool group_replica::Propose(std::string data, proposal_callback done) {
   if (!IsServing()) return false;
   const std::optional<uint64_t> index = consensus::Propose(
-      raft_, clock_.Now(), entry_kind::kCommand, std::move(data), out_);
+      raft_, clock_.BootNow(), entry_kind::kCommand, std::move(data), out_);
   if (!index) return false;
   proposals_[*index] = {raft_.hard.term, std::move(done)};
   return true;
@@ -366,18 +366,18 @@
 
 bool group_replica::TransferLeadership() {
   const bool is_started =
-      consensus::TransferLeadership(raft_, clock_.Now(), out_);
+      consensus::TransferLeadership(raft_, clock_.BootNow(), out_);
   Flush();
   return is_started;
 }
 
 bool group_replica::IsServing() const {
   return !has_failed_ && applied_ >= raft_.term_start_index &&
-         IsServingLeader(raft_, clock_.Now());
+         IsServingLeader(raft_, clock_.BootNow());
 }
 
 bool group_replica::NeedsToJoin() const {
-  return consensus::NeedsToJoin(raft_, clock_.Now());
+  return consensus::NeedsToJoin(raft_, clock_.BootNow());
 }
 
 bool group_replica::IsVoter() const {
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -143,7 +143,7 @@
     reply_messages reply;
   };
 
-  void LogLoadedState(core::time_point start) const;
+  void LogLoadedState(time_point start) const;
   void SendBeforeSync(raft_output& out);
   void SendWithData(message output);
   void RestoreFrom(const snapshot& snap);
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -25,7 +25,9 @@
 namespace hickorywood::consensus {
 
 using core::milliseconds;
-using core::time_point;
+// Leases, promises and elections must also expire while a machine is suspended:
+// the other members elect another leader meanwhile.
+using time_point = core::boot_time_point;
 
 enum class raft_role { kFollower, kPreCandidate, kCandidate, kLeader };
 
--- a/packages/control/replica.cc
+++ b/packages/control/replica.cc
@@ -148,7 +148,7 @@
   status.commit = raft.commit;
   status.last_index = consensus::LastIndex(raft.log);
   status.lease_left_ms = std::chrono::duration_cast<core::milliseconds>(
-                             consensus::LeaseLeft(raft, now))
+                             consensus::LeaseLeft(raft, clock_.BootNow()))
                              .count();
   status.revision = state_.revision;
   status.voters = consensus::MemberTexts(members.voters);
--- a/packages/control/replica.h
+++ b/packages/control/replica.h
@@ -143,7 +143,7 @@
   bool IsVoter() const { return group_.IsVoter(); }
   bool NeedsToJoin() const { return group_.NeedsToJoin(); }
   uint64_t Term() const { return group_.Raft().hard.term; }
-  core::time_point ElectedAt() const { return group_.Raft().elected_at; }
+  core::boot_time_point ElectedAt() const { return group_.Raft().elected_at; }
   const std::string& LeaderNode() const { return group_.Raft().leader.node; }
   const std::string& Group() const { return group_.Raft().group; }
   const consensus::member& Self() const { return group_.Raft().self; }
--- a/packages/controller/usage_reporter.cc
+++ b/packages/controller/usage_reporter.cc
@@ -93,7 +93,7 @@
   terms.leads_since = group_.ElectedAt();
   terms.holder_lease = std::max(options_.holder_lease, kResendTime);
   terms.is_fenced = options_.is_fenced;
-  return duties::MayAct(terms, clock_.Now());
+  return duties::MayAct(terms, clock_.BootNow());
 }
 
 awaitable<void> usage_reporter::RunLoop() {
--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -73,7 +73,7 @@
   terms.is_leader = group_.IsServing();
   terms.leads_since = group_.LedSince();
   terms.holder_lease = options_.holder_lease;
-  return duties::MayAct(terms, clock_.Now());
+  return duties::MayAct(terms, clock_.BootNow());
 }
 
 // Updates the average time between two versions of each model.
--- a/packages/duties/fencing.cc
+++ b/packages/duties/fencing.cc
@@ -16,7 +16,7 @@
   return (term << kCallBits) | std::min(call_number, kMaxCallNumber);
 }
 
-bool MayAct(const holder_terms& terms, core::time_point now) {
+bool MayAct(const holder_terms& terms, core::boot_time_point now) {
   const auto wait =
       terms.is_fenced ? terms.holder_lease : 2 * terms.holder_lease;
   return terms.is_leader && now - terms.leads_since >= wait;
--- a/packages/duties/fencing.h
+++ b/packages/duties/fencing.h
@@ -18,7 +18,7 @@
 
 struct holder_terms {
   bool is_leader = false;  // with a live lease
-  core::time_point leads_since{};
+  core::boot_time_point leads_since{};
   // Two holders must not act by turns within this time.
   std::chrono::milliseconds holder_lease{0};
   // Whether the receiver refuses calls with an older token. If it does not, a
@@ -29,7 +29,7 @@
 
 // Whether this instance may act as the holder now. Must be checked right before
 // each call, since a process may have been suspended in between.
-bool MayAct(const holder_terms& terms, core::time_point now);
+bool MayAct(const holder_terms& terms, core::boot_time_point now);
 
 }  // namespace hickorywood::duties
 
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -81,10 +81,10 @@
   bool IsReplicatedBeyondOneDisk() const;
   bool HasFailed() const { return replica_.HasFailed(); }
   uint64_t Term() const { return replica_.Raft().hard.term; }
-  core::time_point ElectedAt() const { return replica_.Raft().elected_at; }
+  core::boot_time_point ElectedAt() const { return replica_.Raft().elected_at; }
   // Since when this replica has led without another leader in between. It may
   // have lost and regained leadership.
-  core::time_point LedSince() const { return replica_.Raft().led_since; }
+  core::boot_time_point LedSince() const { return replica_.Raft().led_since; }
   // Peer address of the latest known leader; empty: none.
   const std::string& Leader() const { return replica_.Raft().leader.node; }
   const std::string& OwnAddress() const { return settings_.own_address; }
--- a/packages/hickoryd/order_service.cc
+++ b/packages/hickoryd/order_service.cc
@@ -34,7 +34,7 @@
   // Engines that ignore fencing numbers can't distinguish an old leader's order
   // from a new one. An order that the old leader sent just before its lease
   // expired may still arrive within the send timeout.
-  if (now - replica.ElectedAt() < kSendTimeout) return;
+  if (context_.clock.BootNow() - replica.ElectedAt() < kSendTimeout) return;
   if (tracker_.term != replica.Term()) {
     control::StartOrderTracker(tracker_, replica.Term(), now);
   }
--- a/tests/unit/consensus/group_simulation.cc
+++ b/tests/unit/consensus/group_simulation.cc
@@ -27,7 +27,7 @@
     Start(i);
   }
   raft_output out;
-  BootstrapGroup(replicas_[0].state, "group", clock_.Now(), out);
+  BootstrapGroup(replicas_[0].state, "group", clock_.BootNow(), out);
   Handle(0, out);
 }
 
@@ -47,7 +47,7 @@
   item.state.hard = item.disk_hard;
   item.state.log = item.disk_log;
   item.state.random.seed(random_());
-  StartReplica(item.state, clock_.Now(), clock_.Now());
+  StartReplica(item.state, clock_.BootNow(), clock_.BootNow());
   // An empty replica also does not vote because it has no group id yet, so the
   // id is set here.
   if (allows_votes_without_disk_) item.state.group = "group";
@@ -111,7 +111,7 @@
       [this, excluded](const replica& item) {
         group_members members = ActiveMembers(item.disk_log);
         for (const auto& [who, progress] : item.state.followers) {
-          const bool is_live = clock_.Now() - progress.confirmed_at <
+          const bool is_live = clock_.BootNow() - progress.confirmed_at <
                                item.state.options.election_timeout;
           if (is_live) members.voters.push_back(who);
         }
@@ -129,7 +129,7 @@
     replica& item = replicas_[i];
     if (!item.is_up || item.is_frozen) continue;
     raft_output out;
-    Tick(item.state, clock_.Now(), out);
+    Tick(item.state, clock_.BootNow(), out);
     Handle(i, out);
     if (item.is_up) JoinIfNeeded(i);
   }
@@ -137,7 +137,7 @@
 
 void group_simulation::JoinIfNeeded(size_t index) {
   const replica& item = replicas_[index];
-  if (!NeedsToJoin(item.state, clock_.Now())) return;
+  if (!NeedsToJoin(item.state, clock_.BootNow())) return;
   for (const replica& other : replicas_) {
     if (&other == &item || network_.size() >= kMaxMessages) continue;
     message join;
@@ -171,8 +171,8 @@
   }
   if (target->is_cut_off || source->is_cut_off) return;
   raft_output out;
-  Receive(target->state, clock_.Now(), input, out);
-  SendPending(target->state, clock_.Now(), out);
+  Receive(target->state, clock_.BootNow(), input, out);
+  SendPending(target->state, clock_.BootNow(), out);
   Handle(static_cast<size_t>(target - replicas_.data()), out);
 }
 
@@ -252,7 +252,7 @@
     }
     // A frozen replica is included: it would act as leader as soon as it
     // resumes.
-    if (!IsServingLeader(item.state, clock_.Now())) continue;
+    if (!IsServingLeader(item.state, clock_.BootNow())) continue;
     if (!serving.empty()) {
       Fail(serving + " and " + name + " serve as leaders at the same time");
     }
@@ -279,9 +279,9 @@
       continue;
     }
     raft_output out;
-    Propose(item.state, clock_.Now(), entry_kind::kCommand,
+    Propose(item.state, clock_.BootNow(), entry_kind::kCommand,
             "command " + std::to_string(++proposals_), out);
-    SendPending(item.state, clock_.Now(), out);
+    SendPending(item.state, clock_.BootNow(), out);
     Handle(i, out);
   }
 }
@@ -299,14 +299,14 @@
 
 void group_simulation::LoseTransferMessage(size_t index) {
   raft_output lost;
-  TransferLeadership(replicas_[index].state, clock_.Now(), lost);
+  TransferLeadership(replicas_[index].state, clock_.BootNow(), lost);
 }
 
 size_t group_simulation::Leader() const {
   for (size_t i = 0; i < replicas_.size(); ++i) {
     const replica& item = replicas_[i];
     if (item.is_up && !item.is_cut_off &&
-        IsServingLeader(item.state, clock_.Now())) {
+        IsServingLeader(item.state, clock_.BootNow())) {
       return i;
     }
   }
@@ -354,7 +354,7 @@
   } else if (kind == 30) {
     raft_output out;
     if (item.is_up && !item.is_frozen) {
-      TransferLeadership(item.state, clock_.Now(), out);
+      TransferLeadership(item.state, clock_.BootNow(), out);
     }
     Handle(index, out);
   } else if (kind == 31) {
@@ -401,7 +401,7 @@
   }
   bool is_serving = false;
   for (const replica& item : replicas_) {
-    is_serving = is_serving || IsServingLeader(item.state, clock_.Now());
+    is_serving = is_serving || IsServingLeader(item.state, clock_.BootNow());
   }
   return is_serving && committed_.size() > before;
 }
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -462,7 +462,7 @@
 // still randomized: replicas that loaded equally long must not all start an
 // election at the same time.
 TEST(RaftStartTest, LoadingCountsTowardsThePromise) {
-  const core::time_point started{std::chrono::seconds(100)};
+  const time_point started{std::chrono::seconds(100)};
   raft_state state;
   const milliseconds timeout = state.options.election_timeout;
   StartReplica(state, started, started + 2 * timeout);
--- a/tests/unit/duties/fencing_test.cc
+++ b/tests/unit/duties/fencing_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 using core::milliseconds;
-using core::time_point;
+using time_point = core::boot_time_point;
 
 constexpr milliseconds kLease{3000};
 
