Keep the lease of an instance of the native interface on the boot clock

What callers would see: after its machine was suspended for seconds, an instance runs calls and opens steps under a revision that has been replaced meanwhile.

Cause: the leader acknowledges a change once the lease of an instance without contact is over. The instance counted that lease by the steady clock, which stood still, so that it had as much of it left as before.

No run with a suspended machine.

Why it works: the end of the lease is a time of the boot clock, by type, from the renewal to the check at each admission. The leader's table stays on the steady clock: if it stands still, leases end later there, for which a change only waits longer.

--- a/packages/hickoryd/call_service.cc
+++ b/packages/hickoryd/call_service.cc
@@ -108,7 +108,7 @@
   ++active_;
   const core::time_point now = context_.clock.Now();
   const auto view = context_.view_holder.Get();
-  if (!MayServe(*view, now)) {
+  if (!MayServe(*view, context_.clock.BootNow())) {
     Refuse(running, kStatusUnavailable,
            "this instance has no valid configuration lease", kRetryAfter);
     return;
--- a/packages/hickoryd/generation_service.cc
+++ b/packages/hickoryd/generation_service.cc
@@ -65,7 +65,7 @@
 
   const auto view = context_.view_holder.Get();
   const generation_request& submitted = item->request;
-  if (!MayServe(*view, now)) {
+  if (!MayServe(*view, context_.clock.BootNow())) {
     Fail(*item, "this instance has no valid configuration lease",
          kNoEngineRetryAfter);
     return id;
--- a/packages/hickoryd/membership_service.cc
+++ b/packages/hickoryd/membership_service.cc
@@ -39,7 +39,7 @@
           context_.boot,
           settings.site,
           settings.zone,
-          context_.clock.Now() < lease_until_,
+          context_.clock.BootNow() < lease_until_,
           context_.is_draining,
           view_.revision};
 }
@@ -141,8 +141,8 @@
   request.site = context_.settings.site;
   request.version = view_.version;
   request.revision = view_.revision;
-  request.is_first = context_.clock.Now() >= lease_until_;
-  const core::time_point sent_at = context_.clock.Now();
+  request.is_first = context_.clock.BootNow() >= lease_until_;
+  const core::boot_time_point sent_at = context_.clock.BootNow();
   leader_.RenewView(
       request,
       [this, sent_at](const std::optional<control::view_reply>& reply) {
@@ -155,7 +155,8 @@
 }
 
 void membership_service::ApplyView(
-    core::time_point sent_at, const std::optional<control::view_reply>& reply) {
+    core::boot_time_point sent_at,
+    const std::optional<control::view_reply>& reply) {
   if (!reply || !reply->is_granted || is_released_) return;
   // A reply that arrives after a newer one must not restore the old
   // configuration.
@@ -186,7 +187,7 @@
 void membership_service::ReleaseLease() {
   if (is_released_) return;
   is_released_ = true;
-  lease_until_ = core::time_point{};
+  lease_until_ = core::boot_time_point{};
   needs_publish_ = true;
   Publish();
   control::view_request request;
@@ -219,13 +220,13 @@
 void membership_service::Publish() {
   ExpireEndpoints();
   const core::time_point now = context_.clock.Now();
-  if (was_lease_live_ && now >= lease_until_ && !is_released_) {
+  const bool has_lease = context_.clock.BootNow() < lease_until_;
+  if (was_lease_live_ && !has_lease && !is_released_) {
     was_lease_live_ = false;
     needs_publish_ = true;
     LogEvent(event_id::kConfigurationLeaseExpired,
              {{"revision", std::to_string(view_.revision)}});
   }
-  const bool has_lease = now < lease_until_;
   if (!needs_publish_ && has_lease) return;
   needs_publish_ = false;
   auto view = std::make_shared<routing_view>();
--- a/packages/hickoryd/membership_service.h
+++ b/packages/hickoryd/membership_service.h
@@ -45,7 +45,7 @@
   void HandleTableChanges(const std::vector<std::string>& changed);
   void ExpireEndpoints();
   void RenewLease();
-  void ApplyView(core::time_point sent_at,
+  void ApplyView(core::boot_time_point sent_at,
                  const std::optional<control::view_reply>& reply);
   bool IsSiteUnreachable(core::time_point now) const;
   void Publish();
@@ -55,7 +55,7 @@
   membership::exchange_state exchange_;
   control::serving_view view_;
   std::optional<settings::site_config> config_;
-  core::time_point lease_until_{};
+  core::boot_time_point lease_until_{};
   bool is_released_ = false;
   bool is_renewing_ = false;
   bool was_lease_live_ = false;
--- a/packages/hickoryd/report.cc
+++ b/packages/hickoryd/report.cc
@@ -16,7 +16,7 @@
 
 instance_status StatusFromView(const instance_context& context) {
   const auto view = context.view_holder.Get();
-  const core::time_point now = context.clock.Now();
+  const core::boot_time_point now = context.clock.BootNow();
   instance_status status;
   status.id = context.settings.id;
   status.site = context.settings.site;
--- a/packages/hickoryd/routing_view.cc
+++ b/packages/hickoryd/routing_view.cc
@@ -9,7 +9,7 @@
 
 }  // namespace
 
-bool MayServe(const routing_view& view, core::time_point now) {
+bool MayServe(const routing_view& view, core::boot_time_point now) {
   if (!view.config) return false;
   return now < view.lease_until || view.is_site_dark;
 }
--- a/packages/hickoryd/routing_view.h
+++ b/packages/hickoryd/routing_view.h
@@ -33,7 +33,7 @@
 struct routing_view {
   uint64_t revision = 0;
   std::optional<settings::site_config> config;  // empty before the first lease
-  core::time_point lease_until{};
+  core::boot_time_point lease_until{};
   // True if this instance has no lease, no live instance of its site reports
   // one, and the instances that certainly have none are a majority of the site.
   bool is_site_dark = false;
@@ -44,7 +44,7 @@
 };
 
 // Whether new work may be admitted under the configuration of `view`.
-bool MayServe(const routing_view& view, core::time_point now);
+bool MayServe(const routing_view& view, core::boot_time_point now);
 
 // The configuration of the pool; null when the site has no pool of that name.
 const settings::pool_config* FindPool(const routing_view& view,
--- a/packages/hickoryd/step_takeover.cc
+++ b/packages/hickoryd/step_takeover.cc
@@ -57,7 +57,7 @@
 
 void step_service::Open(const rollout::step_spec& spec,
                         const completion& done) {
-  const core::time_point now = context_.clock.Now();
+  const core::boot_time_point now = context_.clock.BootNow();
   const auto view = context_.view_holder.Get();
   if (is_released_ || !MayServe(*view, now)) {
     done(FailureReply(503, "not_run", "this instance is not serving",
