Give back orders that were made before a change

What callers could see: a task runs at an engine that is draining, or by a route that a confirmed change has replaced, seconds after the acknowledgement.

Cause: the data leader hands up to 128 orders to another store, which starts 16 at a time. An order that waits there keeps the engine that was chosen when it was made.

Change: an order names the configuration and the lists by which its engine was chosen. A store whose view is newer gives it back when the configuration changed, or when the engine drains or left, and starts none while its own view may be too old.

--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -85,6 +85,8 @@
   order.versions = text.versions;
   order.minimum_version = step.minimum_version;
   order.is_single_version = item.terms->is_single_version;
+  order.config = view_.config.version;
+  order.lists = view_.version;
   return order;
 }
 
--- a/packages/store/remote_runner.cc
+++ b/packages/store/remote_runner.cc
@@ -32,18 +32,17 @@
 
 }  // namespace
 
-remote_runner::remote_runner(asio::io_context& loop,
-                             const core::runtime_clock& clock,
-                             net::connection_pool& pool,
-                             const fleet::protocol& wire,
-                             peering::leader_caller& leader,
-                             remote_runner_options options,
-                             std::function<bool()> is_leader)
+remote_runner::remote_runner(
+    asio::io_context& loop, const core::runtime_clock& clock,
+    net::connection_pool& pool, const fleet::protocol& wire,
+    peering::leader_caller& leader, remote_runner_options options,
+    std::function<bool()> is_leader, const fleet::view& view)
     : loop_(loop),
       clock_(clock),
       leader_(leader),
       options_(std::move(options)),
       is_leader_(std::move(is_leader)),
+      view_(view),
       runs_(loop, clock, pool, wire),
       session_(NewSession()) {
   runs_.on_report = [this](run_report report) {
@@ -127,13 +126,28 @@
   // The tasks of waiting runs may have been given to other runners while this
   // process was suspended.
   if (clock_.Now() - last_answer_at_ > kLeaderContactTimeout) return;
+  if (!may_use_view()) return;
   while (!waiting_.empty() && runs_.CountStarting() < kMaxStartingRuns) {
     run_order next = std::move(waiting_.front());
     waiting_.pop_front();
-    runs_.Start(std::move(next));
+    if (IsOutdated(next, view_)) {
+      ReturnOrder(next);
+    } else {
+      runs_.Start(std::move(next));
+    }
   }
 }
 
+void remote_runner::ReturnOrder(const run_order& order) {
+  run_report report;
+  report.run = order.run;
+  report.is_over = true;
+  report.how = run_outcome::kMoved;
+  reports_[order.run] = std::move(report);
+  if (std::exchange(has_outcomes_, true)) return;
+  outcome_queued_.Notify();
+}
+
 void remote_runner::QueueReport(run_report report) {
   const bool is_outcome = report.is_over;
   const bool has_started = report.is_over || report.has_head;
@@ -209,6 +223,7 @@
     co_await net::Sleep(kTaskCheckPeriod);
     if (!HasRuns()) continue;
     runs_.EndStalled();
+    StartWaitingRuns();
     const auto since_answer = clock_.Now() - last_answer_at_;
     if (since_answer <= kLeaderContactTimeout) continue;
     core::LogEvent(
--- a/packages/store/remote_runner.h
+++ b/packages/store/remote_runner.h
@@ -33,7 +33,10 @@
   remote_runner(boost::asio::io_context& loop, const core::runtime_clock& clock,
                 net::connection_pool& pool, const fleet::protocol& wire,
                 peering::leader_caller& leader, remote_runner_options options,
-                std::function<bool()> is_leader);
+                std::function<bool()> is_leader, const fleet::view& view);
+
+  // Set before Start(): whether requests may be sent by what the view contains.
+  std::function<bool()> may_use_view;
 
   void Start();
   // Called when the process stops. Cancels all runs.
@@ -45,6 +48,8 @@
   boost::asio::awaitable<void> RunCheckLoop();
   void HandleAnswer(orders_answer answer);
   void StartWaitingRuns();
+  // Reports that the leader has to choose another engine.
+  void ReturnOrder(const run_order& order);
   bool HasRuns() const { return runs_.CountRunning() > 0 || !waiting_.empty(); }
   void QueueReport(run_report report);
   std::vector<run_report> ExtractDueReports();
@@ -56,6 +61,7 @@
   peering::leader_caller& leader_;
   const remote_runner_options options_;
   const std::function<bool()> is_leader_;
+  const fleet::view& view_;
   task_runner runs_;
   std::deque<run_order> waiting_;  // started when engines respond to others
   std::string session_;
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -79,14 +79,17 @@
         dispatch(io, runtime, group, state, pool, sender, crashes, wire,
                  follower.View()),
         leader(pool, {}),
-        runner(io, runtime, pool, wire, leader, RunnerOptions(node),
-               [this] { return group.IsServing(); }),
+        runner(
+            io, runtime, pool, wire, leader, RunnerOptions(node),
+            [this] { return group.IsServing(); }, follower.View()),
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
     limits.apply = node.apply_limit;
-    dispatch.may_use_routes = [this] {
+    const auto may_use_view = [this] {
       return access::MayServe(follower.ConfirmedAt(), limits, clock.BootNow());
     };
+    dispatch.may_use_routes = may_use_view;
+    runner.may_use_view = may_use_view;
     group.on_leadership = [this](bool is_leader) {
       must_log_loaded_steps = is_leader;
       dispatch.OnLeadership(is_leader);
--- a/packages/store/task_run.cc
+++ b/packages/store/task_run.cc
@@ -1,5 +1,6 @@
 #include "store/task_run.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -14,6 +15,17 @@
 
 }  // namespace
 
+bool IsOutdated(const run_order& order, const fleet::view& held) {
+  if (order.config == 0) return false;  // from a leader that does not state it
+  if (held.config.version > order.config) return true;
+  if (held.version < order.lists) return false;
+  return std::none_of(held.endpoints.begin(), held.endpoints.end(),
+                      [&order](const fleet::endpoint& item) {
+                        return item.incarnation == order.incarnation &&
+                               item.state != fleet::endpoint_state::kDraining;
+                      });
+}
+
 const char* RunOutcomeName(run_outcome how) {
   switch (how) {
     case run_outcome::kComplete:
--- a/packages/store/task_run.h
+++ b/packages/store/task_run.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/json.h"
+#include "fleet/view.h"
 #include "net/message.h"
 
 namespace hickorywood::store {
@@ -46,12 +47,18 @@
   std::vector<uint64_t> versions;
   uint64_t minimum_version = 0;
   bool is_single_version = false;
+  // The configuration and the lists by which the engine was chosen.
+  uint64_t config = 0;
+  fleet::view_version lists;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(run_order, run, incarnation,
-                                                address, target, headers, body,
-                                                events, versions,
-                                                minimum_version,
-                                                is_single_version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    run_order, run, incarnation, address, target, headers, body, events,
+    versions, minimum_version, is_single_version, config, lists)
+
+// Whether a change that is in this view was made after the order: a newer
+// configuration, or the engine drains or has left. The leader has to choose
+// again.
+bool IsOutdated(const run_order& order, const fleet::view& held);
 
 // The progress of a run since its previous report.
 struct run_report {
