--- a/packages/access/configuration_lease.cc
+++ b/packages/access/configuration_lease.cc
@@ -1,5 +1,9 @@
 #include "access/configuration_lease.h"
 
+#include <utility>
+
+#include "core/events.h"
+
 namespace hickorywood::access {
 
 bool MayServe(const confirmation& confirmed_at, const lease_limits& limits,
@@ -8,6 +12,18 @@
   return confirmed_at && now - *confirmed_at < kContactLease + limits.apply;
 }
 
+bool CheckLease(configuration_lease& lease, const confirmation& confirmed_at,
+                uint64_t configuration, core::boot_time_point now) {
+  const bool is_valid = MayServe(confirmed_at, lease.limits, now);
+  const bool was_valid = std::exchange(lease.was_valid, is_valid);
+  if (was_valid && !is_valid) {
+    core::LogEvent(core::event_id::kConfigurationLeaseExpired,
+                   {{"instance", lease.instance},
+                    {"configuration", std::to_string(configuration)}});
+  }
+  return is_valid;
+}
+
 bool MayAcceptKeys(const confirmation& confirmed_at, const lease_limits& limits,
                    core::boot_time_point now) {
   if (limits.revocation.count() == 0) return true;
--- a/packages/access/configuration_lease.h
+++ b/packages/access/configuration_lease.h
@@ -12,7 +12,9 @@
 // time before that, so they stop by themselves in time.
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
+#include <string>
 
 #include "core/clock.h"
 
@@ -44,6 +46,18 @@
 bool MayServe(const confirmation& confirmed_at, const lease_limits& limits,
               core::boot_time_point now);
 
+// The lease of one instance, and whether it was valid when it was last checked.
+struct configuration_lease {
+  std::string instance;
+  lease_limits limits;
+  bool was_valid = false;
+};
+
+// The same as MayServe(). Logs when the lease of the copy of version
+// `configuration` has expired.
+bool CheckLease(configuration_lease& lease, const confirmation& confirmed_at,
+                uint64_t configuration, core::boot_time_point now);
+
 // Whether a key that the copy contains may be accepted.
 bool MayAcceptKeys(const confirmation& confirmed_at, const lease_limits& limits,
                    core::boot_time_point now);
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -76,8 +76,9 @@
         readiness(io, ReadinessOptions(), [this](net::exchange& call) {
           return AnswerReadiness(call);
         }) {
-    limits.apply = node.apply_limit;
-    limits.revocation = node.revocation_limit;
+    lease.instance = node.id;
+    lease.limits.apply = node.apply_limit;
+    lease.limits.revocation = node.revocation_limit;
     usage.window = node.usage_window;
     FeedUsage();
     follower.OnChange([this] {
@@ -146,15 +147,17 @@
 
   // An entry that may serve no routes or accept no keys would refuse nearly
   // every request, so the callers should use other entries.
-  bool IsReady() const {
+  bool IsReady() {
     const fleet::configuration& config = follower.View().config;
     if (is_stopping || config.version == 0 || !MayServe()) return false;
-    return !config.needs_keys || access::MayAcceptKeys(follower.ConfirmedAt(),
-                                                       limits, clock.BootNow());
+    return !config.needs_keys ||
+           access::MayAcceptKeys(follower.ConfirmedAt(), lease.limits,
+                                 clock.BootNow());
   }
 
-  bool MayServe() const {
-    return access::MayServe(follower.ConfirmedAt(), limits, clock.BootNow());
+  bool MayServe() {
+    return access::CheckLease(lease, follower.ConfirmedAt(),
+                              follower.View().config.version, clock.BootNow());
   }
 
   awaitable<void> AnswerReadiness(net::exchange& call) {
@@ -185,7 +188,7 @@
     terms.key = key;
     terms.is_public = is_public;
     terms.confirmed_at = follower.ConfirmedAt();
-    terms.limits = limits;
+    terms.limits = lease.limits;
     terms.now = clock.BootNow();
     return access::DecideAccess(terms);
   }
@@ -205,7 +208,7 @@
   // Returns the response to a request without a route.
   net::response RefuseRoute(const net::request& input) const {
     const bool is_certain =
-        access::MayDeny(follower.ConfirmedAt(), limits, clock.BootNow());
+        access::MayDeny(follower.ConfirmedAt(), lease.limits, clock.BootNow());
     if (is_certain) {
       return Refuse(input, kNotFound, "no route has this path", std::nullopt);
     }
@@ -295,7 +298,7 @@
   step_gateway gateway;
   net::listener callers;
   net::listener readiness;
-  access::lease_limits limits;
+  access::configuration_lease lease;
   const std::string key_secret = core::RandomId();
   access::key_directory keys;
   uint64_t keys_version = 0;  // of the configuration
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -84,10 +84,9 @@
             [this] { return group.IsServing(); }, follower.View()),
         peers(io, peering::PeerListenerOptions(node.peers_address),
               [this](net::exchange& call) { return ServePeer(call); }) {
-    limits.apply = node.apply_limit;
-    const auto may_use_view = [this] {
-      return access::MayServe(follower.ConfirmedAt(), limits, clock.BootNow());
-    };
+    lease.instance = node.id;
+    lease.limits.apply = node.apply_limit;
+    const auto may_use_view = [this] { return MayUseView(); };
     dispatch.may_use_routes = may_use_view;
     runner.may_use_view = may_use_view;
     group.on_leadership = [this](bool is_leader) {
@@ -108,6 +107,11 @@
     follower.OnChange([this] { OnView(); });
   }
 
+  bool MayUseView() {
+    return access::CheckLease(lease, follower.ConfirmedAt(),
+                              follower.View().config.version, clock.BootNow());
+  }
+
   void OnView() {
     const fleet::view& view = follower.View();
     group.SetContacts(peering::StoreAddresses(view));
@@ -183,7 +187,7 @@
   peering::leader_caller leader;  // calls the leader of the data group
   remote_runner runner;
   net::listener peers;
-  access::lease_limits limits;
+  access::configuration_lease lease;
   bool must_log_loaded_steps = false;
 };
 
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -176,6 +176,15 @@
       LogOf(id));
 }
 
+bool deployment::HasLogged(const std::string& id,
+                           const std::string& event) const {
+  std::ifstream log(LogOf(id));
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(event) != std::string::npos) return true;
+  }
+  return false;
+}
+
 bool deployment::HasStarted(const std::string& id) const {
   std::ifstream log(LogOf(id));
   log.seekg(static_cast<std::streamoff>(nodes_.at(id).log_offset));
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -36,6 +36,8 @@
 
   void StartNode(const std::string& id);
   void KillNode(const std::string& id);
+  // Whether the log of a node contains an event.
+  bool HasLogged(const std::string& id, const std::string& event) const;
   // Whether the current process of this node has logged its start.
   bool HasStarted(const std::string& id) const;
   // Starts the control instance that Start() leaves out. It joins, with an
