Let the soak check what the entries obey

The soak changes the configuration all the time but read it back from the control instances only, so it could not see that entries went on obeying an older one.

Right after each acknowledgement, both entries are now sent a request by the route that only the version before had, which must never run, and one by the route of the version itself, which must not be answered 404. No time is asserted. No case is excluded: a request is sent after the acknowledgement, and the next version only when all four are answered or have timed out.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -245,6 +245,7 @@
     const int version = acknowledged_ + 1;
     if (!fleet_.PutConfiguration(version, true)) continue;
     acknowledged_ = version;
+    CheckInForce(version);
     for (const std::string& control : fleet_.Controls()) {
       const int current = fleet_.VersionAt(control);
       if (current != 0 && current < version) {
@@ -256,6 +257,37 @@
   }
 }
 
+// Requests are sent after the acknowledgement, so even an entry that is frozen
+// after it has read one may only decide by this version. The next one is sent
+// when all are answered or have timed out.
+void config_caller::CheckInForce(int version) {
+  std::map<std::string, std::future<transport::http_response>> removed;
+  std::map<std::string, std::future<transport::http_response>> added;
+  for (const std::string entry : {"e1", "e2"}) {
+    const std::string suffix = entry + "-" + std::to_string(version);
+    removed_.insert("removed-" + suffix);
+    removed[entry] = Use(entry, version - 1, "removed-" + suffix);
+    added[entry] = Use(entry, version, "added-" + suffix);
+  }
+  for (auto& [entry, answer] : removed) {
+    if (answer.get().status != 200) continue;
+    errors_.Add(entry + " serves by version " + std::to_string(version - 1) +
+                " after " + std::to_string(version));
+  }
+  for (auto& [entry, answer] : added) {
+    if (answer.get().status != 404) continue;
+    errors_.Add(entry + " lacks version " + std::to_string(version));
+  }
+}
+
+std::future<transport::http_response> config_caller::Use(
+    const std::string& entry, int version, const std::string& id) {
+  transport::http_request input =
+      fleet_.MakeRequest(entry, deployment::PathOf(version), id);
+  input.total_timeout = kRequestTimeout;
+  return web_.SendLater(std::move(input));
+}
+
 void config_caller::CheckAll() {
   for (const std::string& control : fleet_.Controls()) {
     const bool is_current =
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <future>
 #include <map>
 #include <mutex>
 #include <random>
@@ -104,7 +105,7 @@
   std::thread thread_;  // declared last because it uses the members above
 };
 
-// Changes the configuration and reads it back.
+// Changes the configuration, reads it back and checks that the entries obey it.
 class config_caller {
  public:
   config_caller(deployment& fleet, violation_log& errors);
@@ -116,14 +117,22 @@
   // fault.
   void CheckAll();
   int Acknowledged() const { return acknowledged_; }
+  // Valid after Join(). The ids of requests that were sent by a route which an
+  // acknowledged version had removed.
+  const std::set<std::string>& Removed() const { return removed_; }
 
  private:
   void Run();
+  void CheckInForce(int version);
+  std::future<transport::http_response> Use(const std::string& entry,
+                                            int version, const std::string& id);
 
   deployment& fleet_;
   violation_log& errors_;
+  std::set<std::string> removed_;
   std::atomic<int> acknowledged_{1};
   std::atomic<bool> is_stopping_{false};
+  web web_;
   std::thread thread_;  // declared last because it uses the members above
 };
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -116,9 +116,10 @@
   std::shared_mutex faults_;
 };
 
-// Checks that requests answered "not run" did not run, and that requests that
-// may run at most once did so.
-void CheckRuns(const std::list<plain_caller>& callers, deployment& fleet,
+// Checks that requests answered "not run" or sent by a removed route did not
+// run, and that requests that may run at most once did so.
+void CheckRuns(const std::list<plain_caller>& callers,
+               const config_caller& config, deployment& fleet,
                duplicate_response_endpoints& endpoints, violation_log& errors) {
   const auto runs = [&](const std::string& id) {
     return fleet.Endpoints().RunsOf(id) + endpoints.RunsOf(id);
@@ -131,6 +132,9 @@
       if (runs(id) > 1) errors.Add(id + " has run twice");
     }
   }
+  for (const std::string& id : config.Removed()) {
+    if (runs(id) > 0) errors.Add(id + " ran by a route that was removed");
+  }
 }
 
 TEST(SoakTest, GuaranteesHoldUnderRandomFaults) {
@@ -145,6 +149,9 @@
   }
   duplicate_response_endpoints endpoints(seed);
   deployment fleet;
+  // Entries may obey an older version for no longer than they may be without
+  // contact before the acknowledgement.
+  fleet.extra_settings = "access: {apply_limit: 1ms}\n";
   fleet.extra_heartbeats = [&endpoints] { return endpoints.Heartbeats(); };
   for (const char* service : {"echo", "echo", "engines", "engines"}) {
     endpoints.Start(service);
@@ -174,7 +181,7 @@
   config.Join();
   for (step_caller& one : steps) one.CheckAll();
   config.CheckAll();
-  CheckRuns(plain, fleet, endpoints, errors);
+  CheckRuns(plain, config, fleet, endpoints, errors);
   int served = 0;
   int completed = 0;
   for (const plain_caller& one : plain) served += one.Served();
