Rank each engine once when loads of weights are planned

Cause: for each engine that it assigned to a model, the planner ranked all engines again, twice for each comparison. A leader that is elected starts with an empty table and does all of that in its first plan, on the thread that sends its heartbeats. It stands still, is deposed, and its successor pays the same bill.

Why it works: an engine that is assigned changes the rank of no other, so one sort gives the same choice.

--- a/packages/controller/weight_table.cc
+++ b/packages/controller/weight_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 #include <tuple>
 
 namespace hickorywood::controller {
@@ -39,13 +40,6 @@
   return count;
 }
 
-bool IsListed(const load_plan_input& input, const std::string& incarnation) {
-  return std::any_of(input.engines.begin(), input.engines.end(),
-                     [&](const plannable_engine& engine) {
-                       return engine.incarnation == incarnation;
-                     });
-}
-
 // Removes the engine with the oldest version from a chosen set.
 void RemoveMostOutdated(const weight_table& table,
                         std::set<std::string>& chosen,
@@ -61,30 +55,39 @@
 
 // Updates the set of engines that are assigned to a model. It adds engines that
 // have the fewest models assigned, and among these the ones with the newest
-// version.
+// version. Adding one changes the rank of no other, so each is ranked once:
+// with thousands of engines, ranking all for each one takes seconds.
 void Assign(weight_table& table, const load_plan_input& input,
             const std::string& model) {
   std::set<std::string>& chosen = table.assigned[model];
+  std::set<std::string_view> listed;
+  for (const plannable_engine& engine : input.engines) {
+    listed.insert(engine.incarnation);
+  }
   std::erase_if(chosen, [&](const std::string& incarnation) {
-    return !IsListed(input, incarnation);
+    return listed.count(incarnation) == 0;
   });
   const plannable_model& terms = input.models.at(model);
   const size_t wanted = EnginesPerModel(input, terms.period, terms.weight);
   while (chosen.size() > wanted) RemoveMostOutdated(table, chosen, model);
-  while (chosen.size() < wanted) {
-    const plannable_engine* best = nullptr;
-    const auto rank = [&](const plannable_engine& engine) {
-      const uint64_t version =
-          VersionAt(table, engine.incarnation, model).value_or(0);
-      return std::make_tuple(AssignmentsOf(table, engine.incarnation),
-                             ~version);
-    };
-    for (const plannable_engine& engine : input.engines) {
-      if (chosen.count(engine.incarnation) != 0) continue;
-      if (best == nullptr || rank(engine) < rank(*best)) best = &engine;
-    }
-    if (best == nullptr) return;
-    chosen.insert(best->incarnation);
+  if (chosen.size() == wanted) return;
+  using ranked_engine = std::tuple<size_t, uint64_t, std::string_view>;
+  std::vector<ranked_engine> candidates;
+  for (const plannable_engine& engine : input.engines) {
+    if (chosen.count(engine.incarnation) != 0) continue;
+    const uint64_t version =
+        VersionAt(table, engine.incarnation, model).value_or(0);
+    candidates.emplace_back(AssignmentsOf(table, engine.incarnation), ~version,
+                            engine.incarnation);
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const ranked_engine& left, const ranked_engine& right) {
+                     return std::tie(std::get<0>(left), std::get<1>(left)) <
+                            std::tie(std::get<0>(right), std::get<1>(right));
+                   });
+  for (const ranked_engine& item : candidates) {
+    if (chosen.size() >= wanted) return;
+    chosen.insert(std::string(std::get<2>(item)));
   }
 }
 
--- a/tests/unit/controller/weight_table_test.cc
+++ b/tests/unit/controller/weight_table_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace hickorywood::controller {
 namespace {
@@ -49,6 +51,21 @@
   EXPECT_FALSE(VersionAt(table, "e", "other"));
 }
 
+// Guards against a new leader that plans for so long that it loses its lease.
+// Its work must not grow with the cube of the number of engines: this test
+// would run for minutes.
+TEST(WeightTableTest, FirstPlanForTenThousandEngines) {
+  weight_table table;
+  load_plan_input input = Engines(10000);
+  SetAll(table, input, "m", 1);
+  input.models = {{"m", {3}}, {"n", {1}}, {"o", {1}}};
+  const std::vector<planned_load> plan = PlanLoads(table, input);
+  EXPECT_FALSE(plan.empty());
+  std::set<std::string> engines;
+  for (const planned_load& load : plan) engines.insert(load.incarnation);
+  EXPECT_EQ(engines.size(), plan.size());
+}
+
 // One trainer, nine engines, a version every few seconds; a step accepts the
 // newest version and the previous one. Half of the engines load each version,
 // and every engine always has a version that the next step accepts.
