Send no empty batch after a batch of draining heartbeats

Read in the diff; the batch of the other heartbeats was sent even if there were none. Beside it, a comment that gave a bound which no longer matters.

--- a/packages/controller/heartbeat_forwarder.cc
+++ b/packages/controller/heartbeat_forwarder.cc
@@ -88,7 +88,9 @@
     if (!draining.empty()) {
       asio::co_spawn(loop_, Send(std::move(draining)), asio::detached);
     }
-    asio::co_spawn(loop_, Send(std::move(queue_)), asio::detached);
+    if (!queue_.empty() || IsRefreshDue()) {
+      asio::co_spawn(loop_, Send(std::move(queue_)), asio::detached);
+    }
     queue_.clear();
     co_await net::Sleep(kBatchPeriod);
   }
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -22,8 +22,7 @@
   bool may_found = false;       // a store that starts for the first time
   bool acts_on_config = false;  // see fleet::view_request
   // How long the leader may delay a response. It also limits the time until a
-  // broken connection is detected: twice this value is well below the time in
-  // which a change must take effect.
+  // broken connection is detected.
   core::milliseconds wait{700};
   // Additional time for the response to arrive.
   core::milliseconds slack{400};
