--- /dev/null
+++ b/packages/controller/leader_contacts.cc
@@ -0,0 +1,108 @@
+// The part of the leader service that tells what the other instances have, and
+// delays acknowledgements until they have a change.
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "controller/leader_service.h"
+#include "core/events.h"
+#include "group/leader_calls.h"
+
+namespace hickorywood::controller {
+namespace {
+
+using boost::asio::awaitable;
+using core::event_id;
+using core::LogEvent;
+using core::milliseconds;
+using core::time_point;
+using group::Done;
+using peering::call_outcome;
+using peering::envelope;
+
+// Time after which it is checked again whether instances have lost contact.
+constexpr milliseconds kContactPoll{50};
+
+}  // namespace
+
+void leader_service::RecordRequest(const fleet::view_request& input) {
+  const time_point now = clock_.Now();
+  RecordContact(list_contacts_, input.instance, views_.CountOf(input.held),
+                now);
+  if (input.acts_on_config) {
+    RecordContact(config_contacts_, input.instance, input.held_config, now);
+  }
+  contact_.Notify();
+}
+
+awaitable<envelope> leader_service::AwaitKnown(const contact_table& contacts,
+                                               uint64_t version,
+                                               time_point since,
+                                               time_point until) {
+  const uint64_t term = group_.Term();
+  for (;;) {
+    const bool is_same_term = group_.IsServing() && group_.Term() == term;
+    if (!is_same_term) {
+      co_return envelope{call_outcome::kUnknown, "",
+                         "leadership ended before all instances were told", ""};
+    }
+    const time_point now = clock_.Now();
+    if (IsKnownEverywhere(contacts, version, since, now)) co_return Done();
+    if (now >= until) {
+      co_return envelope{call_outcome::kPending, "",
+                         "recorded, but not known at every instance yet", ""};
+    }
+    co_await contact_.WaitUntil(std::min(until, now + kContactPoll));
+  }
+}
+
+awaitable<envelope> leader_service::AwaitInForce(uint64_t version,
+                                                 time_point until) {
+  const time_point applied_at = config_applied_at_;
+  const envelope answer =
+      co_await AwaitKnown(config_contacts_, version, applied_at, until);
+  const time_point now = clock_.Now();
+  const auto age = std::chrono::duration_cast<milliseconds>(now - applied_at);
+  if (answer.outcome == call_outcome::kDone) {
+    LogEvent(event_id::kConfigurationConfirmed,
+             {{"version", std::to_string(version)},
+              {"age_ms", std::to_string(age.count())}});
+  }
+  if (answer.outcome == call_outcome::kPending) {
+    const std::vector<std::string> missing =
+        InstancesWithout(config_contacts_, version, now);
+    LogEvent(event_id::kConfigurationPending,
+             {{"version", std::to_string(version)},
+              {"age_ms", std::to_string(age.count())},
+              {"instances", std::to_string(missing.size())},
+              {"first", missing.empty() ? "" : missing.front()}});
+  }
+  co_return answer;
+}
+
+awaitable<envelope> leader_service::AwaitLeaving(
+    std::vector<std::string> incarnations, time_point until) {
+  if (incarnations.empty()) co_return Done();
+  const std::optional<uint64_t> published =
+      co_await views_.AwaitPublished(until);
+  if (!published) {
+    co_return envelope{call_outcome::kPending, "",
+                       "recorded, but not published yet", ""};
+  }
+  published_change latest;
+  for (const std::string& incarnation : incarnations) {
+    const auto [found, is_new] = leaving_.try_emplace(
+        incarnation, published_change{*published, clock_.Now()});
+    const published_change& change = found->second;
+    latest.version = std::max(latest.version, change.version);
+    latest.published_at = std::max(latest.published_at, change.published_at);
+  }
+  co_return co_await AwaitKnown(list_contacts_, latest.version,
+                                latest.published_at, until);
+}
+
+}  // namespace hickorywood::controller
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -42,8 +42,6 @@
 // How long a call waits for the instances that do not have its change yet. Less
 // than the timeout of a forwarded call.
 constexpr milliseconds kAcknowledgementWait{500};
-// Time after which it is checked again whether instances have lost contact.
-constexpr milliseconds kContactPoll{50};
 
 std::vector<fleet::engine_weights_entry> ListWeights(
     const weight_table& table) {
@@ -156,7 +154,7 @@
   // one does not know.
   const bool has_led_before = group_.LedSince() < group_.ElectedAt();
   if (!has_led_before) StartContacts(config_contacts_, clock_.Now());
-  // Versions of lists begin anew with each term.
+  // The versions of lists restart with each term.
   StartContacts(list_contacts_, clock_.Now());
   leaving_.clear();
   usage_.BeginTerm();
@@ -316,27 +314,6 @@
   co_return co_await AwaitLeaving(std::move(leaving), until);
 }
 
-awaitable<envelope> leader_service::AwaitLeaving(
-    std::vector<std::string> incarnations, time_point until) {
-  if (incarnations.empty()) co_return Done();
-  const std::optional<uint64_t> published =
-      co_await views_.AwaitPublished(until);
-  if (!published) {
-    co_return envelope{call_outcome::kPending, "",
-                       "recorded, but not published yet", ""};
-  }
-  published_change latest;
-  for (const std::string& incarnation : incarnations) {
-    const auto [found, is_new] = leaving_.try_emplace(
-        incarnation, published_change{*published, clock_.Now()});
-    const published_change& change = found->second;
-    latest.version = std::max(latest.version, change.version);
-    latest.published_at = std::max(latest.published_at, change.published_at);
-  }
-  co_return co_await AwaitKnown(list_contacts_, latest.version,
-                                latest.published_at, until);
-}
-
 awaitable<envelope> leader_service::CommitCall(std::string name,
                                                std::string payload) {
   return group::CommitCall(group_, std::move(name), std::move(payload));
@@ -376,61 +353,6 @@
   co_return co_await AwaitInForce(number, until);
 }
 
-void leader_service::RecordRequest(const fleet::view_request& input) {
-  const time_point now = clock_.Now();
-  RecordContact(list_contacts_, input.instance, views_.CountOf(input.held),
-                now);
-  if (input.acts_on_config) {
-    RecordContact(config_contacts_, input.instance, input.held_config, now);
-  }
-  contact_.Notify();
-}
-
-awaitable<envelope> leader_service::AwaitKnown(const contact_table& contacts,
-                                               uint64_t version,
-                                               time_point since,
-                                               time_point until) {
-  const uint64_t term = group_.Term();
-  for (;;) {
-    const bool is_same_term = group_.IsServing() && group_.Term() == term;
-    if (!is_same_term) {
-      co_return envelope{call_outcome::kUnknown, "",
-                         "leadership ended before all instances were told", ""};
-    }
-    const time_point now = clock_.Now();
-    if (IsKnownEverywhere(contacts, version, since, now)) co_return Done();
-    if (now >= until) {
-      co_return envelope{call_outcome::kPending, "",
-                         "recorded, but not known at every instance yet", ""};
-    }
-    co_await contact_.WaitUntil(std::min(until, now + kContactPoll));
-  }
-}
-
-awaitable<envelope> leader_service::AwaitInForce(uint64_t version,
-                                                 time_point until) {
-  const time_point applied_at = config_applied_at_;
-  const envelope answer =
-      co_await AwaitKnown(config_contacts_, version, applied_at, until);
-  const time_point now = clock_.Now();
-  const auto age = std::chrono::duration_cast<milliseconds>(now - applied_at);
-  if (answer.outcome == call_outcome::kDone) {
-    LogEvent(event_id::kConfigurationConfirmed,
-             {{"version", std::to_string(version)},
-              {"age_ms", std::to_string(age.count())}});
-  }
-  if (answer.outcome == call_outcome::kPending) {
-    const std::vector<std::string> missing =
-        InstancesWithout(config_contacts_, version, now);
-    LogEvent(event_id::kConfigurationPending,
-             {{"version", std::to_string(version)},
-              {"age_ms", std::to_string(age.count())},
-              {"instances", std::to_string(missing.size())},
-              {"first", missing.empty() ? "" : missing.front()}});
-  }
-  co_return answer;
-}
-
 awaitable<envelope> leader_service::GetConfiguration() {
   if (state_.Config().version == 0) {
     envelope none;
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -36,7 +36,7 @@
 awaitable<void> view_follower::Run() {
   const core::milliseconds attempt_timeout = options_.wait + options_.slack;
   for (;;) {
-    // Separate from the call, which needs its whole time limit.
+    // Separate from the call, which needs its full time limit.
     co_await caller_.FindLeader(Now() + attempt_timeout);
     fleet::view_request input;
     input.instance = options_.instance;
--- a/tests/unit/hickoryd/membership_service_test.cc
+++ b/tests/unit/hickoryd/membership_service_test.cc
@@ -45,7 +45,7 @@
   return mkdtemp(pattern.data());
 }
 
-// The control part of an instance that is the whole control group.
+// The control part of an instance that is the only member of its group.
 class MembershipServiceTest : public ::testing::Test {
  protected:
   MembershipServiceTest() {
