Acknowledge a departure only in the term in which it was recorded

What callers could see: requests at an endpoint whose departure was acknowledged.

Cause: a leader that loses and regains office while a call waits for the next lists begins with the list that it followed, which may lack the change, but the call went on with the version of that list.

Change: the term is taken when the change is recorded and compared after the wait; the endpoint repeats its call. Beside it, a comment of a test is reworded.

--- a/packages/controller/leader_contacts.cc
+++ b/packages/controller/leader_contacts.cc
@@ -87,9 +87,11 @@
 awaitable<envelope> leader_service::AwaitLeaving(
     std::vector<std::string> incarnations, time_point until) {
   if (incarnations.empty()) co_return Done();
+  const uint64_t term = group_.Term();
   const std::optional<uint64_t> published =
       co_await views_.AwaitPublished(until);
-  if (!published) {
+  // In another term the lists may be those before the change.
+  if (!published || group_.Term() != term) {
     co_return envelope{call_outcome::kPending, "",
                        "recorded, but not published yet", ""};
   }
--- a/tests/integration/leaving_endpoint_test.cc
+++ b/tests/integration/leaving_endpoint_test.cc
@@ -35,8 +35,8 @@
   return runs;
 }
 
-// Guards against a departure that is acknowledged before the other instances
-// know it, and that a new leader, which was not told either, does not know.
+// Guards against a departure that only the leader knows when it is
+// acknowledged: its successor sent further requests to the endpoint.
 TEST(LeavingEndpointTest, DepartureOutlivesTheLeaderThatAcknowledgedIt) {
   simulated_endpoints leaving("leaving");
   const std::string incarnation = leaving.Start("echo");
