--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -162,6 +162,10 @@
   // endpoints that it had as a follower.
   registry_.endpoints.clear();
   fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
+  LogEvent(event_id::kEndpointsInherited,
+           {{"term", std::to_string(group_.Term())},
+            {"lists", fleet::VersionText(followed.version)},
+            {"endpoints", std::to_string(registry_.endpoints.size())}});
   stores_.clear();
   for (const fleet::store_entry& item : followed.members.stores) {
     stores_[item.instance] = {item.address, clock_.Now()};
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -151,6 +151,8 @@
        "retirement of a store requested"},
       {event_id::kWeightsLoaded, kInfo, "orders", "load of weights finished"},
       {event_id::kHeartbeatRefused, kInfo, "membership", "heartbeat refused"},
+      {event_id::kEndpointsInherited, kInfo, "membership",
+       "endpoints inherited"},
       {event_id::kRequestRefused, kInfo, "routing", "request refused"},
       {event_id::kRequestFailed, kWarning, "routing", "request failed"},
       {event_id::kEndpointEjected, kWarning, "routing", "endpoint ejected"},
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -65,6 +65,7 @@
   kRetirementRequested = 4009,
   kWeightsLoaded = 4010,
   kHeartbeatRefused = 4011,
+  kEndpointsInherited = 4012,
   kRequestRefused = 5001,
   kRequestFailed = 5002,
   kEndpointEjected = 5003,
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -92,7 +92,8 @@
             {"endpoints", std::to_string(outcome.endpoints)},
             {"refusals", std::to_string(outcome.refusals)},
             {"ms", std::to_string(Since(started, clock_.Now()).count())},
-            {"configuration", std::to_string(view_.config.version)}});
+            {"configuration", std::to_string(view_.config.version)},
+            {"lists", fleet::VersionText(view_.version)}});
   co_return answer;
 }
 
--- a/packages/fleet/view.cc
+++ b/packages/fleet/view.cc
@@ -69,6 +69,10 @@
 
 }  // namespace
 
+std::string VersionText(const view_version& version) {
+  return std::to_string(version.term) + "." + std::to_string(version.count);
+}
+
 uint64_t ConfigVersionOf(const view_update& update) {
   if (update.has_config) return update.config.version;
   return update.has_config_changes ? update.config_changes.version : 0;
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -32,6 +32,9 @@
   return left.term == right.term && left.count == right.count;
 }
 
+// Returns "TERM.COUNT", for logs.
+std::string VersionText(const view_version& version);
+
 // The weights of one model at one engine.
 struct engine_weights_entry {
   std::string incarnation;
