--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -270,6 +270,23 @@
          });
 }
 
+transport::http_request deployment::MakeHeartbeat(
+    const std::string& control, const std::string& incarnation,
+    const std::string& body) const {
+  transport::http_request input;
+  input.url = "http://" + Address(control, control_port_) + "/v1/instances/" +
+              incarnation + "/heartbeat";
+  input.body = body;
+  input.total_timeout = kHeartbeatTimeout;
+  return input;
+}
+
+bool deployment::SendHeartbeat(const std::string& control,
+                               const std::string& incarnation,
+                               const std::string& body) {
+  return web_.Send(MakeHeartbeat(control, incarnation, body)).status == 200;
+}
+
 void deployment::SendHeartbeats() {
   size_t turn = 0;
   while (!is_stopping_) {
@@ -280,13 +297,8 @@
     }
     for (const auto& [incarnation, body] : bodies) {
       if (body.empty()) continue;  // the endpoint has terminated
-      transport::http_request input;
-      input.url = "http://" +
-                  Address(controls_[turn++ % controls_.size()], control_port_) +
-                  "/v1/instances/" + incarnation + "/heartbeat";
-      input.body = body;
-      input.total_timeout = kHeartbeatTimeout;
-      web_.SendLater(std::move(input));
+      const std::string& control = controls_[turn++ % controls_.size()];
+      web_.SendLater(MakeHeartbeat(control, incarnation, body));
     }
     std::this_thread::sleep_for(kHeartbeatPeriod);
   }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -86,6 +86,10 @@
 
   // The control instance that was elected last; empty: none.
   std::string ControlLeader() const;
+  // Sends a heartbeat with this body to a control instance. Returns whether it
+  // was acknowledged.
+  bool SendHeartbeat(const std::string& control, const std::string& incarnation,
+                     const std::string& body);
   // Reports to a control instance that an endpoint leaves. Returns whether it
   // was acknowledged.
   bool Leave(const std::string& control, const std::string& incarnation);
@@ -168,6 +172,9 @@
   transport::http_request MakePlain(const std::string& entry,
                                     const std::string& request_id,
                                     const std::string& body) const;
+  transport::http_request MakeHeartbeat(const std::string& control,
+                                        const std::string& incarnation,
+                                        const std::string& body) const;
   void SendHeartbeats();
 
   const std::string folder_;
