Failing test: no data group after its only store lost its disk

What callers saw: no step was ever accepted. One store starts alone, loses its disk and comes back with two others.

--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -33,6 +33,24 @@
   }
 }
 
+// Guards against a data group that never exists: the only store there was lost
+// its disk, and no step was ever accepted.
+TEST(DeploymentTest, FirstStoreLosesItsDiskWhileItIsAlone) {
+  deployment fleet;
+  for (const std::string& control : fleet.Controls()) fleet.StartNode(control);
+  fleet.StartNode("e1");
+  const std::string first = fleet.Stores().front();
+  fleet.StartNode(first);
+  // The second version is acknowledged when the store has a view of a leader
+  // that knows the store.
+  ASSERT_TRUE(fleet.PutConfiguration(1, true));
+  ASSERT_TRUE(fleet.PutConfiguration(2, true));
+  fleet.KillNode(first);
+  fleet.LoseDisk(first);
+  for (const std::string& store : fleet.Stores()) fleet.StartNode(store);
+  EXPECT_TRUE(fleet.Submit("e1", "step-a", 1));
+}
+
 // A trainer submits a step at one entry and reads it at another one. Meanwhile
 // each store is killed and restarted, including the data leader. No result is
 // missing, duplicated or changed, and both entries list the same positions.
