Commit that an endpoint is leaving before it is acknowledged

Cause: that an incarnation has left, so that a delayed heartbeat must not list it again, was only in the memory of the leader that acknowledged it. The next leader starts from the list that it followed, in which the endpoint is missing without a trace. A heartbeat sent before the departure and delivered 2.1 s after it listed the endpoint again, as ready, for stores and entries. The class: an acknowledgement rests on state that its successor does not have.

Change: departures and draining are committed by the control group before they are acknowledged, and a new leader applies the records before it sends a view. So it also does not matter whether the new leader was in contact when the departure was acknowledged. Delayed heartbeats that are ignored are logged (HK4013). An acknowledgement costs one commit more; repeated reports cost none. The latest 4,096 records are kept.

--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -52,8 +52,36 @@
   if (input) held.unreported_usage.erase(input->window);
 }
 
+// Leaving endpoints that are recorded. Delayed heartbeats arrive within
+// seconds, in which no deployment replaces that many endpoints; the records
+// take about 200 KB. One more drops the oldest.
+constexpr size_t kMaxLeaving = 4096;
+
 }  // namespace
 
+bool control_state::IsRecorded(const fleet::leaving_endpoint& input) const {
+  const auto found = leaving_numbers_.find(input.incarnation);
+  if (found == leaving_numbers_.end()) return false;
+  return content_.leaving.at(found->second).has_left || !input.has_left;
+}
+
+void control_state::RecordLeaving(const std::string& payload) {
+  const auto input = core::DecodeBinary<record_leaving_command>(payload);
+  if (!input) return;
+  auto& records = content_.leaving;
+  for (const fleet::leaving_endpoint& item : input->endpoints) {
+    if (IsRecorded(item)) continue;
+    const auto before = leaving_numbers_.find(item.incarnation);
+    if (before != leaving_numbers_.end()) records.erase(before->second);
+    const uint64_t last = records.empty() ? 0 : records.rbegin()->first;
+    records[last + 1] = item;
+    leaving_numbers_[item.incarnation] = last + 1;
+    if (records.size() <= kMaxLeaving) continue;
+    leaving_numbers_.erase(records.begin()->second.incarnation);
+    records.erase(records.begin());
+  }
+}
+
 void control_state::Apply(const group::hosted_command& input) {
   if (input.name == kPutConfigurationCommand) {
     PutConfiguration(content_, input.payload);
@@ -67,15 +95,21 @@
     CloseUsage(content_, input.payload);
   } else if (input.name == kUsageReportedCommand) {
     RecordUsageReported(content_, input.payload);
+  } else if (input.name == kRecordLeavingCommand) {
+    RecordLeaving(input.payload);
   }
 }
 
 bool control_state::Restore(const std::string& data) {
   content_ = content{};
+  leaving_numbers_.clear();
   if (data.empty()) return true;
   auto saved = core::DecodeBinary<content>(data);
   if (!saved) return false;
   content_ = std::move(*saved);
+  for (const auto& [number, item] : content_.leaving) {
+    leaving_numbers_[item.incarnation] = number;
+  }
   return true;
 }
 
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "core/json.h"
 #include "fleet/configuration.h"
@@ -21,6 +22,7 @@
 constexpr char kSetDigestKeyCommand[] = "set_digest_key";
 constexpr char kCloseUsageCommand[] = "close_usage";
 constexpr char kUsageReportedCommand[] = "usage_reported";
+constexpr char kRecordLeavingCommand[] = "record_leaving";
 
 struct put_configuration_command {
   fleet::configuration config;
@@ -46,10 +48,18 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(usage_reported_command, window)
 
+// These endpoints are leaving.
+struct record_leaving_command {
+  std::vector<fleet::leaving_endpoint> endpoints;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(record_leaving_command,
+                                                endpoints)
+
 class control_state : public group::hosted_state {
  public:
   // Ignores a configuration that is not newer, a version that is not higher, a
-  // second founder, a second key, and usage of a window that is not newer.
+  // second founder, a second key, usage of a window that is not newer, and
+  // leaving endpoints that are recorded.
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
   consensus::saved_state Save(uint64_t applied) const override;
@@ -75,6 +85,14 @@
     return content_.unreported_usage;
   }
 
+  // The latest endpoints that are leaving, by ascending number of the record.
+  const std::map<uint64_t, fleet::leaving_endpoint>& Leaving() const {
+    return content_.leaving;
+  }
+  // Whether it is recorded that an endpoint is leaving: if it has left, that it
+  // has.
+  bool IsRecorded(const fleet::leaving_endpoint& input) const;
+
   struct content {
     fleet::configuration config;
     std::string config_text;
@@ -83,16 +101,20 @@
     std::string digest_key;
     int64_t latest_closed_usage = 0;
     std::map<int64_t, fleet::customer_counts> unreported_usage;
+    std::map<uint64_t, fleet::leaving_endpoint> leaving;
   };
 
  private:
+  void RecordLeaving(const std::string& payload);
+
   content content_;
+  std::map<std::string, uint64_t> leaving_numbers_;  // by incarnation
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(control_state::content, config,
                                                 config_text, versions,
                                                 data_founder, digest_key,
                                                 latest_closed_usage,
-                                                unreported_usage)
+                                                unreported_usage, leaving)
 
 }  // namespace hickorywood::controller
 
--- a/packages/controller/leader_contacts.cc
+++ b/packages/controller/leader_contacts.cc
@@ -84,10 +84,23 @@
   co_return answer;
 }
 
-awaitable<envelope> leader_service::AwaitLeaving(
-    std::vector<std::string> incarnations, time_point until) {
-  if (incarnations.empty()) co_return Done();
+awaitable<envelope> leader_service::CommitLeaving(
+    const std::vector<fleet::leaving_endpoint>& endpoints) {
+  record_leaving_command command;
+  for (const fleet::leaving_endpoint& item : endpoints) {
+    if (!state_.IsRecorded(item)) command.endpoints.push_back(item);
+  }
+  if (command.endpoints.empty()) co_return Done();
+  co_return co_await CommitCall(kRecordLeavingCommand,
+                                core::EncodeBinary(command));
+}
+
+awaitable<envelope> leader_service::RecordLeaving(
+    std::vector<fleet::leaving_endpoint> endpoints, time_point until) {
+  if (endpoints.empty()) co_return Done();
   const uint64_t term = group_.Term();
+  envelope recorded = co_await CommitLeaving(endpoints);
+  if (recorded.outcome != call_outcome::kDone) co_return recorded;
   const std::optional<uint64_t> published =
       co_await views_.AwaitPublished(until);
   // In another term the lists may be those before the change.
@@ -96,9 +109,9 @@
                        "recorded, but not published yet", ""};
   }
   published_change latest;
-  for (const std::string& incarnation : incarnations) {
+  for (const fleet::leaving_endpoint& item : endpoints) {
     const auto [found, is_new] = leaving_.try_emplace(
-        incarnation, published_change{*published, clock_.Now()});
+        item.incarnation, published_change{*published, clock_.Now()});
     const published_change& change = found->second;
     latest.version = std::max(latest.version, change.version);
     latest.published_at = std::max(latest.published_at, change.published_at);
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -146,6 +146,7 @@
 }
 
 void leader_service::OnLeadership(bool is_leader, const fleet::view& followed) {
+  is_leader_ = is_leader;
   if (!is_leader) {
     views_.Interrupt();
     return;
@@ -162,6 +163,8 @@
   // endpoints that it had as a follower.
   registry_.endpoints.clear();
   fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
+  applied_leaving_ = 0;
+  ApplyLeavingRecords();
   LogEvent(event_id::kEndpointsInherited,
            {{"term", std::to_string(group_.Term())},
             {"lists", fleet::VersionText(followed.version)},
@@ -189,7 +192,27 @@
   if (on_endpoints) on_endpoints();
 }
 
+bool leader_service::ApplyLeavingRecords() {
+  bool is_changed = false;
+  const auto& records = state_.Leaving();
+  for (auto record = records.upper_bound(applied_leaving_);
+       record != records.end(); ++record) {
+    applied_leaving_ = record->first;
+    const fleet::leaving_endpoint& item = record->second;
+    if (!fleet::ApplyLeaving(registry_, item, clock_.Now())) continue;
+    LogEvent(event_id::kEndpointLeft, {{"endpoint", item.incarnation}});
+    is_changed = true;
+  }
+  return is_changed;
+}
+
 void leader_service::OnApplied() {
+  // A leader may apply records of earlier terms only after its election, and
+  // must not send a view without them.
+  if (is_leader_ && ApplyLeavingRecords()) {
+    views_.PublishEndpoints();
+    if (on_endpoints) on_endpoints();
+  }
   if (state_.Config().version != published_config_) {
     published_config_ = state_.Config().version;
     config_applied_at_ = clock_.Now();
@@ -247,21 +270,23 @@
   const time_point until = clock_.Now() + kAcknowledgementWait;
   heartbeat_batch_answer answer;
   answer.term = group_.Term();
-  std::vector<std::string> leaving;
+  std::vector<fleet::leaving_endpoint> leaving;
   for (const fleet::heartbeat& item : input->heartbeats) {
     answer.refusals.push_back(AcceptHeartbeat(item));
     std::string incarnation = fleet::IncarnationOf(item.name, item.started_ms);
-    if (item.is_draining) {
-      leaving.push_back(std::move(incarnation));
-    } else {
+    if (!item.is_draining) {
       leaving_.erase(incarnation);
+      continue;
     }
+    const bool is_known = registry_.endpoints.count(incarnation) != 0 ||
+                          registry_.departed.count(incarnation) != 0;
+    if (is_known) leaving.push_back({std::move(incarnation)});
   }
   for (const fleet::heartbeat_refresh& item : input->refreshes) {
     const bool is_known = fleet::ApplyRefresh(registry_, item, clock_.Now());
     if (!is_known) answer.unknown.push_back(item.incarnation);
   }
-  envelope known = co_await AwaitLeaving(std::move(leaving), until);
+  envelope known = co_await RecordLeaving(std::move(leaving), until);
   if (known.outcome == call_outcome::kDone) {
     known.payload = core::EncodeBinary(answer);
   }
@@ -280,6 +305,12 @@
              {{"endpoint", incarnation}, {"reason", reason}});
     return reason;
   }
+  if (registry_.departed.count(incarnation) != 0) {
+    LogEvent(event_id::kDepartedHeartbeat,
+             {{"endpoint", incarnation},
+              {"sequence", std::to_string(input.sequence)}});
+    return "";
+  }
   const bool is_changed = fleet::ApplyHeartbeat(registry_, input, clock_.Now());
   bool is_newer = false;
   // A heartbeat of an older incarnation does not describe the weights of the
@@ -307,15 +338,15 @@
   const auto input = core::DecodeBinary<fleet::departure>(payload);
   if (!input) co_return Malformed();
   const time_point until = clock_.Now() + kAcknowledgementWait;
-  if (fleet::ApplyDeparture(registry_, *input, clock_.Now())) {
-    LogEvent(
-        event_id::kEndpointLeft,
-        {{"endpoint", fleet::IncarnationOf(input->name, input->started_ms)}});
+  const fleet::leaving_endpoint leaving{
+      fleet::DepartingIncarnation(registry_, *input), true};
+  if (fleet::ApplyLeaving(registry_, leaving, clock_.Now())) {
+    LogEvent(event_id::kEndpointLeft, {{"endpoint", leaving.incarnation}});
     OnEndpointsChanged();
   }
-  std::vector<std::string> leaving;
-  leaving.push_back(fleet::IncarnationOf(input->name, input->started_ms));
-  co_return co_await AwaitLeaving(std::move(leaving), until);
+  std::vector<fleet::leaving_endpoint> endpoints;
+  endpoints.push_back(leaving);
+  co_return co_await RecordLeaving(std::move(endpoints), until);
 }
 
 awaitable<envelope> leader_service::CommitCall(std::string name,
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -67,9 +67,15 @@
   // views since `since`. Returns kPending when some still may at `until`.
   answer AwaitKnown(const contact_table& contacts, uint64_t version,
                     core::time_point since, core::time_point until);
-  // Waits until no instance sends work to these endpoints any more.
-  answer AwaitLeaving(std::vector<std::string> incarnations,
-                      core::time_point until);
+  // Commits that these endpoints are leaving, and waits until no instance sends
+  // work to them any more.
+  answer RecordLeaving(std::vector<fleet::leaving_endpoint> endpoints,
+                       core::time_point until);
+  // Commits those of the endpoints that are not recorded yet.
+  answer CommitLeaving(const std::vector<fleet::leaving_endpoint>& endpoints);
+  // Applies further records of leaving endpoints to the registry. Returns true
+  // when the list of endpoints changed.
+  bool ApplyLeavingRecords();
   // Waits until no instance acts on a configuration before `version`.
   answer AwaitInForce(uint64_t version, core::time_point until);
   void RecordRequest(const fleet::view_request& input);
@@ -103,6 +109,9 @@
   peering::leader_caller& stores_caller_;
   quarantine::crash_ledger crashes_;
   view_publisher views_;
+  bool is_leader_ = false;
+  // Number of the latest record of a leaving endpoint that the registry has.
+  uint64_t applied_leaving_ = 0;
   uint64_t published_config_ = 0;
   std::string published_founder_;
   std::string published_key_;
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -84,6 +84,10 @@
 
 void view_publisher::OnEndpointsChanged() { ScheduleUpdate(lists_); }
 
+void view_publisher::PublishEndpoints() {
+  if (UpdateLists()) Wake(lists_);
+}
+
 void view_publisher::OnWarningsChanged() { ScheduleUpdate(lists_); }
 
 void view_publisher::OnMembersChanged() { ScheduleUpdate(lists_); }
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -51,6 +51,8 @@
 
   // Schedules the publication of the changed part.
   void OnEndpointsChanged();
+  // Publishes the list of endpoints before the next view is sent.
+  void PublishEndpoints();
   void OnWarningsChanged();
   void OnMembersChanged();
   void OnWeightsChanged();
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -153,6 +153,8 @@
       {event_id::kHeartbeatRefused, kInfo, "membership", "heartbeat refused"},
       {event_id::kEndpointsInherited, kInfo, "membership",
        "endpoints inherited"},
+      {event_id::kDepartedHeartbeat, kInfo, "membership",
+       "heartbeat of a departed endpoint ignored"},
       {event_id::kRequestRefused, kInfo, "routing", "request refused"},
       {event_id::kRequestFailed, kWarning, "routing", "request failed"},
       {event_id::kEndpointEjected, kWarning, "routing", "endpoint ejected"},
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -66,6 +66,7 @@
   kWeightsLoaded = 4010,
   kHeartbeatRefused = 4011,
   kEndpointsInherited = 4012,
+  kDepartedHeartbeat = 4013,
   kRequestRefused = 5001,
   kRequestFailed = 5002,
   kEndpointEjected = 5003,
--- a/packages/fleet/endpoint_registry.cc
+++ b/packages/fleet/endpoint_registry.cc
@@ -128,9 +128,9 @@
   registered_endpoint& entry = registry.endpoints[incarnation];
   endpoint fresh = ToEndpoint(input);
   // A draining endpoint does not become ready again in the same incarnation.
-  if (entry.item.state == endpoint_state::kDraining) {
-    fresh.state = endpoint_state::kDraining;
-  }
+  const bool is_draining = entry.item.state == endpoint_state::kDraining ||
+                           registry.draining.count(incarnation) != 0;
+  if (is_draining) fresh.state = endpoint_state::kDraining;
   const bool is_changed = !(entry.item == fresh);
   entry = {std::move(fresh), input.sequence, now};
   return is_changed;
@@ -152,17 +152,30 @@
   return true;
 }
 
-bool ApplyDeparture(endpoint_registry& registry, const departure& input,
-                    core::time_point now) {
-  // A departure without a start time refers to the newest incarnation.
+std::string DepartingIncarnation(const endpoint_registry& registry,
+                                 const departure& input) {
   const auto last = registry.incarnations.find(input.name);
   const bool is_of_newest =
       input.started_ms == 0 && last != registry.incarnations.end();
-  const std::string incarnation = IncarnationOf(
+  return IncarnationOf(
       input.name, is_of_newest ? last->second.started_ms : input.started_ms);
-  registry.departed[incarnation] = now;
-  registry.superseded.erase(incarnation);
-  return registry.endpoints.erase(incarnation) != 0;
+}
+
+bool ApplyLeaving(endpoint_registry& registry, const leaving_endpoint& input,
+                  core::time_point now) {
+  if (input.has_left) {
+    registry.departed[input.incarnation] = now;
+    registry.draining.erase(input.incarnation);
+    registry.superseded.erase(input.incarnation);
+    return registry.endpoints.erase(input.incarnation) != 0;
+  }
+  registry.draining[input.incarnation] = now;
+  const auto listed = registry.endpoints.find(input.incarnation);
+  const bool is_changed =
+      listed != registry.endpoints.end() &&
+      listed->second.item.state != endpoint_state::kDraining;
+  if (is_changed) listed->second.item.state = endpoint_state::kDraining;
+  return is_changed;
 }
 
 bool ExpireEndpoints(endpoint_registry& registry, core::time_point now) {
@@ -184,9 +197,11 @@
     }
     ++item;
   }
-  std::erase_if(registry.departed, [&](const auto& item) {
+  const auto is_expired = [&](const auto& item) {
     return now - item.second >= options.departed_retention;
-  });
+  };
+  std::erase_if(registry.departed, is_expired);
+  std::erase_if(registry.draining, is_expired);
   std::erase_if(registry.incarnations, [&](const auto& item) {
     return now - item.second.seen_at >= options.departed_retention;
   });
--- a/packages/fleet/endpoint_registry.h
+++ b/packages/fleet/endpoint_registry.h
@@ -63,6 +63,15 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(departure, name, started_ms)
 
+// An endpoint whose departure or draining was reported. It gets no new work in
+// this incarnation.
+struct leaving_endpoint {
+  std::string incarnation;
+  bool has_left = false;  // false: it is draining and stays in the list
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(leaving_endpoint, incarnation,
+                                                has_left)
+
 enum class endpoint_state {
   kReady,
   kDraining,      // accepts no new work
@@ -120,7 +129,10 @@
 struct endpoint_registry {
   registry_options options;
   std::map<std::string, registered_endpoint> endpoints;  // by incarnation
-  std::map<std::string, core::time_point> departed;      // by incarnation
+  // When it was recorded that endpoints have left or are draining, by
+  // incarnation.
+  std::map<std::string, core::time_point> departed;
+  std::map<std::string, core::time_point> draining;
   // Incarnations whose address another incarnation announced, with their latest
   // sequence.
   std::map<std::string, uint64_t> superseded;
@@ -143,10 +155,15 @@
 bool ApplyRefresh(endpoint_registry& registry, const heartbeat_refresh& input,
                   core::time_point now);
 
-// Removes an endpoint that reports its departure. The departure of an older
-// incarnation does not remove a newer one. Returns true when the list changed.
-bool ApplyDeparture(endpoint_registry& registry, const departure& input,
-                    core::time_point now);
+// Returns the incarnation that a departure refers to: without a start time, the
+// newest one of its name.
+std::string DepartingIncarnation(const endpoint_registry& registry,
+                                 const departure& input);
+
+// Applies that an endpoint is leaving: it is removed, or it is draining from
+// now on. Other incarnations stay. Returns true when the list changed.
+bool ApplyLeaving(endpoint_registry& registry, const leaving_endpoint& input,
+                  core::time_point now);
 
 // Marks unresponsive endpoints, and removes them after a while. Returns true
 // when the list changed.
--- /dev/null
+++ b/tests/unit/controller/control_state_test.cc
@@ -0,0 +1,63 @@
+// Tests of the state that the control group replicates.
+
+#include "controller/control_state.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "core/binary.h"
+
+namespace hickorywood::controller {
+namespace {
+
+void Record(control_state& state,
+            std::vector<fleet::leaving_endpoint> endpoints) {
+  group::hosted_command input;
+  input.name = kRecordLeavingCommand;
+  input.payload =
+      core::EncodeBinary(record_leaving_command{std::move(endpoints)});
+  state.Apply(input);
+}
+
+// Guards against a departure that is only in the memory of one leader: a
+// snapshot must contain it.
+TEST(ControlStateTest, LeavingEndpointsAreInTheSnapshot) {
+  control_state saved;
+  Record(saved, {{"left", true}, {"draining"}});
+  control_state restored;
+  ASSERT_TRUE(restored.Restore(saved.Save(1).data));
+  EXPECT_TRUE(restored.IsRecorded({"left", true}));
+  EXPECT_TRUE(restored.IsRecorded({"draining"}));
+  EXPECT_FALSE(restored.IsRecorded({"draining", true}));
+  EXPECT_FALSE(restored.IsRecorded({"other"}));
+}
+
+// An endpoint first drains and then leaves. A delayed report that it drains
+// must not replace its departure.
+TEST(ControlStateTest, DepartureReplacesDrainingOnly) {
+  control_state state;
+  Record(state, {{"a"}});
+  Record(state, {{"a", true}});
+  Record(state, {{"a"}});
+  ASSERT_EQ(state.Leaving().size(), 1U);
+  EXPECT_TRUE(state.Leaving().begin()->second.has_left);
+}
+
+// The numbers of the records only rise, so that a leader can tell which ones it
+// has, and the oldest ones are dropped.
+TEST(ControlStateTest, OldRecordsOfLeavingEndpointsAreDropped) {
+  constexpr size_t kRecords = 5000;
+  control_state state;
+  for (size_t i = 0; i < kRecords; ++i) {
+    Record(state, {{"i" + std::to_string(i), true}});
+  }
+  EXPECT_LT(state.Leaving().size(), kRecords);
+  EXPECT_EQ(state.Leaving().rbegin()->first, kRecords);
+  EXPECT_FALSE(state.IsRecorded({"i0", true}));
+  EXPECT_TRUE(state.IsRecorded({"i4999", true}));
+}
+
+}  // namespace
+}  // namespace hickorywood::controller
--- a/tests/unit/fleet/endpoint_registry_test.cc
+++ b/tests/unit/fleet/endpoint_registry_test.cc
@@ -23,6 +23,12 @@
   return input;
 }
 
+bool ReportDeparture(endpoint_registry& registry, const departure& input,
+                     core::time_point now) {
+  return ApplyLeaving(registry, {DepartingIncarnation(registry, input), true},
+                      now);
+}
+
 TEST(EndpointRegistryTest, OlderHeartbeatChangesNothing) {
   endpoint_registry registry;
   heartbeat draining = Beat("a", 5);
@@ -50,7 +56,7 @@
 TEST(EndpointRegistryTest, DelayedHeartbeatDoesNotRestoreADepartedEndpoint) {
   endpoint_registry registry;
   ApplyHeartbeat(registry, Beat("a", 1), kStart);
-  EXPECT_TRUE(ApplyDeparture(registry, {"a"}, kStart));
+  EXPECT_TRUE(ReportDeparture(registry, {"a"}, kStart));
   EXPECT_FALSE(ApplyHeartbeat(registry, Beat("a", 2), kStart + seconds(3)));
   EXPECT_TRUE(registry.endpoints.empty());
 }
@@ -142,7 +148,7 @@
   ApplyHeartbeat(registry, BeatOfIncarnation(2000, 1), kStart);
   EXPECT_EQ(registry.endpoints.begin()->second.item.state,
             endpoint_state::kReady);
-  EXPECT_TRUE(ApplyDeparture(registry, {"a", 2000}, kStart));
+  EXPECT_TRUE(ReportDeparture(registry, {"a", 2000}, kStart));
   EXPECT_TRUE(ApplyHeartbeat(registry, BeatOfIncarnation(3000, 1), kStart));
   EXPECT_EQ(Listed(registry), IncarnationOf("a", 3000));
 }
@@ -158,7 +164,7 @@
     EXPECT_FALSE(ApplyHeartbeat(registry, BeatOfIncarnation(1000, sequence),
                                 kStart + seconds(1)));
   }
-  EXPECT_FALSE(ApplyDeparture(registry, {"a", 1000}, kStart + seconds(1)));
+  EXPECT_FALSE(ReportDeparture(registry, {"a", 1000}, kStart + seconds(1)));
   EXPECT_EQ(Listed(registry), IncarnationOf("a", 2000));
 }
 
@@ -208,7 +214,7 @@
 TEST(EndpointRegistryTest, DepartureWithoutAStartTimeRemovesTheNewest) {
   endpoint_registry registry;
   ApplyHeartbeat(registry, BeatOfIncarnation(2000, 1), kStart);
-  EXPECT_TRUE(ApplyDeparture(registry, {"a"}, kStart));
+  EXPECT_TRUE(ReportDeparture(registry, {"a"}, kStart));
   EXPECT_TRUE(registry.endpoints.empty());
 }
 
@@ -222,6 +228,29 @@
   EXPECT_EQ(Listed(after), IncarnationOf("a", 2000));
 }
 
+// Guards against a new leader that does not know which endpoints have left: a
+// delayed heartbeat listed one of them again.
+TEST(EndpointRegistryTest, RecordedDepartureHoldsWithoutTheEndpoint) {
+  endpoint_registry registry;
+  EXPECT_FALSE(ApplyLeaving(registry, {"a", true}, kStart));
+  EXPECT_FALSE(ApplyHeartbeat(registry, Beat("a", 2), kStart + seconds(3)));
+  EXPECT_TRUE(registry.endpoints.empty());
+}
+
+// Guards against a new leader whose view is older than the draining of an
+// endpoint: it sent the endpoint new work.
+TEST(EndpointRegistryTest, RecordedDrainingHoldsForAdoptedAndNewEndpoints) {
+  endpoint_registry registry;
+  endpoint ready;
+  ready.incarnation = ready.name = "a";
+  AdoptEndpoints(registry, {ready}, kStart);
+  EXPECT_TRUE(ApplyLeaving(registry, {"a"}, kStart));
+  EXPECT_FALSE(ApplyLeaving(registry, {"b"}, kStart));
+  ApplyHeartbeat(registry, Beat("b", 1), kStart);
+  EXPECT_EQ(registry.endpoints.at("a").item.state, endpoint_state::kDraining);
+  EXPECT_EQ(registry.endpoints.at("b").item.state, endpoint_state::kDraining);
+}
+
 // A control instance sends refreshes in place of heartbeats. The endpoint stays
 // ready, as it does with complete heartbeats.
 TEST(EndpointRegistryTest, RefreshKeepsAnEndpoint) {
@@ -253,7 +282,7 @@
   EXPECT_FALSE(ApplyRefresh(registry, {"a", 2}, kStart));
   ExpireEndpoints(registry, kStart + seconds(10));
   EXPECT_FALSE(ApplyRefresh(registry, {"b", 2}, kStart + seconds(10)));
-  ApplyDeparture(registry, {"b"}, kStart);
+  ReportDeparture(registry, {"b"}, kStart);
   EXPECT_FALSE(ApplyRefresh(registry, {"b", 3}, kStart));
   EXPECT_TRUE(registry.endpoints.empty());
 }
