Found the data group with all its voters at once

Nothing that had been acknowledged was lost.

Cause: the control group chose one store, by its address, to found the data group. Until two others had joined, the group was one disk. When that disk was lost, the store came back as another member and waited to be admitted by a group that did not exist any more; the choice was final, so nobody founded it again. The class: a group whose first members are fewer than its losses to tolerate need.

Change: the control group commits the complete list of first voters, by instance and disk, once enough stores without a group are in contact. Each of them bootstraps the group with this list, and a majority elects the leader. A store that lost its disk meanwhile is another member, which the majority admits. No store founds the group alone, so there is nothing to repeat. A store no longer needs to start for the first time to be chosen: one whose disk was lost before the choice counts too.

--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -32,6 +32,14 @@
          kind == message_kind::kSnapshotReply;
 }
 
+std::string VoterList(const std::vector<member>& voters) {
+  std::string list;
+  for (const std::string& text : MemberTexts(voters)) {
+    list += (list.empty() ? "" : ",") + text;
+  }
+  return list;
+}
+
 }  // namespace
 
 const char* RoleName(raft_role role) {
@@ -120,14 +128,23 @@
 }
 
 bool group_replica::Bootstrap(const std::string& group) {
-  if (!BootstrapGroup(raft_, group, clock_.BootNow(), out_)) {
+  return Bootstrap(group, {raft_.self});
+}
+
+bool group_replica::Bootstrap(const std::string& group,
+                              std::vector<member> voters) {
+  const std::string list = VoterList(voters);
+  const size_t count = voters.size();
+  if (!BootstrapGroup(raft_, group, std::move(voters), clock_.BootNow(),
+                      out_)) {
     core::SetLastReason(
         core::reason_code::kConflict,
         "this instance is in group " + raft_.group + " already");
     return false;
   }
+  voter_count_ = count;
   LogEvent(event_id::kGroupBootstrapped,
-           {{"group", group}, {"node", settings_.node}});
+           {{"group", group}, {"node", settings_.node}, {"voters", list}});
   Flush();
   return true;
 }
@@ -283,14 +300,10 @@
   const std::optional<group_members> members =
       core::Decode<group_members>(entry.data);
   if (!members) return;
-  std::string voters;
-  for (const std::string& text : MemberTexts(members->voters)) {
-    voters += (voters.empty() ? "" : ",") + text;
-  }
   const bool is_removal = members->voters.size() < voter_count_;
   voter_count_ = members->voters.size();
   LogEvent(is_removal ? event_id::kVoterRemoved : event_id::kVoterReadmitted,
-           {{"voters", voters},
+           {{"voters", VoterList(members->voters)},
             {"learners", std::to_string(members->learners.size())}});
 }
 
--- a/packages/consensus/group_replica.h
+++ b/packages/consensus/group_replica.h
@@ -92,9 +92,12 @@
 
   // Loads the data folder. Returns false, with the reason, if it can't be used.
   bool Load();
-  // Makes this replica the first voter of a new group. Returns false, with the
+  // Makes this replica the only voter of a new group. Returns false, with the
   // reason, if it is already in a group.
   bool Bootstrap(const std::string& group);
+  // The same as one of several first voters, which all must be given the same
+  // list.
+  bool Bootstrap(const std::string& group, std::vector<member> voters);
 
   void Tick();
   void Flush();
--- a/packages/consensus/raft.cc
+++ b/packages/consensus/raft.cc
@@ -329,20 +329,24 @@
   return &EntryAt(state.log, state.delivered_index);
 }
 
-bool BootstrapGroup(raft_state& state, const std::string& group, time_point now,
+bool BootstrapGroup(raft_state& state, const std::string& group,
+                    std::vector<member> voters, time_point now,
                     raft_output& out) {
   if (!state.group.empty()) return false;
+  const bool is_first = voters.front() == state.self;
   state.group = group;
   snapshot first;
   first.group = group;
   first.index = 1;
   first.term = 1;
-  first.members.voters = {state.self};
+  first.members.voters = std::move(voters);
   state.hard.term = 1;
   out.hard_state_changed = true;
   state.incoming = std::move(first);
   InstallSnapshot(state, out);
-  state.election_deadline = now;
+  // Only one of them starts an election at once, so that they don't compete.
+  ResetElectionDeadline(state, now);
+  if (is_first) state.election_deadline = now;
   return true;
 }
 
--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -132,9 +132,10 @@
 // memory, and a restart needed more memory than normal operation.
 const log_entry* NextCommittedEntry(raft_state& state);
 
-// Makes this empty replica the only voter of a new group. Returns false if it
-// is already in a group.
-bool BootstrapGroup(raft_state& state, const std::string& group, time_point now,
+// Makes this empty replica one of the first voters of a new group. Each of them
+// must be given the same voters. Returns false if it is already in a group.
+bool BootstrapGroup(raft_state& state, const std::string& group,
+                    std::vector<member> voters, time_point now,
                     raft_output& out);
 
 void Tick(raft_state& state, time_point now, raft_output& out);
--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -23,8 +23,12 @@
 }
 
 void FoundDataGroup(control_state::content& held, const std::string& payload) {
-  const auto input = core::DecodeBinary<found_data_group_command>(payload);
-  if (input && held.data_founder.empty()) held.data_founder = input->founder;
+  auto input = core::DecodeBinary<found_data_group_command>(payload);
+  const bool is_founded =
+      !held.data_founder.empty() || !held.data_voters.empty();
+  if (!input || is_founded) return;
+  held.data_founder = std::move(input->founder);
+  held.data_voters = std::move(input->voters);
 }
 
 void SetDigestKey(control_state::content& held, const std::string& payload) {
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -32,10 +32,11 @@
                                                 config, text)
 
 struct found_data_group_command {
-  std::string founder;  // peer address
+  std::string founder;  // peer address; only in logs of earlier versions
+  std::vector<consensus::member> voters;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(found_data_group_command,
-                                                founder)
+                                                founder, voters)
 
 struct set_digest_key_command {
   std::string key;
@@ -58,8 +59,8 @@
 class control_state : public group::hosted_state {
  public:
   // Ignores a configuration that is not newer, a version that is not higher, a
-  // second founder, a second key, usage of a window that is not newer, and
-  // leaving endpoints that are recorded.
+  // second founding of the data group, a second key, usage of a window that is
+  // not newer, and leaving endpoints that are recorded.
   void Apply(const group::hosted_command& input) override;
   bool Restore(const std::string& data) override;
   consensus::saved_state Save(uint64_t applied) const override;
@@ -70,9 +71,14 @@
   const std::map<std::string, uint64_t>& Versions() const {
     return content_.versions;
   }
-  // Peer address of the store that bootstraps the data group; empty: none was
-  // chosen yet.
-  const std::string& DataFounder() const { return content_.data_founder; }
+  // The first voters of the data group; empty: they were not chosen yet, or by
+  // an earlier version, which chose one store.
+  const std::vector<consensus::member>& DataVoters() const {
+    return content_.data_voters;
+  }
+  bool IsDataGroupFounded() const {
+    return !content_.data_voters.empty() || !content_.data_founder.empty();
+  }
   // Key of the digests that identify requests to other instances; empty: none
   // was generated yet. It never changes, so that a request has the same digest
   // under every leader.
@@ -97,7 +103,8 @@
     fleet::configuration config;
     std::string config_text;
     std::map<std::string, uint64_t> versions;
-    std::string data_founder;
+    std::string data_founder;  // see found_data_group_command
+    std::vector<consensus::member> data_voters;
     std::string digest_key;
     int64_t latest_closed_usage = 0;
     std::map<int64_t, fleet::customer_counts> unreported_usage;
@@ -112,8 +119,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(control_state::content, config,
                                                 config_text, versions,
-                                                data_founder, digest_key,
-                                                latest_closed_usage,
+                                                data_founder, data_voters,
+                                                digest_key, latest_closed_usage,
                                                 unreported_usage, leaving)
 
 }  // namespace hickorywood::controller
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "access/configuration_lease.h"
 #include "core/binary.h"
 #include "core/events.h"
 #include "core/ids.h"
@@ -140,7 +141,7 @@
   for (const auto& [instance, entry] : stores_) {
     members.stores.push_back({instance, entry.address});
   }
-  members.data_founder = state_.DataFounder();
+  members.data_voters = state_.DataVoters();
   members.digest_key = state_.DigestKey();
   return members;
 }
@@ -171,7 +172,7 @@
             {"endpoints", std::to_string(registry_.endpoints.size())}});
   stores_.clear();
   for (const fleet::store_entry& item : followed.members.stores) {
-    stores_[item.instance] = {item.address, clock_.Now()};
+    stores_[item.instance] = {item.address, "", clock_.Now()};
   }
   // Processes with more records of crashes send them again once they follow
   // this leader.
@@ -219,11 +220,11 @@
     views_.OnConfigurationChanged();
   }
   std::vector<std::string> members = group_.Members();
-  const bool is_same = state_.DataFounder() == published_founder_ &&
+  const bool is_same = state_.DataVoters() == published_voters_ &&
                        state_.DigestKey() == published_key_ &&
                        members == published_members_;
   if (is_same) return;
-  published_founder_ = state_.DataFounder();
+  published_voters_ = state_.DataVoters();
   published_key_ = state_.DigestKey();
   published_members_ = std::move(members);
   views_.OnMembersChanged();
@@ -421,23 +422,43 @@
   if (input.address.empty()) return;
   store_record& entry = stores_[input.instance];
   const bool is_new = entry.address != input.address;
-  entry = {input.address, clock_.Now()};
+  entry = {input.address, input.vacant_storage, clock_.Now()};
   if (is_new) {
     LogEvent(event_id::kStoreJoined,
              {{"instance", input.instance}, {"address", input.address}});
     views_.OnMembersChanged();
   }
-  // Exactly one store may bootstrap the data group, so the choice is committed.
-  const bool is_needed = input.may_found && state_.DataFounder().empty() &&
-                         !is_choosing_founder_ && group_.HasEnoughVoters();
-  if (!is_needed) return;
-  is_choosing_founder_ = true;
+  FoundDataGroup();
+}
+
+std::vector<consensus::member> leader_service::FirstDataVoters() const {
+  std::vector<consensus::member> voters;
+  const time_point oldest = clock_.Now() - access::kContactLease;
+  for (const auto& [instance, entry] : stores_) {
+    if (entry.last_request_at < oldest) continue;
+    const bool is_in_group = entry.vacant_storage.empty();
+    if (is_in_group) return {};
+    voters.push_back({entry.address, entry.vacant_storage});
+  }
+  if (voters.size() < group_.SpreadVoters()) return {};
+  voters.resize(group_.SpreadVoters());
+  return voters;
+}
+
+// The data group begins with all the voters that it needs, so that it never
+// depends on one disk. There may be one group, so the choice is committed.
+void leader_service::FoundDataGroup() {
+  const bool may_choose =
+      !state_.IsDataGroupFounded() && !is_founding_ && group_.HasEnoughVoters();
+  if (!may_choose) return;
+  found_data_group_command command;
+  command.voters = FirstDataVoters();
+  if (command.voters.empty()) return;
+  is_founding_ = true;
   asio::co_spawn(
-      loop_,
-      CommitCall(kFoundDataGroupCommand,
-                 core::EncodeBinary(found_data_group_command{input.address})),
+      loop_, CommitCall(kFoundDataGroupCommand, core::EncodeBinary(command)),
       [this](const std::exception_ptr& /*failure*/,
-             const envelope& /*answer*/) { is_choosing_founder_ = false; });
+             const envelope& /*answer*/) { is_founding_ = false; });
 }
 
 void leader_service::ExpireStores() {
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -87,6 +87,10 @@
 
   answer CommitCall(std::string name, std::string payload);
   void RecordStore(const fleet::view_request& input);
+  // Returns the stores that are to be the first voters of the data group.
+  // Nothing: there are too few yet, or one of them is in a group.
+  std::vector<consensus::member> FirstDataVoters() const;
+  void FoundDataGroup();
   void ExpireStores();
   // Logs the changed quarantines and publishes them.
   void OnQuarantineChanges(
@@ -113,15 +117,16 @@
   // Number of the latest record of a leaving endpoint that the registry has.
   uint64_t applied_leaving_ = 0;
   uint64_t published_config_ = 0;
-  std::string published_founder_;
+  std::vector<consensus::member> published_voters_;  // first data voters
   std::string published_key_;
   std::vector<std::string> published_members_;
   struct store_record {
     std::string address;
+    std::string vacant_storage;  // see fleet::view_request
     core::time_point last_request_at{};
   };
   std::map<std::string, store_record> stores_;  // by instance
-  bool is_choosing_founder_ = false;
+  bool is_founding_ = false;
   contact_table config_contacts_;  // instances that act on the configuration
   core::time_point config_applied_at_{};  // the latest one, at this instance
   contact_table list_contacts_;  // all instances, with their version of lists
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "consensus/types.h"
 #include "core/json.h"
 #include "fleet/configuration.h"
 #include "fleet/configuration_changes.h"
@@ -61,13 +62,12 @@
 struct view_members {
   std::vector<std::string> controllers;  // peer addresses of the control group
   std::vector<store_entry> stores;
-  // Peer address of the store that bootstraps the data group.
-  std::string data_founder;
+  // The first voters of the data group; empty: not chosen yet.
+  std::vector<consensus::member> data_voters;
   std::string digest_key;  // key of the request digests; empty: none yet
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(view_members, controllers,
-                                                stores, data_founder,
-                                                digest_key)
+                                                stores, data_voters, digest_key)
 
 struct view {
   view_version version;
@@ -90,8 +90,10 @@
 // delayed until there is a change or `wait_ms` has passed.
 struct view_request {
   std::string instance;
-  std::string address;     // peer address of a store; empty: not a store
-  bool may_found = false;  // a store that starts for the first time
+  std::string address;  // peer address of a store; empty: not a store
+  // Storage id of a store that is in no data group; empty: it is in one, or
+  // this is not a store.
+  std::string vacant_storage;
   bool wants_weights = false;
   uint64_t held_weights = 0;  // its version of the weights
   view_version held;
@@ -111,9 +113,9 @@
   std::vector<usage_window> usage;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    view_request, instance, address, may_found, wants_weights, held_weights,
-    held, held_config, takes_config_changes, acts_on_config, wait_ms, demands,
-    clock_ms, usage_source, usage)
+    view_request, instance, address, vacant_storage, wants_weights,
+    held_weights, held, held_config, takes_config_changes, acts_on_config,
+    wait_ms, demands, clock_ms, usage_source, usage)
 
 // Which part of a list an update contains.
 enum class list_part {
--- a/packages/fleet/view_log.cc
+++ b/packages/fleet/view_log.cc
@@ -18,7 +18,7 @@
 
 bool SameMembers(const view_members& left, const view_members& right) {
   return left.controllers == right.controllers && left.stores == right.stores &&
-         left.data_founder == right.data_founder &&
+         left.data_voters == right.data_voters &&
          left.digest_key == right.digest_key;
 }
 
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -84,6 +84,10 @@
   if (!IsInGroup()) replica_.Bootstrap(settings_.name);
 }
 
+void group_host::Bootstrap(const std::vector<consensus::member>& voters) {
+  if (!IsInGroup()) replica_.Bootstrap(settings_.name, voters);
+}
+
 void group_host::SetContacts(std::vector<std::string> contacts) {
   contacts_ = std::move(contacts);
 }
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -50,9 +50,12 @@
 
   // Returns false, and sets the reason, when the data folder is unusable.
   bool Start();
-  // Makes this replica the first voter of the group, if it is in no group.
+  // Makes this replica the only voter of the group, if it is in no group.
   // Exactly one instance may ever do this.
   void Bootstrap();
+  // Makes this replica one of the first voters of the group, if it is in no
+  // group. Only instances in the list may do this, with one list forever.
+  void Bootstrap(const std::vector<consensus::member>& voters);
   // Sets other instances that may be members, to which requests to join are
   // sent.
   void SetContacts(std::vector<std::string> contacts);
@@ -94,6 +97,10 @@
   std::vector<std::string> Members() const;
   std::vector<std::string> Voters() const;
   bool IsInGroup() const { return !replica_.Raft().group.empty(); }
+  // This replica, by its instance and the storage id of its data folder.
+  const consensus::member& Self() const { return replica_.Raft().self; }
+  // Number of voters below which no command is acknowledged.
+  size_t SpreadVoters() const { return settings_.spread_voters; }
   // Instances that requested to join within the last second.
   std::set<std::string> Applicants() const;
   bool TransferLeadership() { return replica_.TransferLeadership(); }
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -41,7 +41,7 @@
     fleet::view_request input;
     input.instance = options_.instance;
     input.address = options_.store_address;
-    input.may_found = options_.may_found;
+    if (vacant_storage_) input.vacant_storage = vacant_storage_();
     input.wants_weights = wants_weights_;
     input.held_weights = view_.weights_count;
     input.held = view_.version;
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -19,7 +19,6 @@
 struct follower_options {
   std::string instance;
   std::string store_address;    // peer address of a store; empty: not a store
-  bool may_found = false;       // a store that starts for the first time
   bool acts_on_config = false;  // see fleet::view_request
   // How long the leader may delay a response. It also limits the time until a
   // broken connection is detected.
@@ -64,6 +63,10 @@
       std::function<std::vector<fleet::model_demand>()> demands) {
     demands_ = std::move(demands);
   }
+  // Sets the source of fleet::view_request::vacant_storage.
+  void SetVacantStorage(std::function<std::string()> storage) {
+    vacant_storage_ = std::move(storage);
+  }
   void SetUsageFeed(usage_feed feed) { usage_ = std::move(feed); }
   // Called after each change.
   void OnChange(std::function<void()> changed) {
@@ -82,6 +85,7 @@
   bool is_following_ = false;
   bool wants_weights_ = false;
   std::function<std::vector<fleet::model_demand>()> demands_;
+  std::function<std::string()> vacant_storage_;
   usage_feed usage_;
   std::function<void()> changed_;
 };
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -1,9 +1,11 @@
 #include "store/store_instance.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
+#include <vector>
 
 #include "access/configuration_lease.h"
 #include "core/events.h"
@@ -39,7 +41,6 @@
   peering::follower_options options;
   options.instance = settings.id;
   options.store_address = settings.peers_address;
-  options.may_found = settings.is_first_start;
   options.acts_on_config = true;
   return options;
 }
@@ -104,6 +105,9 @@
     // of all engines at once.
     follower.RequestWeights(true);
     follower.SetDemandSource([this] { return dispatch.Demands(); });
+    follower.SetVacantStorage([this] {
+      return group.IsInGroup() ? std::string() : group.Self().storage;
+    });
     follower.OnChange([this] { OnView(); });
   }
 
@@ -116,9 +120,10 @@
     const fleet::view& view = follower.View();
     group.SetContacts(peering::StoreAddresses(view));
     leader.SetInstances(peering::StoreAddresses(view));
-    const bool is_founder = settings.is_first_start &&
-                            view.members.data_founder == settings.peers_address;
-    if (is_founder) group.Bootstrap();
+    const std::vector<consensus::member>& voters = view.members.data_voters;
+    const bool is_first_voter =
+        std::find(voters.begin(), voters.end(), group.Self()) != voters.end();
+    if (is_first_voter) group.Bootstrap(voters);
     sender.OnEndpointsChanged();
     crashes.OnView();
     dispatch.OnView();
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -101,6 +101,14 @@
           {"max_attempts", 3}, {"item_ttl_s", 600},   {"resumable", true}};
 }
 
+// Whether a line of a log contains the voters of a group.
+bool IsVoterList(const std::string& line) {
+  for (const char* event : {"HK2007", "HK2010", "HK2011"}) {
+    if (line.find(event) != std::string::npos) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 std::string ProgramPath() { return HICKORYD_PATH; }
@@ -231,9 +239,7 @@
   std::ifstream log(LogOf(observer));
   bool is_voter = false;
   for (std::string line; std::getline(log, line);) {
-    const bool is_list = line.find("HK2007") != std::string::npos ||
-                         line.find("HK2011") != std::string::npos;
-    if (is_list) is_voter = line.find(address) != std::string::npos;
+    if (IsVoterList(line)) is_voter = line.find(address) != std::string::npos;
   }
   return is_voter;
 }
@@ -244,7 +250,7 @@
   for (const std::string& other : GroupOf(node)) {
     std::ifstream log(LogOf(other));
     for (std::string line; std::getline(log, line);) {
-      if (line.find("HK2007") == std::string::npos) continue;
+      if (!IsVoterList(line)) continue;
       std::smatch match;
       if (std::regex_search(line, match, identity)) found.insert(match[1]);
     }
--- a/tests/unit/consensus/group_simulation.cc
+++ b/tests/unit/consensus/group_simulation.cc
@@ -19,16 +19,20 @@
 }  // namespace
 
 group_simulation::group_simulation(size_t replicas, uint64_t seed,
-                                   size_t wanted_voters)
+                                   size_t wanted_voters, size_t first_voters)
     : replicas_(replicas), random_(seed), wanted_voters_(wanted_voters) {
   clock_.Pause();
   for (size_t i = 0; i < replicas; ++i) {
     replicas_[i].disks = 1;
     Start(i);
   }
-  raft_output out;
-  BootstrapGroup(replicas_[0].state, "group", clock_.BootNow(), out);
-  Handle(0, out);
+  std::vector<member> voters;
+  for (size_t i = 0; i < first_voters; ++i) voters.push_back(IdentityOf(i));
+  for (size_t i = 0; i < first_voters; ++i) {
+    raft_output out;
+    BootstrapGroup(replicas_[i].state, "group", voters, clock_.BootNow(), out);
+    Handle(i, out);
+  }
 }
 
 member group_simulation::IdentityOf(size_t index) const {
--- a/tests/unit/consensus/group_simulation.h
+++ b/tests/unit/consensus/group_simulation.h
@@ -18,8 +18,10 @@
 
 class group_simulation {
  public:
-  // `wanted_voters`: see raft_options; 0: all become voters.
-  group_simulation(size_t replicas, uint64_t seed, size_t wanted_voters = 0);
+  // `wanted_voters`: see raft_options; 0: all become voters. The group begins
+  // with `first_voters` voters.
+  group_simulation(size_t replicas, uint64_t seed, size_t wanted_voters = 0,
+                   size_t first_voters = 1);
 
   // Executes one action. `choice` determines the action and its target.
   void Act(uint32_t choice);
--- a/tests/unit/consensus/group_test.cc
+++ b/tests/unit/consensus/group_test.cc
@@ -21,11 +21,12 @@
 // disconnects and freezes them, and loses disks one at a time, the next one
 // right after the repair. Leases, durable votes and storage ids must prevent
 // both failures.
-void CheckSchedule(size_t replicas, size_t wanted_voters = 0) {
+void CheckSchedule(size_t replicas, size_t wanted_voters = 0,
+                   size_t first_voters = 1) {
   const auto seed = *rc::gen::arbitrary<uint64_t>();
   const auto schedule = *rc::gen::container<std::vector<uint32_t>>(
       kActions, rc::gen::inRange<uint32_t>(0, 1U << 20U));
-  group_simulation group(replicas, seed, wanted_voters);
+  group_simulation group(replicas, seed, wanted_voters, first_voters);
   // Most schedules should start from a complete group.
   for (int i = 0; i < 30; ++i) group.Act(29);
   for (const uint32_t choice : schedule) {
@@ -52,6 +53,11 @@
   CheckSchedule(4, 3);
 }
 
+// The group begins with all its voters.
+RC_GTEST_PROP(GroupTest, ThreeFirstVotersKeepTheirPromises, ()) {
+  CheckSchedule(4, 3, 3);
+}
+
 // The target is five voters and there are four: an unreachable voter may be
 // removed and return later.
 RC_GTEST_PROP(GroupTest, FourReplicasWithAFreePlaceKeepTheirPromises, ()) {
@@ -128,6 +134,22 @@
   }
 }
 
+// Guards against a group that ends because one of its first voters loses its
+// disk at any moment after the group was bootstrapped.
+TEST(GroupTest, FirstVoterLosesItsDisk) {
+  constexpr size_t kSteps = 100;
+  constexpr size_t kVoters = 3;
+  for (size_t step = 0; step < kSteps; ++step) {
+    group_simulation group(kVoters, 37, kVoters, kVoters);
+    group.Settle(milliseconds(20) * step);
+    const size_t wiped = step % kVoters;
+    group.LoseDisk(wiped);
+    group.Start(wiped);
+    EXPECT_TRUE(group.RecoversAndCommits()) << step;
+    EXPECT_EQ(group.Violation(), "") << step;
+  }
+}
+
 // Guards against a leader that waits for its own lease after each of several
 // elections that it wins one after the other.
 TEST(GroupTest, LeaderThatIsElectedAgainHasLedAllAlong) {
@@ -135,7 +157,7 @@
   state.self = {"n0", "disk"};
   raft_output out;
   time_point now{milliseconds(1000)};
-  ASSERT_TRUE(BootstrapGroup(state, "g", now, out));
+  ASSERT_TRUE(BootstrapGroup(state, "g", {state.self}, now, out));
   const auto elect = [&](uint64_t term) {
     internal::BecomeFollower(state, term, member{}, out);
     now += 10 * state.options.election_timeout;
--- a/tests/unit/controller/control_state_test.cc
+++ b/tests/unit/controller/control_state_test.cc
@@ -59,5 +59,33 @@
   EXPECT_TRUE(state.IsRecorded({"i4999", true}));
 }
 
+void Found(control_state& state, std::vector<consensus::member> voters) {
+  group::hosted_command input;
+  input.name = kFoundDataGroupCommand;
+  input.payload =
+      core::EncodeBinary(found_data_group_command{"", std::move(voters)});
+  state.Apply(input);
+}
+
+// Guards against two data groups: the first choice of voters is final, also
+// that of an earlier version.
+TEST(ControlStateTest, DataGroupIsFoundedOnce) {
+  const std::vector<consensus::member> voters = {{"s1", "a"}, {"s2", "b"}};
+  control_state state;
+  EXPECT_FALSE(state.IsDataGroupFounded());
+  Found(state, voters);
+  Found(state, {{"s1", "c"}, {"s2", "b"}});
+  EXPECT_TRUE(state.IsDataGroupFounded());
+  EXPECT_EQ(state.DataVoters(), voters);
+  control_state earlier;
+  group::hosted_command input;
+  input.name = kFoundDataGroupCommand;
+  input.payload = core::EncodeBinary(found_data_group_command{"s1"});
+  earlier.Apply(input);
+  Found(earlier, voters);
+  EXPECT_TRUE(earlier.IsDataGroupFounded());
+  EXPECT_TRUE(earlier.DataVoters().empty());
+}
+
 }  // namespace
 }  // namespace hickorywood::controller
