Let a store whose session was removed begin a new one

Cause: the leader removes a store that it does not hear, and with it the number of its latest reports. If the store had no runs at that time, it went on with its session: its next poll added it to the registry again, while it numbered its reports on. The leader acknowledged these reports and ignored them, and gave each task to another store after 4 s without a report.

Change: a poll with a session that the leader does not have is answered so, as its reports are already, and the store cancels its runs, which were given to others, and begins a new session.

--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -20,6 +20,10 @@
 
 std::string Text(uint64_t number) { return std::to_string(number); }
 
+peering::envelope NoSuchSession() {
+  return {peering::call_outcome::kNotFound, "", "no such session", ""};
+}
+
 }  // namespace
 
 void dispatcher::StartRun(const candidate& item, const fleet::endpoint& engine,
@@ -138,6 +142,7 @@
   if (!input) co_return group::Malformed();
   // This store sent the poll before it became the leader itself.
   if (input->runner == group_.OwnAddress()) co_return peering::envelope{};
+  if (HasLostSession(*runners_, *input)) co_return NoSuchSession();
   RescheduleLostRuns(input->runner, ApplyPoll(*runners_, *input, clock_.Now()));
   ScheduleDispatch();
   open_poll poll(runners_, *input, clock_);
@@ -164,7 +169,7 @@
   auto input = core::DecodeBinary<reports_request>(payload);
   if (!input) return group::Malformed();
   if (!HasSession(*runners_, input->runner, input->session)) {
-    return {peering::call_outcome::kNotFound, "", "no such session", ""};
+    return NoSuchSession();
   }
   // Repeated reports are acknowledged again but applied only once.
   if (AcceptReports(*runners_, *input, group_.Term(), clock_.Now())) {
--- a/packages/store/remote_runner.cc
+++ b/packages/store/remote_runner.cc
@@ -91,9 +91,13 @@
     auto answer = reply.outcome == call_outcome::kDone
                       ? core::DecodeBinary<orders_answer>(reply.payload)
                       : std::optional<orders_answer>();
-    const bool is_of_current_session = answer && input.session == session_;
-    if (is_of_current_session && !is_stopped_) {
+    const bool is_of_current_session = input.session == session_;
+    const bool is_session_removed =
+        reply.outcome == call_outcome::kNotFound && is_of_current_session;
+    if (answer && is_of_current_session && !is_stopped_) {
       HandleAnswer(std::move(*answer));
+    } else if (is_session_removed) {
+      StartNewSession();
     } else {
       co_await net::Sleep(kPollRetryPause);
     }
--- a/packages/store/runner_registry.cc
+++ b/packages/store/runner_registry.cc
@@ -79,6 +79,12 @@
   return found != registry.runners.end() && found->second.session == session;
 }
 
+bool HasLostSession(const runner_registry& registry,
+                    const orders_request& input) {
+  const bool is_new_session = input.received == 0;
+  return !is_new_session && !HasSession(registry, input.runner, input.session);
+}
+
 void OnPollClose(runner_registry& registry, const std::string& runner,
                  const std::string& session, core::time_point now) {
   registered_runner* const entry = Find(registry, runner);
--- a/packages/store/runner_registry.h
+++ b/packages/store/runner_registry.h
@@ -87,6 +87,11 @@
 // runner was removed or leadership was lost.
 bool HasSession(const runner_registry& registry, const std::string& runner,
                 const std::string& session);
+// Whether a runner polls with a session that the registry has removed. The
+// runner must begin a new one: it continues the numbers of its reports, which
+// the registry does not know any more, and its runs were given to others.
+bool HasLostSession(const runner_registry& registry,
+                    const orders_request& input);
 // Called when a runner closed its poll before the answer. Either the runner has
 // terminated, or it polls again at once.
 void OnPollClose(runner_registry& registry, const std::string& runner,
--- a/tests/unit/store/runner_registry_test.cc
+++ b/tests/unit/store/runner_registry_test.cc
@@ -169,6 +169,17 @@
   EXPECT_FALSE(ChooseRunner(registry, "", kStart));
 }
 
+// Guards against a store that was suspended and whose reports are ignored from
+// then on: the leader had removed its session, and a poll added it again with
+// other numbers of reports.
+TEST(RunnerRegistryTest, RunnerOfARemovedSessionMustBeginANewOne) {
+  runner_registry registry = MakeRegistry();
+  EXPECT_FALSE(HasLostSession(registry, MakePoll("a", 1)));
+  RemoveRunner(registry, "a");
+  EXPECT_TRUE(HasLostSession(registry, MakePoll("a", 1)));
+  EXPECT_FALSE(HasLostSession(registry, MakePoll("a", 0, "two")));
+}
+
 // A runner that has got its answer and does not poll again gets no orders,
 // because they would wait for its next poll.
 TEST(RunnerRegistryTest, RunnerThatDoesNotPollIsNotChosen) {
