--- a/tests/integration/leaving_endpoint_test.cc
+++ b/tests/integration/leaving_endpoint_test.cc
@@ -43,7 +43,7 @@
   // Returns the leader.
   std::string Leave() {
     has_left_ = true;
-    const std::string leader = fleet_.ControlLeader();
+    std::string leader = fleet_.ControlLeader();
     EXPECT_TRUE(WaitUntil([&] { return fleet_.Leave(leader, incarnation_); }));
     return leader;
   }
