Choose tasks and engines by predicted ends

Cause: the number of streams decided where a task runs, so that texts of 104 events took 2.7 s on one engine and 6.9 s on another; steps went in the order of their age, and short tasks started late to keep batches short, which delayed long texts with a low hint by up to 2.6 s.

Change: a model of the speed of each engine, a placement by the predicted end, one order over the tasks of all steps, and moves that gain 0.3 s. In use for services whose engines report their current speed.

--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -147,6 +147,7 @@
     own_runs_.EndStalled();
     HandleUnreachableRunners();
     MoveStragglers();
+    MoveByPrediction();
     RemoveExpiredPrompts();
     DispatchTasks();
   }
@@ -182,7 +183,10 @@
   for (const steps::task& task : step.input.tasks) {
     tracked.expected_tokens.push_back(
         task.request ? wire_.ExpectedTokens(*task.request) : 0);
+    tracked.largest_tokens.push_back(
+        task.request ? wire_.LargestOutput(*task.request) : 0);
   }
+  IndexGroups(step, state_.Steps(), tracked);
   tracked.order = steps::OrderTasks(tracked.expected_tokens);
   for (const steps::task_result& result : step.results) {
     tracked.tasks[result.task].stage = task_stage::kDone;
@@ -249,12 +253,6 @@
 
 // --- Choice of the next tasks and their engines.
 
-struct dispatcher::dispatch_pass {
-  size_t starting = 0;  // runs that this store is starting
-  // By service, model and minimum weights version.
-  std::map<std::tuple<std::string, std::string, uint64_t>, engine_pool> pools;
-};
-
 // Posts one pass for all handlers that the loop has ready now, because the end
 // of a run, a commit and a change of an engine often occur together.
 void dispatcher::ScheduleDispatch() {
@@ -271,9 +269,17 @@
   if (!may_use_routes()) return;
   dispatch_pass pass;
   pass.starting = CountStartingRuns();
+  std::vector<std::string> predicted;
   for (const std::string& id : StepsByAge()) {
-    DispatchStep(id, steps_.at(id), pass);
+    tracked_step& tracked = steps_.at(id);
+    UpdateRoute(id, tracked);
+    if (UsesPrediction(tracked)) {
+      predicted.push_back(id);
+    } else {
+      DispatchStep(id, tracked, pass);
+    }
   }
+  if (!predicted.empty()) DispatchByUrgency(predicted, pass);
   rewards_.SendWaiting();
 }
 
@@ -287,37 +293,44 @@
 
 void dispatcher::DispatchStep(const std::string& id, tracked_step& tracked,
                               dispatch_pass& pass) {
-  const auto found = state_.Steps().find(id);
-  if (found == state_.Steps().end()) return;
-  const steps::step& step = found->second;
-  const time_point now = clock_.Now();
+  if (state_.Find(id) == nullptr) return;
   for (const uint32_t i : tracked.order) {
-    tracked_task& task = tracked.tasks[i];
-    if (task.stage != task_stage::kWaiting || task.not_before > now) continue;
-    if (MustWaitForQuarantine({id, i}, task)) continue;
-    UpdateSuspicion(task);
+    if (!MayStart({id, i}, tracked.tasks[i])) continue;
     // The remaining tasks start when engines respond to the runs that are
     // starting.
     if (!ChooseRunnerFor("", pass)) return;
-    candidate item;
-    item.key = {id, i};
-    item.step = &step;
-    item.input = RequestOf(item.key);
-    item.terms = RouteOf(item.key);
-    if (item.input == nullptr || item.terms == nullptr) continue;
-    const int64_t longest = tracked.expected_tokens[tracked.order.front()];
-    item.is_long = steps::IsLong(tracked.expected_tokens[i], longest);
-    if (!TryStart(item, pass)) return;
+    const auto item = FindCandidate({id, i});
+    if (item && !TryStart(*item, pass)) return;
   }
 }
 
-// Returns false if no engine has a free slot, or if no store can start a run.
-// The following tasks need not be tried then.
-bool dispatcher::TryStart(const candidate& item, dispatch_pass& pass) {
-  static thread_local std::mt19937_64 random{std::random_device()()};
-  const double draw = std::uniform_real_distribution<double>(0, 1)(random);
-  const std::string service(fleet::DrawService(*item.terms, draw));
-  const steps::submission& input = item.step->input;
+// Whether the task waits and may be sent to an engine now.
+bool dispatcher::MayStart(const task_key& key, tracked_task& task) {
+  const bool is_due =
+      task.stage == task_stage::kWaiting && task.not_before <= clock_.Now();
+  if (!is_due || MustWaitForQuarantine(key, task)) return false;
+  UpdateSuspicion(task);
+  return true;
+}
+
+// Returns nothing if the request of the task was discarded, or has no route.
+std::optional<dispatcher::candidate> dispatcher::FindCandidate(
+    const task_key& key) const {
+  candidate item;
+  item.key = key;
+  item.step = state_.Find(key.step);
+  item.input = RequestOf(key);
+  item.terms = RouteOf(key);
+  if (item.input == nullptr || item.terms == nullptr) return std::nullopt;
+  const tracked_step& tracked = steps_.at(key.step);
+  const int64_t longest = tracked.expected_tokens[tracked.order.front()];
+  item.is_long = steps::IsLong(tracked.expected_tokens[key.task], longest);
+  return item;
+}
+
+dispatcher::engine_pool& dispatcher::FindPool(dispatch_pass& pass,
+                                              const std::string& service,
+                                              const steps::submission& input) {
   const std::tuple key(service, input.model, input.minimum_version);
   auto pool = pass.pools.find(key);
   if (pool == pass.pools.end()) {
@@ -325,17 +338,19 @@
         CollectEngines(service, input.model, input.minimum_version);
     pool = pass.pools.emplace(key, std::move(fresh)).first;
   }
-  const std::string group =
-      input.model + "/" + input.tasks[item.key.task].group;
-  engine_pool& engines = pool->second;
+  return pool->second;
+}
+
+// Returns false if no engine has a free slot, or if no store can start a run.
+// The following tasks need not be tried then.
+bool dispatcher::TryStart(const candidate& item, dispatch_pass& pass) {
+  static thread_local std::mt19937_64 random{std::random_device()()};
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random);
+  const std::string service(fleet::DrawService(*item.terms, draw));
+  const steps::submission& input = item.step->input;
+  engine_pool& engines = FindPool(pass, service, input);
+  UpdateLoads(engines, item);
   const tracked_task& task = steps_.at(item.key.step).tasks[item.key.task];
-  for (size_t i = 0; i < engines.loads.size(); ++i) {
-    const engine_record& record = *engines.records[i];
-    engines.loads[i].running = record.running;
-    engines.loads[i].has_prompt = record.groups.count(group) != 0;
-    engines.loads[i].is_excluded =
-        !quarantine::MayJoin(task.suspicion, record.suspects);
-  }
   const int64_t max_streams = MaxStreamsFor(item, engines);
   auto choice =
       steps::ChooseEngine(engines.loads, max_streams, task.left_engine);
@@ -347,11 +362,27 @@
   const std::optional<std::string> runner = ChooseRunnerFor(engine.zone, pass);
   if (!runner) return false;
   if (runner->empty()) ++pass.starting;
-  engines_[engine.incarnation].groups[group] = clock_.Now();
   StartRun(item, engine, *runner);
   return true;
 }
 
+std::string dispatcher::PromptOf(const candidate& item) {
+  const steps::submission& input = item.step->input;
+  return input.model + "/" + input.tasks[item.key.task].group;
+}
+
+void dispatcher::UpdateLoads(engine_pool& pool, const candidate& item) const {
+  const std::string prompt = PromptOf(item);
+  const tracked_task& task = steps_.at(item.key.step).tasks[item.key.task];
+  for (size_t i = 0; i < pool.loads.size(); ++i) {
+    const engine_record& record = *pool.records[i];
+    pool.loads[i].running = record.running;
+    pool.loads[i].has_prompt = record.groups.count(prompt) != 0;
+    pool.loads[i].is_excluded =
+        !quarantine::MayJoin(task.suspicion, record.suspects);
+  }
+}
+
 std::optional<std::string> dispatcher::ChooseRunnerFor(
     const std::string& zone, const dispatch_pass& pass) const {
   const bool is_own_limit_reached = runs_.size() >= kMaxOwnRuns;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/clock.h"
@@ -30,9 +31,13 @@
 #include "peering/messages.h"
 #include "quarantine/crash_detector.h"
 #include "quarantine/suspect_separation.h"
+#include "settings/node_settings.h"
+#include "steps/engine_model.h"
 #include "steps/event_gap.h"
 #include "steps/event_text.h"
 #include "steps/pacing.h"
+#include "steps/placement.h"
+#include "steps/step_order.h"
 #include "steps/task_choice.h"
 #include "store/reward_caller.h"
 #include "store/runner_registry.h"
@@ -62,6 +67,8 @@
   void OnView();
   // Set before Start(): whether requests may be sent by the routes of the view.
   std::function<bool()> may_use_routes;
+  // Set before Start(): how the engine of a task is chosen.
+  settings::task_placement placement = settings::task_placement::kAuto;
   // Handles the polls and reports of other stores that run tasks. Returns
   // kNotLeader while this instance does not hold a live lease.
   boost::asio::awaitable<peering::envelope> HandleRunner(std::string method,
@@ -102,6 +109,14 @@
     core::time_point opened_at{};
     size_t open_tasks = 0;  // tasks without a result at the start
     std::map<std::string, size_t> open_by_group;
+    std::vector<int64_t> largest_tokens;  // of each task's output; 0: unknown
+    std::vector<uint32_t> group_indexes;  // of each task
+    // Whether an earlier step of the trainer has begun each group.
+    std::vector<bool> carried_groups;
+    // By the route, in the configuration with this version.
+    uint64_t route_version = 0;
+    std::vector<std::string> services;
+    core::milliseconds due{0};  // after the submission
   };
   struct engine_weights {
     uint64_t version = 0;
@@ -111,6 +126,7 @@
   struct engine_record {
     int64_t running = 0;
     steps::event_gap gap;
+    steps::engine_model model;
     core::time_point avoid_until{};
     int failures = 0;  // in a row
     // Groups whose prompt the engine has processed, with the start of the last
@@ -131,6 +147,8 @@
     core::time_point last_report_at{};  // or the start
     quarantine::crash_suspicion suspicion;  // of the task, at the start
     bool is_past_crash = false;
+    bool is_long = false;  // for its step
+    int64_t tokens = 0;    // of the prompt and the expected output
   };
   // The engines that may run the tasks of a step, with their state.
   struct engine_pool {
@@ -149,6 +167,14 @@
     const fleet::route* terms = nullptr;
   };
 
+  // The runs on one engine, as the placement of further tasks needs them.
+  struct engine_use {
+    int64_t runs = 0;
+    int64_t long_runs = 0;
+    int64_t tokens = 0;
+    steps::predicted_time next_free{0};  // until the first run ends
+  };
+
   boost::asio::awaitable<void> RunDispatchLoop();
   boost::asio::awaitable<void> RunResultCommitLoop();
   boost::asio::awaitable<void> RunProgressCommitLoop();
@@ -157,7 +183,18 @@
   // One pass over the waiting tasks. The state of the engines is collected once
   // per pass. Collecting it for each task took most of the leader's CPU time
   // with 48 engines.
-  struct dispatch_pass;
+  struct dispatch_pass {
+    size_t starting = 0;  // runs that this store is starting
+    // By service, model and minimum weights version.
+    std::map<std::tuple<std::string, std::string, uint64_t>, engine_pool> pools;
+    std::map<std::string, engine_use> use;                     // by incarnation
+    std::map<std::string, steps::predicted_time> event_times;  // by service
+  };
+  // What the expected length of the texts of one step depends on.
+  struct length_terms {
+    steps::length_scale scale;
+    int64_t tokens_per_event = 0;  // 0: unknown
+  };
 
   void SyncSteps();
   void TrackStep(const std::string& id, const steps::step& step);
@@ -177,6 +214,45 @@
                                              const dispatch_pass& pass) const;
   void StartRun(const candidate& item, const fleet::endpoint& engine,
                 const std::string& runner);
+  engine_pool& FindPool(dispatch_pass& pass, const std::string& service,
+                        const steps::submission& input);
+  // The prompt of a task: its model and its group.
+  static std::string PromptOf(const candidate& item);
+  // Updates the loads of a pool for one task.
+  void UpdateLoads(engine_pool& pool, const candidate& item) const;
+  std::optional<candidate> FindCandidate(const task_key& key) const;
+  bool MayStart(const task_key& key, tracked_task& task);
+
+  // Choice by prediction, see steps/placement.h.
+  static void IndexGroups(const steps::step& step,
+                          const steps::step_table& known,
+                          tracked_step& tracked);
+  void UpdateRoute(const std::string& id, tracked_step& tracked) const;
+  bool UsesPrediction(const std::string& service) const;
+  bool UsesPrediction(const tracked_step& tracked) const;
+  void DispatchByUrgency(const std::vector<std::string>& ids,
+                         dispatch_pass& pass);
+  steps::open_step DescribeStep(const std::string& id, tracked_step& tracked,
+                                dispatch_pass& pass);
+  length_terms LengthTermsOf(const std::string& id,
+                             const tracked_step& tracked) const;
+  steps::placement_task DescribeTask(const task_key& key,
+                                     const tracked_step& tracked,
+                                     const length_terms& terms) const;
+  steps::placement_task DescribeTask(const task_key& key) const;
+  // Usual time of an event, computed once per pass.
+  steps::predicted_time EventTimeOf(const std::string& service,
+                                    dispatch_pass& pass) const;
+  void CollectUse(dispatch_pass& pass) const;
+  std::vector<steps::placement_engine> DescribeEngines(
+      const engine_pool& pool, const std::string& service,
+      dispatch_pass& pass) const;
+  // Returns false if the task waits for a place on a faster engine.
+  bool StartByPrediction(const task_key& key, dispatch_pass& pass);
+  // Moves runs that end clearly earlier on another engine.
+  void MoveByPrediction();
+  bool MayMove(const run& active);
+  void MoveRun(const std::shared_ptr<run>& moved);
   run_order MakeOrder(const candidate& item, const run& self) const;
   boost::asio::awaitable<peering::envelope> HandleOrdersRequest(
       std::string payload);
@@ -247,7 +323,11 @@
   std::vector<step_results> uncommitted_results_;
   net::event has_uncommitted_results_;
   net::event step_added_;
-  std::map<std::string, steps::run_pace> paces_;  // by model
+  std::map<std::string, steps::run_pace> paces_;        // by model
+  std::map<std::string, steps::length_scale> lengths_;  // by model
+  std::map<std::string, steps::batch_effect> effects_;  // by service
+  // Services whose engines report their current speed.
+  std::set<std::string> paced_services_;
   std::map<std::string, double> demands_;  // mean number of streams, by model
   core::time_point demands_at_{};
   reward_caller rewards_;
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -218,10 +218,7 @@
   std::vector<std::shared_ptr<run>> moving;
   std::map<std::string, engine_pool> by_step;
   for (const auto& [key, item] : runs_) {
-    const bool is_settled =
-        clock_.Now() - item->started_at >= kMinRunTimeBeforeMove;
-    const tracked_task* task = FindTask(key);
-    if (!is_settled || task == nullptr || task->moves >= kMaxMoves) continue;
+    if (!MayMove(*item) || UsesPrediction(item->engine.service)) continue;
     const auto step = state_.Steps().find(key.step);
     if (step == state_.Steps().end()) continue;
     auto pool = by_step.find(key.step);
@@ -240,14 +237,22 @@
     if (own == loads.end()) continue;
     if (steps::IsMoveWorthwhile(*own, loads)) moving.push_back(item);
   }
-  for (const auto& item : moving) {
-    if (tracked_task* const task = FindTask(item->key)) {
-      ++task->moves;
-      task->left_engine = item->engine.incarnation;
-    }
-    StopRun(*item);
-    EndRun(item, run_outcome::kMoved);
+  for (const auto& item : moving) MoveRun(item);
+}
+
+bool dispatcher::MayMove(const run& active) {
+  const tracked_task* const task = FindTask(active.key);
+  return task != nullptr && task->moves < kMaxMoves &&
+         clock_.Now() - active.started_at >= kMinRunTimeBeforeMove;
+}
+
+void dispatcher::MoveRun(const std::shared_ptr<run>& moved) {
+  if (tracked_task* const task = FindTask(moved->key)) {
+    ++task->moves;
+    task->left_engine = moved->engine.incarnation;
   }
+  StopRun(*moved);
+  EndRun(moved, run_outcome::kMoved);
 }
 
 void dispatcher::CancelRuns(const std::string& step) {
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -30,7 +30,9 @@
                           const std::string& runner) {
   tracked_task& task = *FindTask(item.key);
   task.stage = task_stage::kRunning;
-  ++engines_[engine.incarnation].running;
+  engine_record& record = engines_[engine.incarnation];
+  ++record.running;
+  record.groups[PromptOf(item)] = clock_.Now();
   const steps::submission& step = item.step->input;
   auto self = std::make_shared<run>();
   self->id = ++latest_run_;
@@ -42,23 +44,23 @@
   self->started_at = clock_.Now();
   self->last_report_at = self->started_at;
   self->suspicion = task.suspicion;
-  quarantine::AddSuspect(engines_[engine.incarnation].suspects,
-                         self->suspicion);
+  self->is_long = item.is_long;
+  self->tokens = DescribeTask(item.key).tokens;
+  quarantine::AddSuspect(record.suspects, self->suspicion);
   runs_[item.key] = self;
   runs_by_id_[self->id] = self;
-  LogEvent(
-      event_id::kTaskDispatched,
-      {{"task", step.tasks[item.key.task].id},
-       {"step", item.key.step},
-       {"endpoint", engine.incarnation},
-       {"lists", fleet::VersionText(view_.version)},
-       {"runner", runner},
-       {"after_event", Text(task.text.events)},
-       {"failures", std::to_string(task.failures)},
-       {"expected",
-        std::to_string(
-            steps_.at(item.key.step).expected_tokens[item.key.task])},
-       {"in_batch", std::to_string(engines_[engine.incarnation].running)}});
+  LogEvent(event_id::kTaskDispatched,
+           {{"task", step.tasks[item.key.task].id},
+            {"step", item.key.step},
+            {"endpoint", engine.incarnation},
+            {"lists", fleet::VersionText(view_.version)},
+            {"runner", runner},
+            {"after_event", Text(task.text.events)},
+            {"failures", std::to_string(task.failures)},
+            {"expected",
+             std::to_string(
+                 steps_.at(item.key.step).expected_tokens[item.key.task])},
+            {"in_batch", std::to_string(record.running)}});
   run_order order = MakeOrder(item, *self);
   if (runner.empty()) {
     own_runs_.Start(std::move(order));
@@ -218,16 +220,22 @@
   tracked_task* const task = FindTask(self->key);
   if (task == nullptr) return;
   self->last_report_at = clock_.Now();
+  engine_record& engine = engines_[self->engine.incarnation];
   if (report.has_head && !self->has_head) {
     RecordResponseHead(*self, report.weights_version);
   }
+  if (report.pace > 0) {
+    steps::RecordPace(engine.model, report.pace, clock_.Now());
+    paced_services_.insert(self->engine.service);
+  }
   steps::generated_text& text = task->text;
   text.events += report.data.size();
   for (std::string& data : report.data) text.data.push_back(std::move(data));
   if (!report.versions.empty()) text.versions = std::move(report.versions);
-  steps::RecordEvents(engines_[self->engine.incarnation].gap,
-                      milliseconds(report.span_ms), report.spanned,
-                      clock_.Now());
+  const milliseconds span(report.span_ms);
+  steps::RecordEvents(engine.gap, span, report.spanned, clock_.Now());
+  steps::RecordEvents(engine.model, effects_[self->engine.service], span,
+                      report.spanned, engine.running, clock_.Now());
   UpdatePastCrash(*self, *task);
   if (report.is_over) EndRun(self, report.how);
 }
@@ -296,6 +304,9 @@
             paces_[ended->model], run_time,
             steps_.at(ended->key.step).expected_tokens[ended->key.task]);
       }
+      steps::RecordLength(
+          lengths_[ended->model], task->text.events,
+          steps_.at(ended->key.step).expected_tokens[ended->key.task]);
       HandleCompleteText(ended->key);
       break;
     case run_outcome::kImpossible:
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -89,6 +89,7 @@
     lease.limits.apply = node.apply_limit;
     const auto may_use_view = [this] { return MayUseView(); };
     dispatch.may_use_routes = may_use_view;
+    dispatch.placement = node.placement;
     runner.may_use_view = may_use_view;
     group.on_leadership = [this](bool is_leader) {
       must_log_loaded_steps = is_leader;
