Order servers from the provider

Cause: servers that are drained, reclaimed or lost stay away, and nobody ordered others, although the deployment lists the duty.

Change: the control leader orders what is missing, more when tasks wait too long for a place, and fewer after a calm minute. The number is committed before it is ordered. hickoryctl scale and usage.

--- a/packages/controller/control_api.cc
+++ b/packages/controller/control_api.cc
@@ -16,8 +16,10 @@
 using peering::envelope;
 
 constexpr milliseconds kRetryAfter{200};
-// Part of the native operator API: the path is the same on every platform.
+// Parts of the native operator API: the paths are the same on every platform.
 constexpr std::string_view kQuarantinePath = "/hickory/v1/quarantine";
+constexpr std::string_view kScalingPath = "/hickory/v1/scaling";
+constexpr std::string_view kUsagePath = "/hickory/v1/usage";
 constexpr int kNotFound = 404;
 
 }  // namespace
@@ -61,6 +63,17 @@
   co_return list;
 }
 
+awaitable<net::response> control_api::AnswerRead(std::string method) {
+  const envelope answer = co_await caller_.Call(
+      std::move(method), "", std::chrono::steady_clock::now() + kForwardTimeout,
+      kAttemptTimeout);
+  if (answer.outcome != call_outcome::kDone) co_return FailureOf(answer);
+  net::response reply;
+  reply.headers = {{"Content-Type", "application/json"}};
+  reply.body = answer.payload;
+  co_return reply;
+}
+
 awaitable<net::response> control_api::AnswerQuarantine(
     const net::request& input) {
   const std::string_view path = net::PathOf(input.target);
@@ -79,6 +92,12 @@
   if (input.target.starts_with(kQuarantinePath)) {
     co_return co_await AnswerQuarantine(input);
   }
+  if (input.method == "GET" && input.target == kScalingPath) {
+    co_return co_await AnswerRead(peering::kScalingMethod);
+  }
+  if (input.method == "GET" && input.target == kUsagePath) {
+    co_return co_await AnswerRead(peering::kUsageMethod);
+  }
   fleet::control_call call = wire_.DecodeControlCall(input);
   if (auto* bad = std::get_if<fleet::malformed_call>(&call)) {
     core::LogEvent(core::event_id::kRequestRefused,
--- a/packages/controller/control_api.h
+++ b/packages/controller/control_api.h
@@ -27,6 +27,8 @@
   boost::asio::awaitable<net::response> AnswerQuarantine(
       const net::request& input);
   boost::asio::awaitable<net::response> ListQuarantine();
+  // Returns the JSON of a read for operators.
+  boost::asio::awaitable<net::response> AnswerRead(std::string method);
   boost::asio::awaitable<net::response> Forward(std::string method,
                                                 std::string payload);
   net::response FailureOf(const peering::envelope& answer) const;
--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -56,6 +56,20 @@
   if (input) held.unreported_usage.erase(input->window);
 }
 
+void SetServers(control_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<server_target>(payload);
+  if (!input) return;
+  for (server_target& item : held.server_targets) {
+    const bool is_same = item.service == input->service &&
+                         item.zone == input->zone &&
+                         item.is_spot == input->is_spot;
+    if (!is_same) continue;
+    item.count = input->count;
+    return;
+  }
+  held.server_targets.push_back(*input);
+}
+
 // Leaving endpoints that are recorded. Delayed heartbeats arrive within
 // seconds, in which no deployment replaces that many endpoints; the records
 // take about 200 KB. One more drops the oldest.
@@ -63,6 +77,17 @@
 
 }  // namespace
 
+std::optional<int64_t> control_state::ServerTarget(const std::string& service,
+                                                   const std::string& zone,
+                                                   bool is_spot) const {
+  for (const server_target& item : content_.server_targets) {
+    const bool is_same =
+        item.service == service && item.zone == zone && item.is_spot == is_spot;
+    if (is_same) return item.count;
+  }
+  return std::nullopt;
+}
+
 bool control_state::IsRecorded(const fleet::leaving_endpoint& input) const {
   const auto found = leaving_numbers_.find(input.incarnation);
   if (found == leaving_numbers_.end()) return false;
@@ -101,6 +126,8 @@
     RecordUsageReported(content_, input.payload);
   } else if (input.name == kRecordLeavingCommand) {
     RecordLeaving(input.payload);
+  } else if (input.name == kSetServersCommand) {
+    SetServers(content_, input.payload);
   }
 }
 
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
 constexpr char kCloseUsageCommand[] = "close_usage";
 constexpr char kUsageReportedCommand[] = "usage_reported";
 constexpr char kRecordLeavingCommand[] = "record_leaving";
+constexpr char kSetServersCommand[] = "set_servers";
 
 struct put_configuration_command {
   fleet::configuration config;
@@ -56,6 +58,16 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(record_leaving_command,
                                                 endpoints)
 
+// The number of servers of one kind that are to run for a service in a zone.
+struct server_target {
+  std::string service;
+  std::string zone;
+  bool is_spot = false;
+  int64_t count = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(server_target, service, zone,
+                                                is_spot, count)
+
 class control_state : public group::hosted_state {
  public:
   // Ignores a configuration that is not newer, a version that is not higher, a
@@ -91,6 +103,11 @@
     return content_.unreported_usage;
   }
 
+  // The recorded number of servers; nothing: none was recorded.
+  std::optional<int64_t> ServerTarget(const std::string& service,
+                                      const std::string& zone,
+                                      bool is_spot) const;
+
   // The latest endpoints that are leaving, by ascending number of the record.
   const std::map<uint64_t, fleet::leaving_endpoint>& Leaving() const {
     return content_.leaving;
@@ -109,6 +126,7 @@
     int64_t latest_closed_usage = 0;
     std::map<int64_t, fleet::customer_counts> unreported_usage;
     std::map<uint64_t, fleet::leaving_endpoint> leaving;
+    std::vector<server_target> server_targets;
   };
 
  private:
@@ -121,7 +139,8 @@
                                                 config_text, versions,
                                                 data_founder, data_voters,
                                                 digest_key, latest_closed_usage,
-                                                unreported_usage, leaving)
+                                                unreported_usage, leaving,
+                                                server_targets)
 
 }  // namespace hickorywood::controller
 
--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -8,6 +8,7 @@
 #include "controller/control_api.h"
 #include "controller/heartbeat_forwarder.h"
 #include "controller/leader_service.h"
+#include "controller/server_orderer.h"
 #include "controller/usage_reporter.h"
 #include "controller/weight_load_scheduler.h"
 #include "core/events.h"
@@ -65,6 +66,16 @@
   return options;
 }
 
+server_orderer_options OrdererOptions(const settings::node_settings& settings) {
+  server_orderer_options options;
+  options.is_enabled = settings.orders_servers;
+  options.holder = settings.id;
+  options.address = settings.provider_address;
+  options.holder_lease = settings.holder_lease;
+  options.is_fenced = settings.is_provider_fenced;
+  return options;
+}
+
 peering::follower_options FollowerOptions(
     const settings::node_settings& settings) {
   peering::follower_options options;
@@ -89,6 +100,8 @@
                 stores_caller),
         load_scheduler(io, runtime, group, state, pool, wire, registry, weights,
                        SchedulerOptions(node)),
+        servers(io, runtime, group, state, registry, pool, wire,
+                OrdererOptions(node)),
         caller(pool, node.seeds),
         follower(runtime, caller, FollowerOptions(node)),
         heartbeats(io, runtime, caller),
@@ -120,6 +133,7 @@
 
   void Connect() {
     group.on_leadership = [this](bool is_leader) {
+      if (is_leader) servers.BeginTerm();
       service.OnLeadership(is_leader, follower.View());
       load_scheduler.Wake();
     };
@@ -129,6 +143,18 @@
     };
     group.on_failure = [this] { loop.stop(); };
     service.on_endpoints = [this] { load_scheduler.Wake(); };
+    service.on_heartbeat = [this](const fleet::heartbeat& input) {
+      servers.RecordHeartbeat(input);
+    };
+    service.on_demands = [this](const auto& demands) {
+      servers.RecordDemands(demands);
+    };
+    service.operator_reads[peering::kScalingMethod] = [this] {
+      return servers.Report();
+    };
+    service.operator_reads[peering::kUsageMethod] = [this] {
+      return usage.Report();
+    };
     load_scheduler.on_change = [this] { service.OnWeightsChanged(); };
     follower.OnChange([this] {
       stores_caller.SetInstances(peering::StoreAddresses(follower.View()));
@@ -185,6 +211,7 @@
   usage_reporter usage;
   leader_service service;
   weight_load_scheduler load_scheduler;
+  server_orderer servers;
   peering::leader_caller caller;
   peering::view_follower follower;
   heartbeat_forwarder heartbeats;
@@ -212,6 +239,7 @@
   impl_->service.Start();
   impl_->load_scheduler.Start();
   impl_->usage.Start();
+  impl_->servers.Start();
   impl_->heartbeats.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -112,6 +112,8 @@
                   [](const auto& item) { return item.ends.empty(); });
     co_return Done(core::EncodeBinary(held));
   }
+  const auto read = operator_reads.find(method);
+  if (read != operator_reads.end()) co_return Done(read->second());
   if (method == peering::kLiftMethod) {
     co_return co_await Lift(std::move(payload));
   }
@@ -245,6 +247,7 @@
   for (const fleet::model_demand& item : input->demands) {
     weights_.demands[item.model] = item.streams;
   }
+  if (on_demands) on_demands(input->service_demands);
   usage_.Record(*input);
   std::string update = co_await views_.Answer(*input);
   // The lease may have expired while the request waited for a change.
@@ -300,6 +303,7 @@
   const std::string incarnation =
       fleet::IncarnationOf(input.name, input.started_ms);
   const bool is_new = registry_.endpoints.count(incarnation) == 0;
+  if (on_heartbeat) on_heartbeat(input);
   if (is_new && !IsKnownService(input.service)) {
     std::string reason = "unknown service '" + input.service + "'";
     LogEvent(event_id::kHeartbeatRefused,
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -54,6 +54,11 @@
 
   // Called when the list of endpoints changed.
   std::function<void()> on_endpoints;
+  // Called for each heartbeat, and with the load that a process reports.
+  std::function<void(const fleet::heartbeat&)> on_heartbeat;
+  std::function<void(const std::vector<fleet::service_demand>&)> on_demands;
+  // Reads for operators, by method. Each returns JSON.
+  std::map<std::string, std::function<std::string()>> operator_reads;
 
  private:
   using answer = boost::asio::awaitable<peering::envelope>;
--- a/packages/controller/usage_reporter.cc
+++ b/packages/controller/usage_reporter.cc
@@ -81,6 +81,24 @@
   duties::RecordUsage(ledger_, input.usage_source, input.usage);
 }
 
+std::string usage_reporter::Report() const {
+  nlohmann::json windows = nlohmann::json::array();
+  for (const auto& [number, totals] : ledger_.windows) {
+    windows.push_back({{"window", number},
+                       {"state", "open"},
+                       {"counts", duties::SumOf(ledger_, number)}});
+  }
+  for (const auto& [number, counts] : state_.UnreportedUsage()) {
+    windows.push_back(
+        {{"window", number}, {"state", "closed"}, {"counts", counts}});
+  }
+  const nlohmann::json report = {{"is_enabled", options_.is_enabled},
+                                 {"window_ms", options_.window.count()},
+                                 {"latest_closed", state_.LatestClosedUsage()},
+                                 {"windows", windows}};
+  return report.dump();
+}
+
 std::optional<core::unix_time> usage_reporter::Now() const {
   return duties::MedianTime(clocks_, clock_.BootNow(), kMinClocks);
 }
--- a/packages/controller/usage_reporter.h
+++ b/packages/controller/usage_reporter.h
@@ -47,6 +47,9 @@
   void BeginTerm();
   // Records the clock and the counts in a process's request for a view.
   void Record(const fleet::view_request& input);
+  // Windows that are not reported yet and the latest closed one, as JSON for
+  // operators.
+  std::string Report() const;
   // The time of day by the clocks of all processes. Nothing: too few of them
   // have sent theirs yet.
   std::optional<core::unix_time> Now() const;
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -92,8 +92,9 @@
   int64_t running = 0;       // tasks at engines now
   int64_t waiting = 0;       // tasks that wait for an engine now
   int64_t peak_running = 0;  // highest number in the last seconds
-  // Longest time that a task waited for a place in the last seconds, and the
-  // shortest time that is left until a step with waiting tasks is due.
+  // Longest time that a task of an open step has waited for its first start,
+  // and the shortest due time, from the submission, of the steps with waiting
+  // tasks; 0: none waits.
   int64_t longest_wait_ms = 0;
   int64_t nearest_due_ms = 0;
 };
--- a/packages/hickoryctl/commands.cc
+++ b/packages/hickoryctl/commands.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds kTimeout{5000};
 constexpr std::chrono::milliseconds kSubmitTimeout{20000};
 constexpr char kQuarantinePath[] = "/hickory/v1/quarantine";
+constexpr char kScalingPath[] = "/hickory/v1/scaling";
+constexpr char kUsagePath[] = "/hickory/v1/usage";
 
 json ParseBody(const reply& answer) {
   json tree = json::parse(answer.body, nullptr, false);
@@ -221,6 +223,48 @@
   return kExitOk;
 }
 
+int ShowScaling(const server& target, bool as_json) {
+  const reply answer = SendRequest(target, "GET", kScalingPath, "", kTimeout);
+  if (!IsSuccess(answer)) return ReportFailure(answer);
+  if (as_json) {
+    std::puts(answer.body.c_str());
+    return kExitOk;
+  }
+  const json tree = ParseBody(answer);
+  if (!tree.value("is_enabled", false)) std::puts("servers are not ordered");
+  for (const json& service : tree["services"]) {
+    for (const json& group : service["groups"]) {
+      std::printf(
+          "%s  zone %-12s %-8s present %lld  leaving %lld  ordered %lld  last "
+          "order: %s\n",
+          service.value("service", "").c_str(), group.value("zone", "").c_str(),
+          group.value("kind", "").c_str(), group.value("present", 0LL),
+          group.value("leaving", 0LL), group.value("target", 0LL),
+          group.value("last_order", "").c_str());
+    }
+  }
+  return kExitOk;
+}
+
+int ShowUsage(const server& target, bool as_json) {
+  const reply answer = SendRequest(target, "GET", kUsagePath, "", kTimeout);
+  if (!IsSuccess(answer)) return ReportFailure(answer);
+  if (as_json) {
+    std::puts(answer.body.c_str());
+    return kExitOk;
+  }
+  const json tree = ParseBody(answer);
+  if (!tree.value("is_enabled", false)) std::puts("usage is not reported");
+  for (const json& window : tree["windows"]) {
+    std::printf("window %lld  %s\n", window.value("window", 0LL),
+                window.value("state", "").c_str());
+    for (const auto& [customer, count] : window["counts"].items()) {
+      std::printf("  %-24s %lld\n", customer.c_str(), count.get<long long>());
+    }
+  }
+  return kExitOk;
+}
+
 int LiftQuarantine(const server& target, const std::string& digest) {
   const reply answer = SendRequest(
       target, "DELETE", kQuarantinePath + ("/" + digest), "", kTimeout);
--- a/packages/hickoryctl/commands.h
+++ b/packages/hickoryctl/commands.h
@@ -50,6 +50,12 @@
 int ShowQuarantine(const server& target, bool as_json);
 int LiftQuarantine(const server& target, const std::string& digest);
 
+// These two also need a control instance. ShowScaling prints the ordered and
+// present servers of each service; ShowUsage the windows of usage that the
+// provider has not acknowledged.
+int ShowScaling(const server& target, bool as_json);
+int ShowUsage(const server& target, bool as_json);
+
 // Unless `html` is empty, also writes a page with plots to this file.
 int ReportBurn(const server& target, const std::string& html, bool as_json);
 
--- a/packages/hickoryctl/main.cc
+++ b/packages/hickoryctl/main.cc
@@ -54,7 +54,11 @@
     "  hickoryctl quarantine                              requests that crash "
     "endpoints (at a control instance)\n"
     "  hickoryctl lift DIGEST                             allow one of them to "
-    "be sent again\n\n"
+    "be sent again\n"
+    "  hickoryctl scale                                   ordered and present "
+    "servers (at a control instance)\n"
+    "  hickoryctl usage                                   usage that is not "
+    "reported yet (at a control instance)\n\n"
     "Exit codes: 0 done, 1 failed, 2 findings or usage error, 3 conflict, 4 "
     "held, 5 no response.";
 
@@ -84,6 +88,8 @@
     if (command == "bootstrap") return ctl::Bootstrap(target);
     if (command == "drain") return ctl::Drain(target);
     if (command == "quarantine") return ctl::ShowQuarantine(target, as_json);
+    if (command == "scale") return ctl::ShowScaling(target, as_json);
+    if (command == "usage") return ctl::ShowUsage(target, as_json);
     return ReportUsageError();
   }
   if (arguments.size() != 2) return ReportUsageError();
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -50,6 +50,7 @@
     input.acts_on_config = options_.acts_on_config;
     input.wait_ms = options_.wait.count();
     if (demands_) input.demands = demands_();
+    if (service_demands_) input.service_demands = service_demands_();
     input.clock_ms = core::ToUnixMillis(clock_.WallNow());
     if (usage_.pending) {
       input.usage_source = usage_.source;
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -63,6 +63,10 @@
       std::function<std::vector<fleet::model_demand>()> demands) {
     demands_ = std::move(demands);
   }
+  void SetServiceDemandSource(
+      std::function<std::vector<fleet::service_demand>()> demands) {
+    service_demands_ = std::move(demands);
+  }
   // Sets the source of fleet::view_request::vacant_storage.
   void SetVacantStorage(std::function<std::string()> storage) {
     vacant_storage_ = std::move(storage);
@@ -85,6 +89,7 @@
   bool is_following_ = false;
   bool wants_weights_ = false;
   std::function<std::vector<fleet::model_demand>()> demands_;
+  std::function<std::vector<fleet::service_demand>()> service_demands_;
   std::function<std::string()> vacant_storage_;
   usage_feed usage_;
   std::function<void()> changed_;
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -91,6 +91,9 @@
 // steps, so that the average reflects the load of the model and not the current
 // phase of a step.
 constexpr std::chrono::duration<double> kDemandSmoothingTime{10};
+// Time for which the highest number of streams is reported. Trainers submit a
+// step every few seconds, so it covers one.
+constexpr std::chrono::seconds kPeakWindow{8};
 // Time after the last task of a group until its prompt counts as evicted by the
 // engine. Two steps pass in this time, and a group can occur again in the next
 // step.
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -76,6 +76,7 @@
     steps_.clear();
     uncommitted_results_.clear();
     demands_.clear();
+    peaks_.clear();
     return;
   }
   latest_run_ = group_.Term() << kRunNumberBits;
@@ -143,6 +144,7 @@
       continue;
     }
     UpdateDemands();
+    UpdatePeaks();
     FailExpiredTasks();
     own_runs_.EndStalled();
     HandleUnreachableRunners();
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -76,6 +76,9 @@
   // Mean number of streams of each model whose tasks run here. Empty while this
   // instance does not lead.
   std::vector<fleet::model_demand> Demands() const;
+  // The tasks that are running or waiting, of each service whose servers may be
+  // ordered. Empty while this instance does not lead.
+  std::vector<fleet::service_demand> ServiceDemands() const;
 
  private:
   enum class task_stage {
@@ -283,6 +286,7 @@
   size_t OpenInGroup(const task_key& key);
   void Finish(const task_key& key, bool is_complete, std::string score = "");
   void UpdateDemands();
+  void UpdatePeaks();
   void FailExpiredTasks();
   void RemoveExpiredPrompts();
   static void ClearPrompts(engine_record& record, const std::string& model);
@@ -329,6 +333,12 @@
   // Services whose engines report their current speed.
   std::set<std::string> paced_services_;
   std::map<std::string, double> demands_;  // mean number of streams, by model
+  // Highest number of streams of each service in the last seconds.
+  struct peak_streams {
+    int64_t streams = 0;
+    core::time_point at{};
+  };
+  std::map<std::string, peak_streams> peaks_;
   core::time_point demands_at_{};
   reward_caller rewards_;
 };
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -183,6 +183,55 @@
   }
 }
 
+void dispatcher::UpdatePeaks() {
+  const time_point now = clock_.Now();
+  std::map<std::string, int64_t> streams;
+  for (const auto& item : runs_) ++streams[item.second->engine.service];
+  for (const auto& item : streams) peaks_.try_emplace(item.first);
+  for (auto& [service, peak] : peaks_) {
+    const int64_t current = streams[service];
+    const bool is_over = now - peak.at > kPeakWindow;
+    if (current < peak.streams && !is_over) continue;
+    peak = {current, now};
+  }
+}
+
+std::vector<fleet::service_demand> dispatcher::ServiceDemands() const {
+  if (!is_leading_) return {};
+  std::map<std::string, fleet::service_demand> demands;
+  for (const auto& [service, peak] : peaks_) {
+    demands[service].peak_running = peak.streams;
+  }
+  for (const auto& item : runs_) ++demands[item.second->engine.service].running;
+  const time_point now = clock_.Now();
+  for (const auto& [id, tracked] : steps_) {
+    if (tracked.services.empty()) continue;
+    fleet::service_demand& demand = demands[tracked.services.front()];
+    for (const tracked_task& task : tracked.tasks) {
+      if (task.stage != task_stage::kWaiting) continue;
+      ++demand.waiting;
+      const bool is_new = task.text.events == 0 && task.moves == 0;
+      if (!is_new) continue;
+      const auto waited =
+          std::chrono::duration_cast<milliseconds>(now - tracked.opened_at);
+      demand.longest_wait_ms =
+          std::max<int64_t>(demand.longest_wait_ms, waited.count());
+      const int64_t due = tracked.due.count();
+      const bool is_nearest =
+          demand.nearest_due_ms == 0 || due < demand.nearest_due_ms;
+      if (due > 0 && is_nearest) demand.nearest_due_ms = due;
+    }
+  }
+  std::vector<fleet::service_demand> list;
+  for (auto& [service, demand] : demands) {
+    const fleet::service* terms = fleet::FindService(view_.config, service);
+    if (terms == nullptr || !terms->has_scaling) continue;
+    demand.service = service;
+    list.push_back(std::move(demand));
+  }
+  return list;
+}
+
 std::vector<fleet::model_demand> dispatcher::Demands() const {
   std::vector<fleet::model_demand> list;
   for (const auto& [model, streams] : demands_) {
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -106,6 +106,8 @@
     // of all engines at once.
     follower.RequestWeights(true);
     follower.SetDemandSource([this] { return dispatch.Demands(); });
+    follower.SetServiceDemandSource(
+        [this] { return dispatch.ServiceDemands(); });
     follower.SetVacantStorage([this] {
       return group.IsInGroup() ? std::string() : group.Self().storage;
     });
