Use predicted placement where customers are listed

Cause: engines of the deployment with 78 customers report no speed, and its trainers compete for the engines: those with long texts paid for all of a shortage.

--- a/packages/core/binary.cc
+++ b/packages/core/binary.cc
@@ -14,9 +14,9 @@
 constexpr int kMaxDepth = 64;
 
 // Type bytes of the format. A type with a range contains its value or its
-// length in the lower bits.
+// length in the lower bits; short maps begin after the positive integers. The
+// last type of texts, 0xdb, has the same length field as arrays and maps.
 constexpr uint8_t kMaxPositiveInteger = 0x7f;
-constexpr uint8_t kShortMap = 0x80;
 constexpr uint8_t kShortArray = 0x90;
 constexpr uint8_t kShortText = 0xa0;
 constexpr uint8_t kNil = 0xc0;
@@ -37,7 +37,6 @@
 constexpr uint8_t kSigned64 = 0xd3;
 constexpr uint8_t kText8 = 0xd9;
 constexpr uint8_t kText16 = 0xda;
-constexpr uint8_t kText32 = 0xdb;
 constexpr uint8_t kArray16 = 0xdc;
 constexpr uint8_t kArray32 = 0xdd;
 constexpr uint8_t kMap16 = 0xde;
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -146,7 +146,8 @@
        "How a store chooses the engine of a task: `streams` (by the number of "
        "streams on each engine), `predicted` (by the predicted end of the "
        "task), or `auto`: `predicted` for services whose engines report their "
-       "current speed, else `streams`."},
+       "current speed and where the configuration lists customers, else "
+       "`streams`."},
       {"losses.instances", type::kInteger, "1", 0, 10,
        "Instances with a disk that may be lost at once."},
       {"memory_mb", type::kInteger, "256", 16, 1024 * 1024,
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -21,8 +21,9 @@
 enum class task_placement {
   kStreams,    // by the number of streams on each engine
   kPredicted,  // by the predicted end of the task on each engine
-  // kPredicted for services whose engines report their current speed, else
-  // kStreams.
+  // kPredicted for services whose engines report their current speed, and where
+  // the configuration lists customers, whose trainers compete for the engines;
+  // else kStreams.
   kAuto,
 };
 
--- a/packages/store/dispatcher_placement.cc
+++ b/packages/store/dispatcher_placement.cc
@@ -83,7 +83,7 @@
     case settings::task_placement::kPredicted:
       return true;
     case settings::task_placement::kAuto:
-      return paced_services_.count(service) != 0;
+      return view_.config.needs_keys || paced_services_.count(service) != 0;
   }
   return false;
 }
