Share places of plain services, and bound the memory held for callers

Cause: 60 entries with a request every few seconds know nothing of each other and exceed 18 places together; an entry keeps what slow readers have not read without a bound.

Change: the control leader leases places to entries for a second, with one order and fairness over all requests; without its answer within 40 ms a request goes on as before. An entry refuses new work of the customer that holds most above a quarter of its memory, and disconnects readers without progress early.

--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -8,11 +8,13 @@
 #include "controller/control_api.h"
 #include "controller/heartbeat_forwarder.h"
 #include "controller/leader_service.h"
+#include "controller/place_holder.h"
 #include "controller/server_orderer.h"
 #include "controller/usage_reporter.h"
 #include "controller/weight_load_scheduler.h"
 #include "core/events.h"
 #include "group/group_host.h"
+#include "group/leader_calls.h"
 #include "net/connection_pool.h"
 #include "net/listener.h"
 #include "peering/leader_caller.h"
@@ -102,6 +104,7 @@
                        SchedulerOptions(node)),
         servers(io, runtime, group, state, registry, pool, wire,
                 OrdererOptions(node)),
+        places(io, runtime, group, state, registry, node.shares_places),
         caller(pool, node.seeds),
         follower(runtime, caller, FollowerOptions(node)),
         heartbeats(io, runtime, caller),
@@ -133,27 +136,42 @@
 
   void Connect() {
     group.on_leadership = [this](bool is_leader) {
-      if (is_leader) servers.BeginTerm();
+      if (is_leader) {
+        servers.BeginTerm();
+        places.BeginTerm();
+      }
       service.OnLeadership(is_leader, follower.View());
       load_scheduler.Wake();
     };
     group.on_applied = [this] {
       service.OnApplied();
       load_scheduler.Wake();
+      places.OnEndpoints();
     };
     group.on_failure = [this] { loop.stop(); };
-    service.on_endpoints = [this] { load_scheduler.Wake(); };
+    service.on_endpoints = [this] {
+      load_scheduler.Wake();
+      places.OnEndpoints();
+    };
     service.on_heartbeat = [this](const fleet::heartbeat& input) {
       servers.RecordHeartbeat(input);
     };
     service.on_demands = [this](const auto& demands) {
       servers.RecordDemands(demands);
     };
-    service.operator_reads[peering::kScalingMethod] = [this] {
-      return servers.Report();
+    service.handlers[peering::kScalingMethod] =
+        [this](std::string) -> awaitable<peering::envelope> {
+      co_return group::Done(servers.Report());
+    };
+    service.handlers[peering::kUsageMethod] =
+        [this](std::string) -> awaitable<peering::envelope> {
+      co_return group::Done(usage.Report());
+    };
+    service.handlers[peering::kBorrowPlacesMethod] = [this](std::string call) {
+      return places.Borrow(std::move(call));
     };
-    service.operator_reads[peering::kUsageMethod] = [this] {
-      return usage.Report();
+    service.handlers[peering::kReturnPlacesMethod] = [this](std::string call) {
+      return places.Return(std::move(call));
     };
     load_scheduler.on_change = [this] { service.OnWeightsChanged(); };
     follower.OnChange([this] {
@@ -212,6 +230,7 @@
   leader_service service;
   weight_load_scheduler load_scheduler;
   server_orderer servers;
+  place_holder places;
   peering::leader_caller caller;
   peering::view_follower follower;
   heartbeat_forwarder heartbeats;
@@ -240,6 +259,7 @@
   impl_->load_scheduler.Start();
   impl_->usage.Start();
   impl_->servers.Start();
+  impl_->places.Start();
   impl_->heartbeats.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -112,8 +112,10 @@
                   [](const auto& item) { return item.ends.empty(); });
     co_return Done(core::EncodeBinary(held));
   }
-  const auto read = operator_reads.find(method);
-  if (read != operator_reads.end()) co_return Done(read->second());
+  const auto handler = handlers.find(method);
+  if (handler != handlers.end()) {
+    co_return co_await handler->second(std::move(payload));
+  }
   if (method == peering::kLiftMethod) {
     co_return co_await Lift(std::move(payload));
   }
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -57,8 +57,11 @@
   // Called for each heartbeat, and with the load that a process reports.
   std::function<void(const fleet::heartbeat&)> on_heartbeat;
   std::function<void(const std::vector<fleet::service_demand>&)> on_demands;
-  // Reads for operators, by method. Each returns JSON.
-  std::map<std::string, std::function<std::string()>> operator_reads;
+  // Further methods, which other parts of the control leader provide.
+  using method_handler =
+      std::function<boost::asio::awaitable<peering::envelope>(
+          std::string payload)>;
+  std::map<std::string, method_handler> handlers;
 
  private:
   using answer = boost::asio::awaitable<peering::envelope>;
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -9,6 +9,9 @@
 #include "core/events.h"
 #include "core/ids.h"
 #include "duties/usage_counter.h"
+#include "entry/accounted_exchange.h"
+#include "entry/held_memory.h"
+#include "entry/place_client.h"
 #include "entry/relay.h"
 #include "entry/step_gateway.h"
 #include "net/connection_pool.h"
@@ -32,6 +35,14 @@
 // all instances.
 constexpr milliseconds kRetryAfter{600};
 constexpr milliseconds kDrainPoll{20};
+// Time after which the memory of some answers is free again: most callers read
+// an answer at once.
+constexpr milliseconds kMemoryRetryAfter{500};
+// Times without progress after which a slow reader is disconnected, normally
+// and while the memory held for callers is above its bound.
+constexpr std::chrono::seconds kStallTimeout{20};
+constexpr std::chrono::seconds kBoundedStallTimeout{5};
+constexpr int64_t kBytesPerMegabyte = 1024 * 1024;
 // A caller that is refused because this entry is out of contact should try
 // another entry, which usually has contact.
 constexpr milliseconds kOutOfContactRetryAfter{100};
@@ -69,6 +80,7 @@
                      core::boot_time_point began_at) {
                 duties::CountRequest(usage, customer, began_at);
               }),
+        places(io, runtime, caller, node.id, node.zone),
         stores_caller(pool, {}),
         gateway(runtime, protocol, stores_caller),
         callers(io, CallerOptions(),
@@ -76,11 +88,19 @@
         readiness(io, ReadinessOptions(), [this](net::exchange& call) {
           return AnswerReadiness(call);
         }) {
+    if (node.bounds_held_memory) {
+      held.limit = node.memory_mb * kBytesPerMegabyte;
+    }
     lease.instance = node.id;
     lease.limits.apply = node.apply_limit;
     lease.limits.revocation = node.revocation_limit;
     usage.window = node.usage_window;
     FeedUsage();
+    plain.places = [this] {
+      const bool is_in_use =
+          settings.shares_places && follower.View().config.needs_keys;
+      return is_in_use ? &places : nullptr;
+    };
     follower.OnChange([this] {
       UpdateKeys();
       plain.OnEndpointsChanged();
@@ -115,6 +135,14 @@
     net::listener_options options;
     options.address = settings.callers_address;
     options.limits = [this] { return Limits(); };
+    options.stall_timeout = [this]() -> milliseconds {
+      return IsAboveBound(held) ? kBoundedStallTimeout : kStallTimeout;
+    };
+    options.on_stall = [this](size_t unread) {
+      LogEvent(event_id::kSlowReaderClosed,
+               {{"bytes", std::to_string(unread)},
+                {"held", std::to_string(held.total)}});
+    };
     return options;
   }
 
@@ -252,15 +280,27 @@
       co_return;
     }
     std::string customer = access.customer.value_or("");
+    const auto size = static_cast<int64_t>(input.body.size());
+    if (!MayAccept(held, customer, size)) {
+      LogEvent(event_id::kMemoryBoundReached,
+               {{"customer", customer},
+                {"held", std::to_string(held.total)},
+                {"limit", std::to_string(held.limit)}});
+      co_await call.Reply(Refuse(input, kUnavailable,
+                                 "the memory for callers is in use",
+                                 kMemoryRetryAfter));
+      co_return;
+    }
+    accounted_exchange accounted(call, held, customer);
     if (is_step) {
-      co_await gateway.Serve(call, std::move(step), std::move(customer));
+      co_await gateway.Serve(accounted, std::move(step), std::move(customer));
       co_return;
     }
     if (route->kind == fleet::route_kind::kRollout) {
-      co_await gateway.Open(call, std::move(customer));
+      co_await gateway.Open(accounted, std::move(customer));
       co_return;
     }
-    co_await plain.Serve(call, *route, std::move(access.customer));
+    co_await plain.Serve(accounted, *route, std::move(access.customer));
   }
 
   awaitable<void> Stop() {
@@ -289,11 +329,13 @@
   const core::runtime_clock& clock;
   const settings::node_settings settings;
   const fleet::protocol& wire;
+  held_memory held;
   net::connection_pool pool;
   peering::leader_caller caller;
   peering::view_follower follower;
   quarantine::crash_detector crashes;
   relay plain;
+  place_client places;
   peering::leader_caller stores_caller;
   step_gateway gateway;
   net::listener callers;
@@ -318,6 +360,7 @@
 bool entry_instance::Start() {
   if (!impl_->callers.Start() || !impl_->readiness.Start()) return false;
   impl_->crashes.Start();
+  if (impl_->settings.shares_places) impl_->places.Start();
   asio::co_spawn(impl_->loop, impl_->follower.Run(), asio::detached);
   return true;
 }
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -26,6 +26,7 @@
 // Status for a quarantined request: it was not run and must not be retried now.
 // 503 would attribute the failure to the service and cause immediate retries.
 constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 milliseconds Since(time_point start, time_point now) {
   return std::chrono::duration_cast<milliseconds>(now - start);
@@ -80,6 +81,11 @@
     };
   }
   terms.customer = std::move(customer);
+  place leased = co_await AcquirePlace(terms);
+  if (leased.how == place::state::kRefused) {
+    co_return RefuseWithoutPlace(terms, leased);
+  }
+  const held_place held(places(), std::move(leased));
   routing::send_outcome outcome = co_await sender_.Send(input, terms);
   net::response answer = outcome.answer ? std::move(*outcome.answer)
                                         : MakeFailureResponse(outcome);
@@ -97,6 +103,38 @@
   co_return answer;
 }
 
+awaitable<place> relay::AcquirePlace(routing::send_terms& terms) {
+  place_client* const client = places();
+  if (client == nullptr) co_return place{};
+  terms.service =
+      std::string(fleet::DrawService(terms.route, routing::DrawShare()));
+  place_terms input;
+  input.service = terms.service;
+  input.customer = terms.customer.value_or("");
+  input.priority = terms.route.priority;
+  for (const fleet::customer& item : view_.config.customers) {
+    const bool has_priority = item.name == input.customer && item.priority >= 0;
+    if (has_priority) input.priority = item.priority;
+  }
+  input.deadline = terms.deadline;
+  input.run_limit = milliseconds(terms.route.timeout_ms);
+  place leased = co_await client->Acquire(std::move(input));
+  terms.first_endpoint = leased.incarnation;
+  co_return leased;
+}
+
+net::response relay::RefuseWithoutPlace(const routing::send_terms& terms,
+                                        const place& refused) const {
+  LogEvent(event_id::kPlaceRefused,
+           {{"request", terms.id},
+            {"customer", terms.customer.value_or("")},
+            {"service", refused.service},
+            {"wait_ms", std::to_string(refused.retry_after.count())}});
+  return wire_.EncodeFailure(kUnavailable,
+                             "no place at an endpoint is free in time",
+                             std::max(refused.retry_after, kRetryAfter));
+}
+
 // Encodes the failure when no endpoint returned a usable answer. The failure
 // states that the request was not run only when that is certain.
 net::response relay::MakeFailureResponse(
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "entry/place_client.h"
 #include "fleet/configuration.h"
 #include "fleet/protocol.h"
 #include "fleet/view.h"
@@ -41,11 +42,19 @@
   // Called when the endpoints of the view have changed.
   void OnEndpointsChanged();
 
+  // Set before the first request: returns the client of the shared places, or
+  // nullptr while they are not in use.
+  std::function<place_client*()> places = [] { return nullptr; };
+
  private:
   boost::asio::awaitable<net::response> Answer(
       const net::request& input, const fleet::route& route,
       std::optional<std::string> customer);
   net::response MakeFailureResponse(const routing::send_outcome& outcome) const;
+  // Leases a place for a request and records it in its terms.
+  boost::asio::awaitable<place> AcquirePlace(routing::send_terms& terms);
+  net::response RefuseWithoutPlace(const routing::send_terms& terms,
+                                   const place& refused) const;
   bool IsEndedLocally(const boost::asio::cancellation_state& state,
                       core::time_point deadline) const;
   class open_request;
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -29,9 +29,9 @@
 using boost::system::error_code;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
-// Time limit of one write to a caller, after which the connection is closed: a
-// caller that reads nothing must not occupy the memory of its answer
-// indefinitely.
+// Time limit of writes to a caller without progress, after which the connection
+// is closed: a caller that reads nothing must not occupy the memory of its
+// answer indefinitely.
 constexpr std::chrono::seconds kWriteTimeout{20};
 // Time within which the body of a request must arrive.
 constexpr std::chrono::seconds kBodyTimeout{20};
@@ -68,10 +68,12 @@
 
 class session_exchange : public exchange {
  public:
-  session_exchange(session& connection, request input, bool keeps_alive)
+  session_exchange(session& connection, request input, bool keeps_alive,
+                   const listener_options& options)
       : connection_(connection),
         request_(std::move(input)),
-        keeps_alive_(keeps_alive) {}
+        keeps_alive_(keeps_alive),
+        options_(options) {}
 
   const request& Request() const override { return request_; }
   bool IsAnswered() const { return is_answered_; }
@@ -83,11 +85,23 @@
     FillHead(output, answer);
     output.body() = std::move(answer.body);
     output.prepare_payload();
-    connection_.stream.expires_after(kWriteTimeout);
-    const auto [failure, count] =
-        co_await http::async_write(connection_.stream, output, kNoThrow);
+    http::response_serializer<http::string_body> serializer(output);
+    const size_t size = output.body().size();
+    size_t written = 0;
+    error_code failure;
+    while (!serializer.is_done() && !failure) {
+      connection_.stream.expires_after(StallTimeout());
+      const auto [problem, count] = co_await http::async_write_some(
+          connection_.stream, serializer, kNoThrow);
+      failure = problem;
+      written += count;
+    }
     is_answered_ = true;
     if (failure) keeps_alive_ = false;
+    const bool is_stalled = failure == beast::error::timeout;
+    if (is_stalled && options_.on_stall) {
+      options_.on_stall(size - std::min(size, written));
+    }
   }
 
   awaitable<void> BeginStream(response head) override {
@@ -105,7 +119,7 @@
 
   awaitable<void> WriteStream(std::string piece) override {
     if (!is_stream_open_ || piece.empty()) co_return;
-    connection_.stream.expires_after(kWriteTimeout);
+    connection_.stream.expires_after(StallTimeout());
     const auto [failure, count] = co_await asio::async_write(
         connection_.stream, http::make_chunk(asio::buffer(piece)), kNoThrow);
     if (failure) FailStream();
@@ -133,6 +147,10 @@
     output.keep_alive(keeps_alive_);
   }
 
+  std::chrono::milliseconds StallTimeout() const {
+    return options_.stall_timeout ? options_.stall_timeout() : kWriteTimeout;
+  }
+
   void FailStream() {
     is_stream_open_ = false;
     keeps_alive_ = false;
@@ -141,6 +159,7 @@
   session& connection_;
   request request_;
   bool keeps_alive_;
+  const listener_options& options_;
   bool is_answered_ = false;
   bool is_stream_open_ = false;
 };
@@ -306,7 +325,7 @@
   }
   const bool keeps_alive = parser.get().keep_alive() && !is_draining;
   session_exchange one(connection, ConvertRequest(parser.release()),
-                       keeps_alive);
+                       keeps_alive, options);
   ++in_flight;
   const bool may_continue = co_await Answer(connection, one);
   --in_flight;
@@ -334,7 +353,7 @@
 
 awaitable<void> listener::impl::ReplyStatus(session& connection, int status) {
   if (status == 0) co_return;
-  session_exchange one(connection, request{}, false);
+  session_exchange one(connection, request{}, false, options);
   response answer;
   answer.status = status;
   co_await one.Reply(std::move(answer));
--- a/packages/net/listener.h
+++ b/packages/net/listener.h
@@ -53,6 +53,12 @@
   // Called before each request, so that a changed configuration applies
   // immediately.
   std::function<caller_limits()> limits;
+  // Time after which a caller that accepts no further byte of its answer is
+  // disconnected. Called before each write; empty: a usual time.
+  std::function<std::chrono::milliseconds()> stall_timeout;
+  // Called when a caller was disconnected for that, with the bytes of its
+  // answer that it had not accepted.
+  std::function<void(size_t unread)> on_stall;
   // Maximum number of open connections; further connections are closed when
   // they are accepted. The process has a limited number of file descriptors.
   size_t max_connections = 3000;
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -175,7 +175,10 @@
   };
   const canceller guard{state};
   state->terms = terms;
-  state->service = std::string(fleet::DrawService(terms.route, DrawShare()));
+  state->service = terms.service;
+  if (state->service.empty()) {
+    state->service = std::string(fleet::DrawService(terms.route, DrawShare()));
+  }
   const quarantine::request_identity identity = quarantine::IdentityOf(input);
   for (;;) {
     const bool is_time = state->running == 0 || clock_.Now() >= state->hedge_at;
@@ -206,6 +209,22 @@
   co_return outcome;
 }
 
+// Returns the endpoint that was chosen for the first attempt, or nullptr.
+const fleet::endpoint* request_sender::FirstEndpoint(
+    const send_state& state) const {
+  if (state.terms.first_endpoint.empty() || !state.tried.empty()) {
+    return nullptr;
+  }
+  const auto found =
+      std::find_if(view_.endpoints.begin(), view_.endpoints.end(),
+                   [&state](const fleet::endpoint& item) {
+                     return item.incarnation == state.terms.first_endpoint &&
+                            item.service == state.service &&
+                            item.state == fleet::endpoint_state::kReady;
+                   });
+  return found == view_.endpoints.end() ? nullptr : &*found;
+}
+
 bool request_sender::StartAttempt(const std::shared_ptr<send_state>& state,
                                   const net::request& input) {
   choice_input choice;
@@ -214,7 +233,8 @@
   choice.own_zone = own_zone_;
   choice.excluded = &state->tried;
   choice.now = clock_.Now();
-  const fleet::endpoint* target = ChooseEndpoint(loads_, choice);
+  const fleet::endpoint* target = FirstEndpoint(*state);
+  if (target == nullptr) target = ChooseEndpoint(loads_, choice);
   if (target == nullptr) {
     state->problem = "no further endpoint is available";
     state->hedge_at = time_point::max();
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -46,6 +46,11 @@
   // Customer on whose behalf the request runs, see fleet::dispatch_terms.
   std::optional<std::string> customer;
   run_observer on_run;  // empty: not called
+  // The service, if it was chosen from those of the route already.
+  std::string service;
+  // Incarnation of the endpoint for the first attempt, if it is still in use;
+  // empty: chosen by load.
+  std::string first_endpoint;
 };
 
 // The result of sending a request.
@@ -91,6 +96,7 @@
 
   bool StartAttempt(const std::shared_ptr<send_state>& state,
                     const net::request& input);
+  const fleet::endpoint* FirstEndpoint(const send_state& state) const;
   boost::asio::awaitable<attempt_result> Attempt(
       std::shared_ptr<send_state> state, fleet::endpoint target,
       net::request output);
