--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -323,6 +323,7 @@
               {{"slots", 8}, {"models", json::array({{{"name", "m"}}})}}}}})}};
   if (with_plain_route) body["routes"].push_back(PlainRoute());
   if (!customers.is_null()) body["tenants"] = customers;
+  if (!extra_service.is_null()) body["services"].push_back(extra_service);
   return body;
 }
 
@@ -387,6 +388,10 @@
   return web_.Send(std::move(input)).status == 200;
 }
 
+json deployment::Scaling(const std::string& control) {
+  return web_.GetJson(Address(control, control_port_), "/hickory/v1/scaling");
+}
+
 json deployment::Quarantine(const std::string& control) {
   const json tree =
       web_.GetJson(Address(control, control_port_), "/hickory/v1/quarantine");
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -65,6 +65,8 @@
   std::string extra_settings;
   // Customers of the next configurations, in the operator's format; null: none.
   nlohmann::json customers;
+  // A further service of the next configurations; null: none.
+  nlohmann::json extra_service;
   // Key that is sent with all requests of callers; empty: none.
   std::string caller_key;
 
@@ -94,6 +96,8 @@
   // was acknowledged.
   bool Leave(const std::string& control, const std::string& incarnation);
 
+  // The ordered and present servers that a control instance reports.
+  nlohmann::json Scaling(const std::string& control);
   // The quarantined and suspected requests that a control instance reports.
   nlohmann::json Quarantine(const std::string& control);
   bool Lift(const std::string& control, const std::string& digest);
--- a/tests/support/simulated_provider.cc
+++ b/tests/support/simulated_provider.cc
@@ -49,23 +49,36 @@
   return reports_;
 }
 
+std::vector<simulated_provider::order> simulated_provider::Orders() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return orders_;
+}
+
 boost::asio::awaitable<void> simulated_provider::Serve(net::exchange& call) {
   const net::request& input = call.Request();
   const std::string token(net::Find(input.headers, "X-Fence-Token"));
   const bool has_holder = net::Has(input.headers, "X-Duty-Holder");
   net::response answer;
   bool is_lost = false;
-  if (token.empty() || !has_holder || input.target != "/usage") {
+  const bool is_order = input.target == "/scale";
+  if (token.empty() || !has_holder || (!is_order && input.target != "/usage")) {
     answer.status = kBadRequest;
   } else {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (std::stoull(token) < highest_token_) {
+    const uint64_t number = std::stoull(token);
+    if (number < highest_tokens_[input.target]) {
       answer.status = kConflict;
     } else {
-      highest_token_ = std::stoull(token);
+      highest_tokens_[input.target] = number;
       const auto tree = nlohmann::json::parse(input.body);
-      reports_[tree.at("window_id").get<int64_t>()].push_back(
-          tree.at("counts").get<counts>());
+      if (is_order) {
+        orders_.push_back({tree.at("service").get<std::string>(),
+                           tree.at("zone").get<std::string>(),
+                           tree.at("target_groups").get<int64_t>(), number});
+      } else {
+        reports_[tree.at("window_id").get<int64_t>()].push_back(
+            tree.at("counts").get<counts>());
+      }
       is_lost = responses_to_lose_-- > 0;
     }
   }
--- a/tests/support/simulated_provider.h
+++ b/tests/support/simulated_provider.h
@@ -2,7 +2,8 @@
 #define HICKORYWOOD_TESTS_SUPPORT_SIMULATED_PROVIDER_H_
 
 // Simulated provider of the platform within the test's process: it accepts
-// reports of usage and refuses those with an older fencing token.
+// reports of usage and orders of servers, and refuses those with an older
+// fencing token.
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -27,10 +28,20 @@
   simulated_provider& operator=(const simulated_provider&) = delete;
 
   std::string Address() const;
-  // The next `times` reports are accepted, but get no response.
+  // An accepted order of servers.
+  struct order {
+    std::string service;
+    std::string zone;
+    int64_t count = 0;
+    uint64_t token = 0;
+  };
+
+  // The next `times` calls are accepted, but get no response.
   void LoseResponses(int times);
   // All accepted reports of each window, in the order of their arrival.
   std::map<int64_t, std::vector<counts>> Reports();
+  // All accepted orders, in the order of their arrival.
+  std::vector<order> Orders();
 
  private:
   boost::asio::awaitable<void> Serve(net::exchange& call);
@@ -39,7 +50,8 @@
   net::listener listening_;
   std::mutex mutex_;
   std::map<int64_t, std::vector<counts>> reports_;
-  uint64_t highest_token_ = 0;
+  std::vector<order> orders_;
+  std::map<std::string, uint64_t> highest_tokens_;  // by duty
   int responses_to_lose_ = 0;
   std::thread thread_;  // declared last because it uses the members above
 };
--- a/tests/unit/net/listener_test.cc
+++ b/tests/unit/net/listener_test.cc
@@ -44,8 +44,10 @@
     thread_.join();
   }
 
-  static listener_options Options() {
+  listener_options Options() {
     listener_options options;
+    options.stall_timeout = [] { return milliseconds(200); };
+    options.on_stall = [this](size_t unread) { stalled_.set_value(unread); };
     options.address = "127.0.0.1:0";
     options.limits = [] {
       caller_limits limits;
@@ -64,12 +66,15 @@
     } guard{is_finished_};
     response answer;
     answer.body = call.Request().target + "|" + call.Request().body;
+    if (call.Request().target == "/large") answer.body.resize(kLargeBytes);
     if (call.Request().target == "/wait") {
       co_await never_.WaitUntil(core::time_point::max());
     }
     co_await call.Reply(std::move(answer));
   }
 
+  static constexpr size_t kLargeBytes = 32 * 1024 * 1024;
+
   tcp::socket Connect() {
     tcp::socket socket(client_);
     socket.connect({asio::ip::make_address("127.0.0.1"), server_.Port()});
@@ -110,10 +115,24 @@
   asio::io_context client_;
   event never_;
   bool is_finished_ = false;
+  std::promise<size_t> stalled_;  // the bytes that a caller did not read
   listener server_;
   std::thread thread_;
 };
 
+// Guards against answers that stay in memory because their callers do not read.
+TEST_F(ListenerTest, CallerThatReadsNothingIsDisconnected) {
+  tcp::socket socket = Connect();
+  asio::write(
+      socket,
+      asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")));
+  std::future<size_t> unread = stalled_.get_future();
+  ASSERT_EQ(unread.wait_for(std::chrono::seconds(10)),
+            std::future_status::ready);
+  EXPECT_GT(unread.get(), 0U);
+  EXPECT_EQ(InFlight(), 0U);
+}
+
 constexpr char kLast[] =
     "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
