--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -7,10 +7,9 @@
 
 #include "figures.h"
 
-ABSL_FLAG(
-    std::string, part, "",
-    "control, entry, routing, rollout, store, quarantine or answers; empty: "
-    "all");
+ABSL_FLAG(std::string, part, "",
+          "control, decisions, entry, routing, rollout, store, quarantine or "
+          "answers; empty: all");
 ABSL_FLAG(std::string, out, "figures.txt", "file for the figures");
 
 int main(int argc, char** argv) {
@@ -20,6 +19,9 @@
   if (part.empty() || part == "control") {
     hickorywood::bench::MeasureControl(out);
   }
+  if (part.empty() || part == "decisions") {
+    hickorywood::bench::MeasureDecisions(out);
+  }
   if (part.empty() || part == "entry") hickorywood::bench::MeasureEntry(out);
   if (part.empty() || part == "routing") {
     hickorywood::bench::MeasureOverload(out);
--- a/packages/entry/held_memory.cc
+++ b/packages/entry/held_memory.cc
@@ -14,19 +14,15 @@
   return held.limit > 0 && held.total > held.limit / kBoundDivisor;
 }
 
-bool IsAboveMaximum(const held_memory& held) {
-  return held.limit > 0 && held.total > held.limit / kMaximumDivisor;
-}
-
 bool MayAccept(const held_memory& held, const std::string& customer,
                int64_t bytes) {
-  if (held.limit == 0) return true;
-  held_memory next = held;
-  RecordHeld(next, customer, bytes);
-  if (IsAboveMaximum(next)) return false;
-  if (!IsAboveBound(next)) return true;
-  const int64_t own = next.by_customer[customer];
-  return std::any_of(next.by_customer.begin(), next.by_customer.end(),
+  const int64_t total = held.total + bytes;
+  if (held.limit == 0 || total <= held.limit / kBoundDivisor) return true;
+  if (total > held.limit / kMaximumDivisor) return false;
+  const auto found = held.by_customer.find(customer);
+  const int64_t own =
+      bytes + (found == held.by_customer.end() ? 0 : found->second);
+  return std::any_of(held.by_customer.begin(), held.by_customer.end(),
                      [own](const auto& item) { return item.second > own; });
 }
 
--- a/packages/entry/held_memory.h
+++ b/packages/entry/held_memory.h
@@ -17,14 +17,14 @@
   std::map<std::string, int64_t> by_customer;
 };
 
-// Part of the memory of the process above which new work of the customer that
-// holds most is refused, and slow readers are disconnected early; and above
-// which all new work is refused. The rest is for the process itself and for the
-// buffers of its connections.
+// Whether more than a quarter of the memory is held: slow readers are then
+// disconnected early. The rest is for the process itself and for the buffers of
+// its connections.
 bool IsAboveBound(const held_memory& held);
-bool IsAboveMaximum(const held_memory& held);
 
-// Whether a request of this customer with a body of `bytes` may be accepted.
+// Whether new work of this customer with a body of `bytes` may be accepted.
+// Above a quarter of the memory, the customer that holds most is refused; above
+// a third, all are.
 bool MayAccept(const held_memory& held, const std::string& customer,
                int64_t bytes);
 
