Put awaits in braces, as the linter requires

The linter treats an await without braces as a statement outside of them, in two places. No behaviour changes; the whole linter had found nothing else up to there.

--- a/packages/controller/server_orderer.cc
+++ b/packages/controller/server_orderer.cc
@@ -125,7 +125,9 @@
     // Copied, because the configuration may change while an order is sent.
     const std::vector<fleet::service> services = state_.Config().services;
     for (const fleet::service& service : services) {
-      if (service.has_scaling && MayAct()) co_await Plan(service);
+      if (service.has_scaling && MayAct()) {
+        co_await Plan(service);
+      }
     }
   }
 }
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -83,7 +83,9 @@
   terms.customer = std::move(customer);
   place_client* const client = places();
   place leased;
-  if (client != nullptr) leased = co_await AcquirePlace(*client, terms);
+  if (client != nullptr) {
+    leased = co_await AcquirePlace(*client, terms);
+  }
   if (leased.how == place::state::kRefused) {
     co_return RefuseWithoutPlace(terms, leased);
   }
