--- a/packages/scaling/server_plan.cc
+++ b/packages/scaling/server_plan.cc
@@ -20,8 +20,8 @@
 // figure must not order a whole fleet.
 constexpr double kMaxIncrease = 0.25;
 // Time for which the load must have been low, and the numbers unchanged, before
-// a server is returned. A trainer's steps
-// come every few seconds, so this covers several of them.
+// a server is returned. A trainer submits a step every few seconds, so this
+// covers several steps.
 constexpr seconds kCalmTime{60};
 // Part of the servers that may be lost at once without a shortage: a sixth.
 constexpr int64_t kLossDivisor = 6;
