Read-through: targets of one decision in one command, ids by term

Comments that readers tripped over are reworded.

Tests: TicketsOfAnEarlierHolderAreUnknown fails with ids that begin at 1; NumbersOfServersFollowTheConfiguration sets two zones with one command. Sanitizers and the linter were not run on this commit.

--- a/packages/admission/place_ledger.cc
+++ b/packages/admission/place_ledger.cc
@@ -27,6 +27,8 @@
 // A queued request whose entry has not asked for this long is dropped. An entry
 // asks again at least every 300 ms.
 constexpr milliseconds kAskTimeout{1000};
+// Bits of an id that count within a term; the others contain the term.
+constexpr int kIdBits = 32;
 
 int64_t UsedAt(const service_places& service, const std::string& incarnation) {
   return std::count_if(service.leases.begin(), service.leases.end(),
@@ -145,6 +147,12 @@
 
 }  // namespace
 
+place_ledger MakeLedger(uint64_t term) {
+  place_ledger ledger;
+  ledger.latest_id = term << kIdBits;
+  return ledger;
+}
+
 void SetEndpoints(place_ledger& ledger, const std::string& service,
                   std::vector<place_endpoint> endpoints, time_point now) {
   service_places& places = ledger.services[service];
--- a/packages/admission/place_ledger.h
+++ b/packages/admission/place_ledger.h
@@ -1,10 +1,11 @@
 #ifndef HICKORYWOOD_ADMISSION_PLACE_LEDGER_H_
 #define HICKORYWOOD_ADMISSION_PLACE_LEDGER_H_
 
-// Leases the places of plain services to the entries. Answers a service with
-// few places and many entries, each with a request every few seconds: entries
-// that choose by themselves exceed the places together, and their requests have
-// no common order. One holder keeps the ledger. Plain data and decisions.
+// Leases the places of plain services to the entries. Intended for a service
+// with few places and many entries, each with a request every few seconds:
+// entries that choose by themselves exceed the places together, and their
+// requests have no common order. One holder keeps the ledger. Plain data and
+// decisions.
 
 #include <chrono>
 #include <cstdint>
@@ -91,6 +92,10 @@
   uint64_t latest_id = 0;
 };
 
+// Returns the empty ledger of a new holder. Its ids differ from those of other
+// terms, so that a ticket of an earlier holder never names another request.
+place_ledger MakeLedger(uint64_t term);
+
 // Replaces the endpoints of a service that accept new requests. Leases at other
 // endpoints end by themselves.
 void SetEndpoints(place_ledger& ledger, const std::string& service,
@@ -112,8 +117,9 @@
 // Returns false if the lease has ended.
 bool Renew(place_ledger& ledger, const std::string& service, uint64_t lease,
            core::time_point now);
-// Ends leases and queued requests whose entries are not heard of any more.
-// Returns the number of leases that expired since the last call.
+// Removes leases whose requests must be over, and queued requests whose entry
+// has stopped asking. Returns the number of leases that expired since the last
+// call.
 int64_t Expire(place_ledger& ledger, core::time_point now);
 
 }  // namespace hickorywood::admission
--- a/packages/controller/control_state.cc
+++ b/packages/controller/control_state.cc
@@ -62,18 +62,22 @@
   if (input) held.unreported_usage.erase(input->window);
 }
 
-void SetServers(control_state::content& held, const std::string& payload) {
-  const auto input = core::DecodeBinary<server_target>(payload);
-  if (!input) return;
+void SetTarget(control_state::content& held, const server_target& target) {
   for (server_target& item : held.server_targets) {
-    const bool is_same = item.service == input->service &&
-                         item.zone == input->zone &&
-                         item.is_spot == input->is_spot;
+    const bool is_same = item.service == target.service &&
+                         item.zone == target.zone &&
+                         item.is_spot == target.is_spot;
     if (!is_same) continue;
-    item.count = input->count;
+    item.count = target.count;
     return;
   }
-  held.server_targets.push_back(*input);
+  held.server_targets.push_back(target);
+}
+
+void SetServers(control_state::content& held, const std::string& payload) {
+  const auto input = core::DecodeBinary<set_servers_command>(payload);
+  if (!input) return;
+  for (const server_target& item : input->targets) SetTarget(held, item);
 }
 
 // Leaving endpoints that are recorded. Delayed heartbeats arrive within
--- a/packages/controller/control_state.h
+++ b/packages/controller/control_state.h
@@ -68,6 +68,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(server_target, service, zone,
                                                 is_spot, count)
 
+// The targets of one decision. They are set together: a server that moves from
+// one zone to another must not be counted in both or in neither.
+struct set_servers_command {
+  std::vector<server_target> targets;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(set_servers_command, targets)
+
 class control_state : public group::hosted_state {
  public:
   // Ignores a configuration that is not newer, a version that is not higher, a
--- a/packages/controller/place_holder.cc
+++ b/packages/controller/place_holder.cc
@@ -30,7 +30,7 @@
 // Longest delay of an answer to a queued request.
 constexpr milliseconds kMaxWait{300};
 // Time after an election in which the leases of the previous holder end.
-constexpr milliseconds kCollectionTime = 2 * admission::kLeaseTime;
+constexpr milliseconds kTakeoverTime = 2 * admission::kLeaseTime;
 
 }  // namespace
 
@@ -51,14 +51,14 @@
 }
 
 void place_holder::BeginTerm() {
-  ledger_ = {};
+  ledger_ = admission::MakeLedger(group_.Term());
   leads_since_ = clock_.Now();
-  has_collected_ = false;
+  has_taken_over_ = false;
   changed_.Notify();
 }
 
 bool place_holder::IsLeasing() const {
-  return is_enabled_ && state_.Config().needs_keys && has_collected_;
+  return is_enabled_ && state_.Config().needs_keys && has_taken_over_;
 }
 
 void place_holder::OnEndpoints() {
@@ -85,10 +85,10 @@
     co_await net::Sleep(kExpiryPeriod);
     if (!group_.IsServing()) continue;
     const time_point now = clock_.Now();
-    if (!has_collected_ && now - leads_since_ >= kCollectionTime) {
-      has_collected_ = true;
+    if (!has_taken_over_ && now - leads_since_ >= kTakeoverTime) {
+      has_taken_over_ = true;
       OnEndpoints();
-      LogEvent(event_id::kPlacesCollected,
+      LogEvent(event_id::kPlacesTakenOver,
                {{"term", std::to_string(group_.Term())},
                 {"services", std::to_string(ledger_.services.size())}});
     }
--- a/packages/controller/place_holder.h
+++ b/packages/controller/place_holder.h
@@ -50,7 +50,7 @@
   const bool is_enabled_;
   admission::place_ledger ledger_;
   core::time_point leads_since_{};
-  bool has_collected_ = false;  // the leases of the previous holder have ended
+  bool has_taken_over_ = false;  // leases of the previous holder have ended
   net::event changed_;
 };
 
--- a/packages/controller/server_orderer.cc
+++ b/packages/controller/server_orderer.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <set>
 #include <utility>
 
 #include "core/binary.h"
@@ -39,6 +38,11 @@
 // Age from which reported figures of the load are not used.
 constexpr seconds kLoadLifetime{5};
 
+server_target MakeTarget(const std::string& service, const std::string& zone,
+                         scaling::server_kind kind, int64_t count) {
+  return {service, zone, kind == scaling::server_kind::kSpot, count};
+}
+
 }  // namespace
 
 server_orderer::server_orderer(
@@ -138,25 +142,19 @@
   if (!is_recorded) co_return;
   const auto order = scaling::PlanServers(input, clock_.Now());
   if (!order) co_return;
-  server_target target;
-  target.service = service.name;
-  target.zone = order->zone;
-  target.is_spot = order->kind == scaling::server_kind::kSpot;
-  target.count = order->count;
+  const server_target target =
+      MakeTarget(service.name, order->zone, order->kind, order->count);
   const auto recorded =
       state_.ServerTarget(target.service, target.zone, target.is_spot);
-  if (recorded != target.count) changed_at_[service.name] = clock_.Now();
-  if (order->moved_from) {
-    server_target reduced;
-    reduced.service = service.name;
-    reduced.zone = order->moved_from->zone;
-    reduced.is_spot = order->moved_from->kind == scaling::server_kind::kSpot;
-    reduced.count = order->moved_from->count;
-    const bool is_committed = co_await CommitTarget(reduced);
-    if (!is_committed) co_return;
-  }
   if (recorded != target.count) {
-    const bool is_committed = co_await CommitTarget(target);
+    changed_at_[service.name] = clock_.Now();
+    std::vector<server_target> changed = {target};
+    if (order->moved_from) {
+      changed.push_back(MakeTarget(service.name, order->moved_from->zone,
+                                   order->moved_from->kind,
+                                   order->moved_from->count));
+    }
+    const bool is_committed = co_await CommitTargets(std::move(changed));
     if (!is_committed) co_return;
   }
   co_await Order(service.name, *order);
@@ -214,25 +212,23 @@
 
 awaitable<bool> server_orderer::RecordFirstTargets(
     const std::string& service, const scaling::plan_input& input) {
+  std::vector<server_target> first;
   for (const scaling::server_group& group : input.groups) {
     if (group.target) continue;
-    server_target target;
-    target.service = service;
-    target.zone = group.zone;
-    target.is_spot = group.kind == scaling::server_kind::kSpot;
-    target.count = scaling::FirstTarget(group);
-    const bool is_committed = co_await CommitTarget(target);
-    if (!is_committed) co_return false;
+    first.push_back(MakeTarget(service, group.zone, group.kind,
+                               scaling::FirstTarget(group)));
   }
-  const bool was_recorded = std::all_of(
-      input.groups.begin(), input.groups.end(),
-      [](const scaling::server_group& group) { return group.target; });
-  co_return was_recorded;
+  if (first.empty()) co_return true;
+  // The next pass uses the recorded numbers, or repeats a failed commit.
+  co_await CommitTargets(std::move(first));
+  co_return false;
 }
 
-awaitable<bool> server_orderer::CommitTarget(server_target target) {
+awaitable<bool> server_orderer::CommitTargets(
+    std::vector<server_target> targets) {
+  const set_servers_command command{std::move(targets)};
   const auto result =
-      co_await group_.Commit(kSetServersCommand, core::EncodeBinary(target));
+      co_await group_.Commit(kSetServersCommand, core::EncodeBinary(command));
   co_return result.is_committed;
 }
 
--- a/packages/controller/server_orderer.h
+++ b/packages/controller/server_orderer.h
@@ -3,7 +3,7 @@
 
 // Orders servers from the provider while this instance leads: replaces those
 // that are missing, and follows the load (see scaling/server_plan.h). A number
-// is committed before it is ordered, so that the next leader goes on from it.
+// is committed before it is ordered, so that a new leader continues from it.
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -73,9 +73,11 @@
   boost::asio::awaitable<void> Plan(const fleet::service& service);
   bool MayAct() const;
   scaling::plan_input Describe(const fleet::service& service) const;
+  // Returns whether all groups had a target already.
   boost::asio::awaitable<bool> RecordFirstTargets(
       const std::string& service, const scaling::plan_input& input);
-  boost::asio::awaitable<bool> CommitTarget(server_target target);
+  boost::asio::awaitable<bool> CommitTargets(
+      std::vector<server_target> targets);
   boost::asio::awaitable<void> Order(const std::string& service,
                                      const scaling::planned_order& order);
 
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -82,7 +82,7 @@
   kPlacesUnavailable = 5011,
   kPlaceRefused = 5012,
   kPlacesExpired = 5013,
-  kPlacesCollected = 5014,
+  kPlacesTakenOver = 5014,
   kStepOpened = 6001,
   kStepTakenOver = 6002,
   kStepClosed = 6003,
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -38,10 +38,9 @@
 // Time after which the memory of some answers is free again: most callers read
 // an answer at once.
 constexpr milliseconds kMemoryRetryAfter{500};
-// Times without progress after which a slow reader is disconnected, normally
-// and while the memory held for callers is above its bound.
-constexpr std::chrono::seconds kStallTimeout{20};
-constexpr std::chrono::seconds kBoundedStallTimeout{5};
+// Time without progress after which a slow reader is disconnected while the
+// memory held for callers is above its bound.
+constexpr milliseconds kBoundedStallTimeout{5000};
 constexpr int64_t kBytesPerMegabyte = 1024 * 1024;
 // A caller that is refused because this entry is out of contact should try
 // another entry, which usually has contact.
@@ -139,7 +138,7 @@
     options.limits = [this] { return Limits(); };
     if (settings.bounds_held_memory) {
       options.stall_timeout = [this]() -> milliseconds {
-        return IsAboveBound(held) ? kBoundedStallTimeout : kStallTimeout;
+        return IsAboveBound(held) ? kBoundedStallTimeout : milliseconds(0);
       };
     }
     options.on_stall = [this](size_t unread) {
--- a/packages/entry/held_memory.h
+++ b/packages/entry/held_memory.h
@@ -2,8 +2,9 @@
 #define HICKORYWOOD_ENTRY_HELD_MEMORY_H_
 
 // Bounds the memory that an entry holds for its callers: bodies of requests in
-// progress, and answers that are being written. Answers callers that read very
-// slowly, many at once, beside normal traffic. Plain data and decisions.
+// progress, and answers that are being written. Intended for many callers that
+// read very slowly at once while others use the entry as usual. Plain data and
+// decisions.
 
 #include <cstdint>
 #include <map>
@@ -28,7 +29,8 @@
 bool MayAccept(const held_memory& held, const std::string& customer,
                int64_t bytes);
 
-// Negative `bytes`: released. A customer without memory is removed.
+// Adds `bytes` to the memory held for a customer; negative: released. A
+// customer for whom nothing is held any more is removed.
 void RecordHeld(held_memory& held, const std::string& customer, int64_t bytes);
 
 }  // namespace hickorywood::entry
--- a/packages/entry/place_client.cc
+++ b/packages/entry/place_client.cc
@@ -87,7 +87,10 @@
     term_ = std::max(term_, decoded->term);
     co_return true;
   }
+  // Many requests may wait for the same holder; the first one reports its loss.
+  const bool is_known = clock_.Now() < unavailable_until_;
   unavailable_until_ = clock_.Now() + kUnavailablePause;
+  if (is_known) co_return false;
   LogEvent(event_id::kPlacesUnavailable,
            {{"service", input.service},
             {"reason", answer.reason},
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -150,7 +150,9 @@
   }
 
   std::chrono::milliseconds StallTimeout() const {
-    return options_.stall_timeout ? options_.stall_timeout() : kWriteTimeout;
+    const auto time = options_.stall_timeout ? options_.stall_timeout()
+                                             : std::chrono::milliseconds(0);
+    return time.count() > 0 ? time : kWriteTimeout;
   }
 
   void FailStream() {
--- a/packages/net/listener.h
+++ b/packages/net/listener.h
@@ -54,7 +54,7 @@
   // immediately.
   std::function<caller_limits()> limits;
   // Time after which a caller that accepts no further byte of its answer is
-  // disconnected. Called before each write; empty: a usual time.
+  // disconnected. Called before each write; empty, or 0: the usual time.
   std::function<std::chrono::milliseconds()> stall_timeout;
   // Called when a caller was disconnected for that, with the bytes of its
   // answer that it had not accepted.
--- a/packages/scaling/server_plan.cc
+++ b/packages/scaling/server_plan.cc
@@ -16,8 +16,8 @@
 constexpr double kMaxWaitShare = 0.2;
 // Share of the places that are in use when there are too few.
 constexpr double kFullShare = 0.9;
-// Largest increase at a time, as a share of the servers that are there. A wrong
-// figure must not order a whole fleet.
+// Largest increase at a time, as a share of the present servers. It limits what
+// a wrong figure of the load can cost.
 constexpr double kMaxIncrease = 0.25;
 // Time for which the load must have been low, and the numbers unchanged, before
 // a server is returned. A trainer submits a step every few seconds, so this
--- a/packages/scaling/server_plan.h
+++ b/packages/scaling/server_plan.h
@@ -2,9 +2,9 @@
 #define HICKORYWOOD_SCALING_SERVER_PLAN_H_
 
 // Decides how many servers of a service are ordered from the provider in each
-// zone. Answers servers that are lost, drained or reclaimed while the load
-// stays, and tasks that wait because there are too few places. Plain data and
-// decisions.
+// zone. Intended for servers that are lost, drained or reclaimed while the load
+// stays, and for tasks that wait because there are too few places. Plain data
+// and decisions.
 
 #include <chrono>
 #include <cstdint>
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -140,8 +140,8 @@
        "that requests of all entries share one queue. Entries and control "
        "instances. Takes effect only while the configuration lists customers."},
       {"admission.held_memory", type::kFlag, "false", 0, 0,
-       "Whether an entry bounds the memory that it holds for callers and "
-       "endpoints by `memory_mb`."},
+       "Whether an entry bounds the memory that it holds for callers by "
+       "`memory_mb`."},
       {"steps.placement", type::kName, "auto", 0, 0,
        "How a store chooses the engine of a task: `streams` (by the number of "
        "streams on each engine), `predicted` (by the predicted end of the "
--- a/packages/settings/yaml_document.h
+++ b/packages/settings/yaml_document.h
@@ -29,7 +29,7 @@
 // The values of one or several merged documents, by dotted path.
 struct value_tree {
   std::map<std::string, located_value> values;
-  // Paths of the maps in the documents, including empty ones: "pools.rigcoach".
+  // Paths of the maps in the documents, including empty ones: "pools.chat".
   std::set<std::string> maps;
 };
 
--- a/packages/steps/engine_model.h
+++ b/packages/steps/engine_model.h
@@ -3,9 +3,9 @@
 
 // Predicts how long an engine takes for a number of events, from the times
 // between the events of earlier runs and from the speed that engines report.
-// Answers three loads: engines that differ permanently, engines that are slow
-// for some seconds, and machines whose other work changes several times a
-// second. Plain data and decisions.
+// Intended for engines that differ permanently, engines that are slow for some
+// seconds, and machines whose other work changes several times a second. Plain
+// data and decisions.
 
 #include <chrono>
 #include <cstdint>
--- a/packages/steps/placement.h
+++ b/packages/steps/placement.h
@@ -1,10 +1,10 @@
 #ifndef HICKORYWOOD_STEPS_PLACEMENT_H_
 #define HICKORYWOOD_STEPS_PLACEMENT_H_
 
-// Chooses the engine on which a task is predicted to end first. Answers uneven
-// engines and uneven texts: the longest texts, which are placed first, take the
-// fastest engines, and short texts fill in where they delay none of these.
-// Plain data and decisions.
+// Chooses the engine on which a task is predicted to end first. Intended for
+// engines and texts that differ much: the longest texts, which are placed
+// first, take the fastest engines, and short texts use the places where they
+// delay none of these. Plain data and decisions.
 
 #include <chrono>
 #include <cstdint>
--- a/packages/steps/step_order.h
+++ b/packages/steps/step_order.h
@@ -1,9 +1,9 @@
 #ifndef HICKORYWOOD_STEPS_STEP_ORDER_H_
 #define HICKORYWOOD_STEPS_STEP_ORDER_H_
 
-// One order over the waiting tasks of all open steps. Answers trainers that
-// compete for the engines: those with long texts must not pay for a shortage
-// alone. Plain data and decisions.
+// One order over the waiting tasks of all open steps. Intended for trainers
+// that compete for the engines: a shortage must not delay only those with long
+// texts. Plain data and decisions.
 
 #include <cstdint>
 #include <string>
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <random>
 #include <tuple>
 #include <utility>
 
@@ -346,9 +345,8 @@
 // Returns false if no engine has a free slot, or if no store can start a run.
 // The following tasks need not be tried then.
 bool dispatcher::TryStart(const candidate& item, dispatch_pass& pass) {
-  static thread_local std::mt19937_64 random{std::random_device()()};
-  const double draw = std::uniform_real_distribution<double>(0, 1)(random);
-  const std::string service(fleet::DrawService(*item.terms, draw));
+  const std::string service(
+      fleet::DrawService(*item.terms, routing::DrawShare()));
   const steps::submission& input = item.step->input;
   engine_pool& engines = FindPool(pass, service, input);
   UpdateLoads(engines, item);
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -201,6 +201,19 @@
     kDone,      // started, or not startable now for a reason of its own
     kNoRunner,  // no store can start a run
   };
+  // One pass over the runs, some of which may be moved.
+  struct move_pass {
+    dispatch_pass figures;
+    // By step and service; updated with the planned moves.
+    std::map<std::pair<std::string, std::string>,
+             std::vector<steps::placement_engine>>
+        engines;
+  };
+  struct planned_move {
+    std::shared_ptr<run> moved;
+    steps::predicted_time here{0};   // remaining time
+    steps::predicted_time there{0};  // remaining time, with the move
+  };
   // What the expected length of the texts of one step depends on.
   struct length_terms {
     steps::length_scale scale;
@@ -263,6 +276,10 @@
   start_outcome StartByPrediction(const task_key& key, dispatch_pass& pass);
   // Moves runs that end clearly earlier on another engine.
   void MoveByPrediction();
+  std::optional<planned_move> PlanMove(const std::shared_ptr<run>& active,
+                                       move_pass& pass);
+  std::vector<steps::placement_engine>& EnginesToMoveTo(const run& active,
+                                                        move_pass& pass);
   bool MayMove(const run& active);
   void MoveRun(const std::shared_ptr<run>& moved);
   run_order MakeOrder(const candidate& item, const run& self) const;
--- a/packages/store/dispatcher_placement.cc
+++ b/packages/store/dispatcher_placement.cc
@@ -2,7 +2,6 @@
 // are moved, by the predicted ends of the tasks.
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "core/events.h"
@@ -320,57 +319,60 @@
   return start_outcome::kDone;
 }
 
+std::vector<steps::placement_engine>& dispatcher::EnginesToMoveTo(
+    const run& active, move_pass& pass) {
+  const std::string& service = active.engine.service;
+  const std::pair key(active.key.step, service);
+  const auto known = pass.engines.find(key);
+  if (known != pass.engines.end()) return known->second;
+  if (pass.figures.use.empty()) CollectUse(pass.figures);
+  const steps::submission& input = state_.Find(active.key.step)->input;
+  const engine_pool pool =
+      CollectEngines(service, input.model, input.minimum_version);
+  return pass.engines.emplace(key, DescribeEngines(pool, service, pass.figures))
+      .first->second;
+}
+
+std::optional<dispatcher::planned_move> dispatcher::PlanMove(
+    const std::shared_ptr<run>& active, move_pass& pass) {
+  const std::string& service = active->engine.service;
+  if (!UsesPrediction(service) || !MayMove(*active)) return std::nullopt;
+  // Tasks suspected of crashing engines must not share one, which the choice
+  // below does not check.
+  if (active->suspicion.crashes > 0) return std::nullopt;
+  const predicted_time usual = EventTimeOf(service, pass.figures);
+  const double slowdown = steps::SlowdownPerStream(EffectOf(service));
+  const engine_record& record = engines_[active->engine.incarnation];
+  steps::placement_task task = DescribeTask(active->key);
+  const predicted_time here =
+      steps::TimeFor(steps::PaceOf(record.model, usual, clock_.Now()),
+                     task.events, record.running - 1, slowdown);
+  // Nothing is gained by moving a run from an engine of usual speed.
+  if (here < kMinTimeToMove || here <= task.events * usual) return std::nullopt;
+  std::vector<steps::placement_engine>& engines =
+      EnginesToMoveTo(*active, pass);
+  task.left_engine = active->engine.incarnation;
+  const steps::placement best = steps::Place(engines, task, slowdown);
+  if (!best.engine) return std::nullopt;
+  steps::placement_engine& target = engines[*best.engine];
+  const predicted_time there = best.end + kMoveTime;
+  const bool is_same = target.incarnation == active->engine.incarnation;
+  if (is_same || !steps::IsMoveWorthwhile(here, there)) return std::nullopt;
+  ++target.running;
+  target.used_tokens += task.tokens;
+  return planned_move{active, here, there};
+}
+
 // A text that ends late on a slow engine delays its group, its step and the
 // next steps of the trainer, also when the step is still in time.
 void dispatcher::MoveByPrediction() {
-  struct move {
-    std::shared_ptr<run> moved;
-    predicted_time here{0};
-    predicted_time there{0};
-  };
-  std::vector<move> moves;
-  dispatch_pass pass;
-  // By step and service.
-  std::map<std::pair<std::string, std::string>,
-           std::vector<steps::placement_engine>>
-      by_step;
+  std::vector<planned_move> moves;
+  move_pass pass;
   for (const auto& [key, active] : runs_) {
-    const std::string& service = active->engine.service;
-    if (!UsesPrediction(service) || !MayMove(*active)) continue;
-    // A suspected task may not run beside other suspected ones.
-    if (active->suspicion.crashes > 0) continue;
-    const predicted_time usual = EventTimeOf(service, pass);
-    const double slowdown = steps::SlowdownPerStream(EffectOf(service));
-    const engine_record& record = engines_[active->engine.incarnation];
-    steps::placement_task task = DescribeTask(key);
-    const predicted_time here =
-        steps::TimeFor(steps::PaceOf(record.model, usual, clock_.Now()),
-                       task.events, record.running - 1, slowdown);
-    // Nothing is gained by moving a run from an engine of usual speed.
-    if (here < kMinTimeToMove || here <= task.events * usual) continue;
-    const std::pair step_key(key.step, service);
-    auto engines = by_step.find(step_key);
-    if (engines == by_step.end()) {
-      if (pass.use.empty()) CollectUse(pass);
-      const steps::submission& input = state_.Find(key.step)->input;
-      const engine_pool pool =
-          CollectEngines(service, input.model, input.minimum_version);
-      engines =
-          by_step.emplace(step_key, DescribeEngines(pool, service, pass)).first;
-    }
-    const std::string& incarnation = active->engine.incarnation;
-    task.left_engine = incarnation;
-    const steps::placement best = steps::Place(engines->second, task, slowdown);
-    if (!best.engine) continue;
-    steps::placement_engine& target = engines->second[*best.engine];
-    const predicted_time there = best.end + kMoveTime;
-    if (target.incarnation == incarnation) continue;
-    if (!steps::IsMoveWorthwhile(here, there)) continue;
-    ++target.running;
-    target.used_tokens += task.tokens;
-    moves.push_back({active, here, there});
+    auto move = PlanMove(active, pass);
+    if (move) moves.push_back(std::move(*move));
   }
-  for (const move& item : moves) {
+  for (const planned_move& item : moves) {
     LogEvent(event_id::kRunMoved,
              {{"step", item.moved->key.step},
               {"task", std::to_string(item.moved->key.task)},
--- a/tests/unit/admission/place_ledger_test.cc
+++ b/tests/unit/admission/place_ledger_test.cc
@@ -196,5 +196,24 @@
   EXPECT_EQ(Borrow(Request()).outcome, place_outcome::kUnknown);
 }
 
+// Guards against a ticket of an earlier holder that names the request of
+// another entry at its successor.
+TEST_F(PlaceLedgerTest, TicketsOfAnEarlierHolderAreUnknown) {
+  const auto queue_one = [this](place_ledger& ledger) {
+    SetEndpoints(ledger, kService, {{"a", "za", 1}}, now_);
+    admission::Borrow(ledger, Request(), now_);
+    return admission::Borrow(ledger, Request(), now_);
+  };
+  place_ledger earlier = MakeLedger(4);
+  place_ledger next = MakeLedger(5);
+  const place_answer old_answer = queue_one(earlier);
+  ASSERT_EQ(old_answer.outcome, place_outcome::kQueued);
+  ASSERT_EQ(queue_one(next).outcome, place_outcome::kQueued);
+  EXPECT_EQ(Ask(next, kService, old_answer.id, now_).outcome,
+            place_outcome::kUnknown);
+  Withdraw(next, kService, old_answer.id, now_);
+  EXPECT_EQ(next.services[kService].queue.size(), 1U);
+}
+
 }  // namespace
 }  // namespace hickorywood::admission
--- a/tests/unit/controller/control_state_test.cc
+++ b/tests/unit/controller/control_state_test.cc
@@ -77,12 +77,18 @@
   put(1, true);
   group::hosted_command input;
   input.name = kSetServersCommand;
-  input.payload = core::EncodeBinary(server_target{"s", "za", false, 16});
-  state.Apply(input);
+  const auto set = [&](std::vector<server_target> targets) {
+    input.payload = core::EncodeBinary(set_servers_command{std::move(targets)});
+    state.Apply(input);
+  };
+  set({{"s", "za", false, 18}});
+  // A number that moves to another zone is set in both with one command.
+  set({{"s", "zb", false, 2}, {"s", "za", false, 16}});
   put(2, true);
   control_state restored;
   ASSERT_TRUE(restored.Restore(state.Save(1).data));
   EXPECT_EQ(restored.ServerTarget("s", "za", false), 16);
+  EXPECT_EQ(restored.ServerTarget("s", "zb", false), 2);
   EXPECT_FALSE(restored.ServerTarget("s", "za", true));
   put(3, false);
   EXPECT_FALSE(state.ServerTarget("s", "za", false));
--- a/tests/unit/steps/engine_model_test.cc
+++ b/tests/unit/steps/engine_model_test.cc
@@ -113,7 +113,8 @@
   EXPECT_EQ(ExpectedEvents(scale, 930, 13392, 0, 93), 10);
   for (int i = 0; i < 100; ++i) RecordLength(scale, 20, 930);
   EXPECT_NEAR(ExpectedEvents(scale, 930, 13392, 0, 93), 20, 0.1);
-  // A text that is longer than expected goes on, up to its limit.
+  // A text that exceeds its expected length is predicted to become longer
+  // still, but not longer than its limit.
   EXPECT_GT(ExpectedEvents(scale, 930, 13392, 60, 93), 75);
   EXPECT_EQ(ExpectedEvents(scale, 930, 13392, 143, 93), 144);
 }
--- a/tests/unit/steps/step_order_test.cc
+++ b/tests/unit/steps/step_order_test.cc
@@ -26,8 +26,8 @@
   return step;
 }
 
-// Guards against an order by the age of the steps, in which the trainers with
-// long texts pay for the whole shortage.
+// Guards against an order by the age of the steps, in which a shortage of
+// engines delays only the trainers with long texts.
 TEST(StepOrderTest, LeastSlackGoesFirst) {
   const std::vector<open_step> steps = {MakeStep("short", 7.5, 2, 1),
                                         MakeStep("long", 7.5, 2, 7)};
