Requests past their deadline are no sample of a usual use of a place

Cause: an endpoint that hangs keeps a request until the deadline of its caller. Each such request raised the usual time of use of the service, and with it the predicted wait by which requests in time are refused.

Test: RequestsPastTheirDeadlineDoNotCountAsUsual fails without the change. Change: a lease knows the deadline of its request; a place that is returned later gives no sample.

Measured: the unit tests.

--- a/packages/admission/place_ledger.cc
+++ b/packages/admission/place_ledger.cc
@@ -67,11 +67,12 @@
 
 place_answer Grant(place_ledger& ledger, service_places& service,
                    const place_request& input, const place_endpoint& target,
-                   time_point now) {
+                   time_point deadline, time_point now) {
   place_lease lease;
   lease.request = input;
   lease.incarnation = target.incarnation;
   lease.granted_at = now;
+  lease.deadline = deadline;
   lease.expires_at = now + kLeaseTime;
   lease.over_at = now + std::max(kLeaseTime, input.run_limit);
   customer_use& use = service.customers[input.customer];
@@ -140,7 +141,7 @@
     const place_endpoint* target = FreeEndpoint(service, item.request.zone);
     if (target == nullptr) return;
     service.decided[ticket] = {
-        Grant(ledger, service, item.request, *target, now), now};
+        Grant(ledger, service, item.request, *target, item.deadline, now), now};
     service.queue.erase(ticket);
   }
 }
@@ -169,7 +170,9 @@
   if (places == 0) return {};
   if (service.queue.empty()) {
     const place_endpoint* target = FreeEndpoint(service, input.zone);
-    if (target != nullptr) return Grant(ledger, service, input, *target, now);
+    if (target != nullptr) {
+      return Grant(ledger, service, input, *target, now + input.time_left, now);
+    }
   }
   waiting_request item;
   item.request = input;
@@ -234,8 +237,11 @@
   service_places& places = found->second;
   const auto item = places.leases.find(lease);
   if (item == places.leases.end()) return;
+  // How long an endpoint keeps a request that it never answers depends on the
+  // caller.
+  const bool is_served = now < item->second.deadline;
   const seconds_t used = now - item->second.granted_at;
-  places.usual_use += kSmoothing * (used - places.usual_use);
+  if (is_served) places.usual_use += kSmoothing * (used - places.usual_use);
   RemoveLease(places, lease);
   GrantWaiting(ledger, places, now);
 }
--- a/packages/admission/place_ledger.h
+++ b/packages/admission/place_ledger.h
@@ -55,6 +55,7 @@
   place_request request;
   std::string incarnation;
   core::time_point granted_at{};
+  core::time_point deadline{};  // of the request
   core::time_point expires_at{};
   // An expired lease counts until its request must be over.
   core::time_point over_at{};
@@ -83,7 +84,8 @@
   std::map<uint64_t, waiting_request> queue;    // by ticket
   std::map<uint64_t, decided_request> decided;  // not fetched yet; by ticket
   std::map<std::string, customer_use> customers;
-  // Usual time from a grant to the return of the place, smoothed.
+  // Usual time from a grant to the return of the place, smoothed, of requests
+  // that were over before their deadline.
   std::chrono::duration<double> usual_use{0.03};
 };
 
--- a/tests/unit/admission/place_ledger_test.cc
+++ b/tests/unit/admission/place_ledger_test.cc
@@ -129,6 +129,18 @@
             place_outcome::kQueued);
 }
 
+// Guards against refusals of requests in time after an endpoint has hung: a
+// request that ran into its deadline says nothing about the others.
+TEST_F(PlaceLedgerTest, RequestsPastTheirDeadlineDoNotCountAsUsual) {
+  const auto usual = ledger_.services[kService].usual_use;
+  for (const uint64_t lease : Fill()) {
+    Return(ledger_, kService, lease, now_ + milliseconds(800));
+  }
+  EXPECT_EQ(ledger_.services[kService].usual_use, usual);
+  Return(ledger_, kService, Borrow(Request()).id, now_ + milliseconds(799));
+  EXPECT_GT(ledger_.services[kService].usual_use, usual);
+}
+
 // Guards against places that are lost with an entry, and against places that
 // are leased again while its requests may still run.
 TEST_F(PlaceLedgerTest, PlacesOfALostEntryReturnAfterTheirRequests) {
