A new control leader orders weights after one second

Cause: each new leader waited for the whole lease of holders, 3 s, before its first order, so that steps that needed a new version stood still. The lease guards against holders that act by turns, A, B, A. Only an instance that has acted before can be the second A.

Change: a leader that did not act within the lease waits for the orders of its predecessor that are still on their way, 1 s. One that did, or whose process started within the lease, waits for the rest of it. Usage reports and orders of servers keep their wait.

Ruled out: the 0.3 s for records of quarantine; they are waited for only by a leader that followed nobody since its start, and nothing tells it earlier that all processes have sent theirs.

--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -43,6 +43,9 @@
 // How long an engine that did not respond is excluded from planning. Heartbeats
 // reveal a crash only after several seconds.
 constexpr milliseconds kUnreachableTime{2000};
+// Time after an election within which orders of the previous leader may still
+// arrive: the timeout of a call, and the time that it is on its way.
+constexpr milliseconds kSettleTime = kCallTimeout + milliseconds(300);
 // Pause before another order to an engine that did not accept one.
 constexpr milliseconds kRetryPause{700};
 
@@ -62,7 +65,8 @@
       wire_(wire),
       registry_(registry),
       table_(table),
-      options_(std::move(options)) {}
+      options_(std::move(options)),
+      orders_(duties::BeginHistory(clock.BootNow())) {}
 
 void weight_load_scheduler::Start() {
   asio::co_spawn(loop_, RunPlanLoop(), asio::detached);
@@ -73,7 +77,7 @@
   terms.is_leader = group_.IsServing();
   terms.leads_since = group_.LedSince();
   terms.holder_lease = options_.holder_lease;
-  return duties::MayAct(terms, clock_.BootNow());
+  return duties::MayActInTurn(terms, orders_, kSettleTime, clock_.BootNow());
 }
 
 // Updates the average time between two versions of each model.
@@ -262,6 +266,7 @@
   options.connect_deadline = clock_.Now() + kCallTimeout;
   options.deadline = options.connect_deadline;
   const net::request input = wire_.EncodeOrder(order);
+  duties::RecordAct(orders_, group_.LedSince(), clock_.BootNow());
   const net::call_result result =
       co_await net::Call(pool_, target.address, input, options);
   std::optional<fleet::order_outcome> outcome;
--- a/packages/controller/weight_load_scheduler.h
+++ b/packages/controller/weight_load_scheduler.h
@@ -19,6 +19,7 @@
 #include "controller/control_state.h"
 #include "controller/weight_table.h"
 #include "core/clock.h"
+#include "duties/fencing.h"
 #include "fleet/endpoint_registry.h"
 #include "fleet/protocol.h"
 #include "group/group_host.h"
@@ -81,6 +82,7 @@
   const fleet::endpoint_registry& registry_;
   weight_table& table_;
   const weight_load_scheduler_options options_;
+  duties::act_history orders_;
   net::event wake_;
   std::set<std::string> loads_in_progress_;  // by incarnation
   // Number of orders that each engine has accepted, by incarnation. Unknown
--- a/packages/duties/fencing.h
+++ b/packages/duties/fencing.h
@@ -27,6 +27,29 @@
   bool is_fenced = true;
 };
 
+// When one instance last acted, to tell whether it acted before another holder
+// did.
+struct act_history {
+  core::boot_time_point last{};
+  core::boot_time_point leads_since{};  // of the latest act
+  // The latest act before `leads_since`.
+  core::boot_time_point before{};
+};
+
+// A process does not know when it acted before its start.
+act_history BeginHistory(core::boot_time_point started_at);
+
+void RecordAct(act_history& history, core::boot_time_point leads_since,
+               core::boot_time_point now);
+
+// Whether this instance may act now as a holder whose calls contain its term.
+// Acts by turns need two holders of which one returns within the lease, so only
+// a returning holder waits for it. The others wait until the calls that their
+// predecessor began have arrived, for `settle_time`.
+bool MayActInTurn(const holder_terms& terms, const act_history& history,
+                  std::chrono::milliseconds settle_time,
+                  core::boot_time_point now);
+
 // Whether this instance may act as the holder now. Must be checked right before
 // each call, since a process may have been suspended in between.
 bool MayAct(const holder_terms& terms, core::boot_time_point now);
