Endpoints are indexed by address and by name

Cause: each new endpoint was compared with all others, since an address belongs to the incarnation that announced it last. 10,000 endpoints that announce themselves at once are 50 million comparisons on one loop.

Test: IndexesMatchTheEndpoints, over any heartbeats, departures and expiries. Change: the registry keeps the incarnations by address and by name.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -159,7 +159,6 @@
   usage_.BeginTerm();
   // Heartbeats reach a new leader only after a while. Until then it uses the
   // endpoints that it had as a follower.
-  registry_.endpoints.clear();
   fleet::AdoptEndpoints(registry_, followed.endpoints, clock_.Now());
   applied_leaving_ = 0;
   ApplyLeavingRecords();
--- a/packages/fleet/endpoint_registry.cc
+++ b/packages/fleet/endpoint_registry.cc
@@ -62,22 +62,60 @@
   return true;
 }
 
+using incarnation_index = std::map<std::string, std::set<std::string>>;
+
+void RemoveFromIndex(incarnation_index& index, const std::string& key,
+                     const std::string& incarnation) {
+  const auto found = index.find(key);
+  if (found == index.end()) return;
+  found->second.erase(incarnation);
+  if (found->second.empty()) index.erase(found);
+}
+
+// Adds an endpoint, or replaces the one with the same incarnation.
+void Insert(endpoint_registry& registry, registered_endpoint fresh) {
+  const endpoint& item = fresh.item;
+  const std::string incarnation = item.incarnation;
+  const auto listed = registry.endpoints.find(incarnation);
+  if (listed != registry.endpoints.end() &&
+      listed->second.item.address != item.address) {
+    RemoveFromIndex(registry.by_address, listed->second.item.address,
+                    incarnation);
+  }
+  registry.by_address[item.address].insert(incarnation);
+  registry.by_name[item.name].insert(incarnation);
+  registry.endpoints[incarnation] = std::move(fresh);
+}
+
+using endpoint_iterator = std::map<std::string, registered_endpoint>::iterator;
+
+// Removes an endpoint and returns the next one.
+endpoint_iterator Erase(endpoint_registry& registry, endpoint_iterator item) {
+  const endpoint& removed = item->second.item;
+  RemoveFromIndex(registry.by_address, removed.address, item->first);
+  RemoveFromIndex(registry.by_name, removed.name, item->first);
+  return registry.endpoints.erase(item);
+}
+
+void AddOthers(const incarnation_index& index, const std::string& key,
+               const std::string& incarnation, std::set<std::string>& others) {
+  const auto found = index.find(key);
+  if (found == index.end()) return;
+  others.insert(found->second.begin(), found->second.end());
+  others.erase(incarnation);
+}
+
 // Removes other endpoints with the same address or name: an address belongs to
 // the incarnation that announced it last, and a name to its newest incarnation.
 void ReplaceOthers(endpoint_registry& registry, const heartbeat& input) {
   const std::string incarnation = IncarnationOf(input);
-  auto& endpoints = registry.endpoints;
-  for (auto item = endpoints.begin(); item != endpoints.end();) {
-    const endpoint& held = item->second.item;
-    const bool is_other =
-        item->first != incarnation &&
-        (held.address == input.address || held.name == input.name);
-    if (!is_other) {
-      ++item;
-      continue;
-    }
-    registry.superseded[item->first] = item->second.sequence;
-    item = endpoints.erase(item);
+  std::set<std::string> others;
+  AddOthers(registry.by_address, input.address, incarnation, others);
+  AddOthers(registry.by_name, input.name, incarnation, others);
+  for (const std::string& other : others) {
+    const auto listed = registry.endpoints.find(other);
+    registry.superseded[other] = listed->second.sequence;
+    Erase(registry, listed);
   }
 }
 
@@ -121,19 +159,24 @@
     return false;
   }
   // An endpoint that is listed with this address has replaced the others
-  // before. A search of all endpoints for each heartbeat would take quadratic
-  // time.
-  const bool has_replaced_others = listed != registry.endpoints.end() &&
-                                   listed->second.item.address == input.address;
+  // before.
+  const bool is_listed = listed != registry.endpoints.end();
+  const bool has_replaced_others =
+      is_listed && listed->second.item.address == input.address;
   if (!has_replaced_others) ReplaceOthers(registry, input);
-  registered_endpoint& entry = registry.endpoints[incarnation];
   endpoint fresh = ToEndpoint(input);
   // A draining endpoint does not become ready again in the same incarnation.
-  const bool is_draining = entry.item.state == endpoint_state::kDraining ||
-                           registry.draining.count(incarnation) != 0;
+  const bool is_draining =
+      (is_listed && listed->second.item.state == endpoint_state::kDraining) ||
+      registry.draining.count(incarnation) != 0;
   if (is_draining) fresh.state = endpoint_state::kDraining;
-  const bool is_changed = !(entry.item == fresh);
-  entry = {std::move(fresh), input.sequence, now};
+  const bool is_changed = !is_listed || !(listed->second.item == fresh);
+  if (is_changed) {
+    Insert(registry, {std::move(fresh), input.sequence, now});
+  } else {
+    listed->second.sequence = input.sequence;
+    listed->second.last_heartbeat_at = now;
+  }
   return is_changed;
 }
 
@@ -168,14 +211,19 @@
     registry.departed[input.incarnation] = now;
     registry.draining.erase(input.incarnation);
     registry.superseded.erase(input.incarnation);
-    return registry.endpoints.erase(input.incarnation) != 0;
+    const auto removed = registry.endpoints.find(input.incarnation);
+    if (removed == registry.endpoints.end()) return false;
+    Erase(registry, removed);
+    return true;
   }
   registry.draining[input.incarnation] = now;
   const auto listed = registry.endpoints.find(input.incarnation);
   const bool is_changed =
       listed != registry.endpoints.end() &&
       listed->second.item.state != endpoint_state::kDraining;
-  if (is_changed) listed->second.item.state = endpoint_state::kDraining;
+  if (is_changed) {
+    listed->second.item.state = endpoint_state::kDraining;
+  }
   return is_changed;
 }
 
@@ -187,7 +235,7 @@
     registered_endpoint& entry = item->second;
     const auto time_since_heartbeat = now - entry.last_heartbeat_at;
     if (time_since_heartbeat >= options.remove_after) {
-      item = endpoints.erase(item);
+      item = Erase(registry, item);
       is_changed = true;
       continue;
     }
@@ -212,10 +260,11 @@
 void AdoptEndpoints(endpoint_registry& registry,
                     const std::vector<endpoint>& endpoints,
                     core::time_point now) {
+  registry.endpoints.clear();
+  registry.by_address.clear();
+  registry.by_name.clear();
   for (const endpoint& item : endpoints) {
-    registered_endpoint& entry = registry.endpoints[item.incarnation];
-    entry.item = item;
-    entry.last_heartbeat_at = now;
+    Insert(registry, {item, 0, now});
     registry.incarnations[item.name] = {item.started_ms, now};
   }
 }
--- a/packages/fleet/endpoint_registry.h
+++ b/packages/fleet/endpoint_registry.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -134,6 +135,10 @@
 struct endpoint_registry {
   registry_options options;
   std::map<std::string, registered_endpoint> endpoints;  // by incarnation
+  // Incarnations of `endpoints`, by the address and by the name under which
+  // they are listed.
+  std::map<std::string, std::set<std::string>> by_address;
+  std::map<std::string, std::set<std::string>> by_name;
   // When it was recorded that endpoints have left or are draining, by
   // incarnation.
   std::map<std::string, core::time_point> departed;
@@ -174,8 +179,8 @@
 // when the list changed.
 bool ExpireEndpoints(endpoint_registry& registry, core::time_point now);
 
-// Adds the endpoints of a view to a registry without endpoints. The time of the
-// last heartbeat of each endpoint is set to `now`.
+// Replaces the endpoints of a registry by those of a view. The time of the last
+// heartbeat of each endpoint is set to `now`.
 void AdoptEndpoints(endpoint_registry& registry,
                     const std::vector<endpoint>& endpoints,
                     core::time_point now);
--- a/tests/unit/fleet/endpoint_registry_test.cc
+++ b/tests/unit/fleet/endpoint_registry_test.cc
@@ -1,7 +1,10 @@
 #include "fleet/endpoint_registry.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <map>
+#include <set>
 #include <string>
 
 namespace hickorywood::fleet {
@@ -297,5 +300,38 @@
   EXPECT_EQ(registry.endpoints.count("a"), 1U);
 }
 
+// Guards against an index that keeps removed endpoints or lacks listed ones: an
+// address would then belong to two endpoints.
+RC_GTEST_PROP(EndpointRegistryTest, IndexesMatchTheEndpoints, ()) {
+  endpoint_registry registry;
+  core::time_point now = kStart;
+  uint64_t sequence = 0;
+  const int actions = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < actions; ++i) {
+    heartbeat input =
+        Beat("e" + std::to_string(*rc::gen::inRange(0, 5)), ++sequence,
+             "10.0.0.1:" + std::to_string(*rc::gen::inRange(1, 5)));
+    input.started_ms = *rc::gen::inRange(0, 3);
+    input.is_draining = *rc::gen::inRange(0, 6) == 0;
+    now += seconds(*rc::gen::inRange(0, 30));
+    if (*rc::gen::inRange(0, 5) == 0) {
+      ReportDeparture(registry, {input.name}, now);
+    } else {
+      ApplyHeartbeat(registry, input, now);
+    }
+    ExpireEndpoints(registry, now);
+    std::map<std::string, std::set<std::string>> by_address;
+    std::map<std::string, std::set<std::string>> by_name;
+    for (const auto& [incarnation, entry] : registry.endpoints) {
+      by_address[entry.item.address].insert(incarnation);
+      by_name[entry.item.name].insert(incarnation);
+    }
+    RC_ASSERT(registry.by_address == by_address);
+    RC_ASSERT(registry.by_name == by_name);
+    for (const auto& item : by_address) RC_ASSERT(item.second.size() == 1U);
+    for (const auto& item : by_name) RC_ASSERT(item.second.size() == 1U);
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::fleet
