Stores ask the leader to join, and seldom

Cause: an instance that is no voter asked every instance that it knew to admit it, five times a second. This grows with the square of the stores.

Change: an answer names the leader, as far as it is known; an applicant then asks only the leader, and before that five instances in turn. The leader names the time until the next request, so that all applicants together send it a hundred a second. A leader that does not answer is forgotten although others still name it. A store outside of the group also names the leader to entries, which asked one of 150 stores after the other.

--- a/packages/consensus/raft.h
+++ b/packages/consensus/raft.h
@@ -158,6 +158,10 @@
 // members.
 bool NeedsToJoin(const raft_state& state, time_point now);
 
+// Leader: whether the group lacks members, so that `who` may be admitted once
+// the current change of the members is committed.
+bool IsJoinWanted(const raft_state& state, const member& who);
+
 // Leader: creates the messages with entries that followers lack. Call once per
 // batch of work.
 void SendPending(raft_state& state, time_point now, raft_output& out);
--- a/packages/consensus/raft_leader.cc
+++ b/packages/consensus/raft_leader.cc
@@ -374,18 +374,21 @@
 
 void ReceiveJoin(raft_state& state, const message& input, raft_output& out) {
   if (state.role != raft_role::kLeader || !MayChangeMembers(state)) return;
+  if (!IsJoinWanted(state, input.from)) return;
   const group_members members = ActiveMembers(state.log);
-  if (IsVoter(members, input.from) || IsLearner(members, input.from)) return;
-  if (state.leaving.count(input.from.node) != 0) return;
-  const bool is_wanted =
-      HasOtherIdentity(members, input.from) || AcceptsLearners(state, members);
-  if (!is_wanted) return;
   AppendAsLeader(state, entry_kind::kMembers,
                  core::Encode(WithLearner(members, input.from)), out);
 }
 
 }  // namespace internal
 
+bool IsJoinWanted(const raft_state& state, const member& who) {
+  const group_members members = ActiveMembers(state.log);
+  if (IsVoter(members, who) || IsLearner(members, who)) return false;
+  if (state.leaving.count(who.node) != 0) return false;
+  return HasOtherIdentity(members, who) || AcceptsLearners(state, members);
+}
+
 std::optional<uint64_t> Propose(raft_state& state, time_point /*now*/,
                                 entry_kind kind, std::string data,
                                 raft_output& out) {
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -32,8 +32,6 @@
 // Pause before a replica is reported as unreachable after a failed message.
 // Without it, a replica that is down would be called again at each flush.
 constexpr milliseconds kUnreachablePause{100};
-// How long an instance is listed as an applicant after a request to join.
-constexpr milliseconds kApplicantLifetime{1000};
 
 consensus::group_replica_settings ReplicaSettings(
     const group_settings& settings) {
@@ -98,8 +96,9 @@
 
 std::set<std::string> group_host::Applicants() const {
   std::set<std::string> nodes;
+  const milliseconds lifetime = ApplicantLifetime(applicants_.size());
   for (const auto& [node, requested_at] : applicants_) {
-    if (clock_.Now() - requested_at < kApplicantLifetime) nodes.insert(node);
+    if (clock_.Now() - requested_at < lifetime) nodes.insert(node);
   }
   return nodes;
 }
@@ -116,15 +115,16 @@
 awaitable<void> group_host::RunJoinLoop() {
   for (;;) {
     co_await net::Sleep(kJoinPeriod);
-    if (replica_.NeedsToJoin()) RequestToJoin();
+    const bool is_due = clock_.Now() >= join_.next_at;
+    if (is_due && replica_.NeedsToJoin()) RequestToJoin();
   }
 }
 
 void group_host::RequestToJoin() {
-  std::set<std::string> targets(contacts_.begin(), contacts_.end());
-  for (const std::string& node : Members()) targets.insert(node);
-  targets.erase(settings_.own_address);
-  for (const std::string& node : targets) {
+  std::set<std::string> known(contacts_.begin(), contacts_.end());
+  for (const std::string& node : Members()) known.insert(node);
+  known.erase(settings_.own_address);
+  for (const std::string& node : JoinTargets(join_, known)) {
     consensus::message join;
     join.kind = consensus::message_kind::kJoin;
     join.group = replica_.Raft().group;
@@ -164,8 +164,16 @@
       is_answered
           ? core::DecodeBinary<peering::consensus_messages>(result.answer.body)
           : std::optional<peering::consensus_messages>();
+  const bool is_join = output.kind == consensus::message_kind::kJoin;
+  if (is_join && answers) {
+    peering::join_hint hint = answers->join;
+    // It led before its disk was lost.
+    if (hint.leader == settings_.own_address) hint.leader.clear();
+    OnJoinAnswer(join_, peer.node, hint, clock_.Now());
+  }
   if (!answers) {
     if (result.is_timeout) pool_.CloseIdle(peer.node);
+    if (is_join) OnJoinFailure(join_, peer.node, clock_.Now());
     co_await net::Sleep(kUnreachablePause);
     replica_.ReportUnreachable(peer);
     co_return;
@@ -186,7 +194,7 @@
     co_return core::EncodeBinary(answers);
   }
   if (input->kind == consensus::message_kind::kJoin) {
-    applicants_[input->from.node] = clock_.Now();
+    answers.join = AnswerJoin(*input);
   }
   const net::one_shot<std::vector<consensus::message>> reply;
   replica_.Receive(*input, [reply](std::vector<consensus::message> messages) {
@@ -198,6 +206,29 @@
   co_return core::EncodeBinary(answers);
 }
 
+peering::join_hint group_host::AnswerJoin(const consensus::message& input) {
+  const core::time_point now = clock_.Now();
+  const milliseconds lifetime = ApplicantLifetime(applicants_.size());
+  std::erase_if(applicants_, [now, lifetime](const auto& item) {
+    return now - item.second >= lifetime;
+  });
+  applicants_[input.from.node] = now;
+  const consensus::raft_state& raft = replica_.Raft();
+  peering::join_hint hint;
+  if (!IsInGroup()) {
+    hint.leader = join_.leader;
+    hint.term = join_.term;
+    return hint;
+  }
+  hint.leader = raft.leader.node;
+  hint.term = raft.hard.term;
+  const bool is_leader = raft.role == consensus::raft_role::kLeader;
+  if (is_leader && !consensus::IsJoinWanted(raft, input.from)) {
+    hint.retry_ms = JoinRetryTime(applicants_.size()).count();
+  }
+  return hint;
+}
+
 awaitable<group_host::commit_result> group_host::Commit(std::string name,
                                                         std::string payload) {
   hosted_command input;
@@ -237,6 +268,14 @@
   return nodes;
 }
 
+bool group_host::IsMember() const {
+  const consensus::group_members members =
+      consensus::ActiveMembers(replica_.Raft().log);
+  const consensus::member& self = replica_.Raft().self;
+  return consensus::IsVoter(members, self) ||
+         consensus::IsLearner(members, self);
+}
+
 std::vector<std::string> group_host::Members() const {
   const consensus::group_members members =
       consensus::ActiveMembers(replica_.Raft().log);
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -17,6 +17,7 @@
 #include "consensus/group_replica.h"
 #include "core/clock.h"
 #include "group/hosted_state.h"
+#include "group/join_route.h"
 #include "net/connection_pool.h"
 #include "net/event.h"
 #include "settings/node_settings.h"
@@ -93,15 +94,19 @@
   core::boot_time_point LedSince() const { return replica_.Raft().led_since; }
   // Peer address of the latest known leader; empty: none.
   const std::string& Leader() const { return replica_.Raft().leader.node; }
+  // The same for an instance that is not in the group: what the instances that
+  // it asked to join named.
+  const std::string& JoinLeader() const { return join_.leader; }
   const std::string& OwnAddress() const { return settings_.own_address; }
   std::vector<std::string> Members() const;
   std::vector<std::string> Voters() const;
+  bool IsMember() const;
   bool IsInGroup() const { return !replica_.Raft().group.empty(); }
   // This replica, by its instance and the storage id of its data folder.
   const consensus::member& Self() const { return replica_.Raft().self; }
   // Number of voters below which no command is acknowledged.
   size_t SpreadVoters() const { return settings_.spread_voters; }
-  // Instances that requested to join within the last second.
+  // Instances that requested to join lately.
   std::set<std::string> Applicants() const;
   bool TransferLeadership() { return replica_.TransferLeadership(); }
 
@@ -126,6 +131,7 @@
   boost::asio::awaitable<void> RunJoinLoop();
   void ScheduleFlush();
   void RequestToJoin();
+  peering::join_hint AnswerJoin(const consensus::message& input);
 
   boost::asio::io_context& loop_;
   const core::runtime_clock& clock_;
@@ -135,6 +141,7 @@
   hosted_state& state_;
   std::vector<std::string> contacts_;
   std::map<std::string, core::time_point> applicants_;
+  join_route join_;
   consensus::group_replica replica_;
   bool is_flush_scheduled_ = false;
 };
--- a/packages/group/leader_calls.cc
+++ b/packages/group/leader_calls.cc
@@ -22,8 +22,9 @@
 envelope NotLeader(const group_host& host) {
   envelope answer;
   answer.outcome = call_outcome::kNotLeader;
-  const bool is_other = host.Leader() != host.OwnAddress();
-  if (is_other) answer.leader = host.Leader();
+  const std::string& leader =
+      host.IsInGroup() ? host.Leader() : host.JoinLeader();
+  if (leader != host.OwnAddress()) answer.leader = leader;
   return answer;
 }
 
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -92,10 +92,21 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(envelope, outcome, leader,
                                                 reason, payload, time_ms)
 
+// The answer to a request to join a group.
+struct join_hint {
+  std::string leader;    // peer address, as far as known; empty: unknown
+  uint64_t term = 0;     // of the leader
+  int64_t retry_ms = 0;  // time until the next request; 0: as usual
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(join_hint, leader, term,
+                                                retry_ms)
+
 struct consensus_messages {
   std::vector<consensus::message> messages;
+  join_hint join;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(consensus_messages, messages)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(consensus_messages, messages,
+                                                join)
 
 struct named_item {
   std::string name;
