The question who leads is held while nobody does

Cause: a process that finds no leader asks again after 40 ms. When all machines start at once, a thousand processes ask three seeds 25,000 times a second, at the moment in which these elect their leader.

Change: a control instance that knows no leader answers after 200 ms, or as soon as one is known. A process is told of a new leader earlier than before.

Not measured by itself, and no test of its own: the integration tests restart all instances.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -33,6 +33,13 @@
 // quarantined requests: one round of requests and one call.
 constexpr milliseconds kWarningSyncTime{300};
 
+// How long the question who leads is held while nobody does. When all processes
+// start at once, a thousand of them ask; without the wait each would ask 25
+// times a second, which delays the election. It is less than the time limit of
+// the question.
+constexpr milliseconds kLeaderWait{200};
+constexpr milliseconds kLeaderWatchPeriod{10};
+
 // How long a call waits for the instances that do not have its change yet. Less
 // than the timeout of a forwarded call.
 constexpr milliseconds kAcknowledgementWait{500};
@@ -65,6 +72,7 @@
 
 awaitable<envelope> leader_service::Handle(std::string method,
                                            std::string payload) {
+  if (method == peering::kLeaderMethod) co_await AwaitLeader();
   if (!group_.IsServing()) co_return NotLeader();
   if (method == peering::kLeaderMethod) co_return Done();
   if (method == peering::kViewMethod) {
@@ -109,6 +117,29 @@
   co_return Refused("unknown method '" + method + "'");
 }
 
+bool leader_service::IsLeaderKnown() const {
+  const bool is_other = group_.Leader() != group_.OwnAddress();
+  return group_.IsServing() || (is_other && !group_.Leader().empty());
+}
+
+awaitable<void> leader_service::AwaitLeader() {
+  if (IsLeaderKnown()) co_return;
+  const time_point until = clock_.Now() + kLeaderWait;
+  if (!is_leader_watched_) {
+    is_leader_watched_ = true;
+    asio::co_spawn(loop_, RunLeaderWatch(), asio::detached);
+  }
+  co_await leader_known_.WaitUntil(until);
+}
+
+awaitable<void> leader_service::RunLeaderWatch() {
+  do {
+    co_await net::Sleep(kLeaderWatchPeriod);
+  } while (leader_known_.HasWaiters() && !IsLeaderKnown());
+  is_leader_watched_ = false;
+  leader_known_.Notify();
+}
+
 view_sources leader_service::Sources() const {
   view_sources sources;
   sources.update_endpoints = [this](fleet::view_log& log) {
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -88,6 +88,10 @@
   // Waits until no instance acts on a configuration before `version`.
   answer AwaitInForce(uint64_t version, core::time_point until);
   void RecordRequest(const fleet::view_request& input);
+  // Waits until this instance leads or knows who does.
+  boost::asio::awaitable<void> AwaitLeader();
+  boost::asio::awaitable<void> RunLeaderWatch();
+  bool IsLeaderKnown() const;
   // Wakes the acknowledgements that wait, once for many requests.
   void NotifyOfContact();
   answer GetConfiguration();
@@ -152,6 +156,8 @@
   std::map<std::string, published_change> leaving_;  // by incarnation
   net::event contact_;                               // a view was requested
   bool is_contact_scheduled_ = false;
+  net::event leader_known_;
+  bool is_leader_watched_ = false;
 };
 
 }  // namespace hickorywood::controller
