Entries without load choose different endpoints

Cause: of endpoints with equal cost each entry took the first of the list. With a request each minute no entry knows any load, so all entries of a zone used one endpoint: the busiest one got 69 times the mean.

Test: EntriesWithoutLoadSpreadOverTheirZone fails without the change. Change: equal costs are decided by an order that each process has of its own. It is constant, so that a connection to the preferred endpoint is used again.

--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -263,7 +263,7 @@
   for (int attempt = 0; attempt <= routing::kMaxRefusals; ++attempt) {
     const routing::choice_input choice{&view_.endpoints,  service,
                                        sender_.OwnZone(), &tried,
-                                       clock_.Now()};
+                                       clock_.Now(),      sender_.ChoiceSeed()};
     const fleet::endpoint* chosen = routing::ChooseEndpoint(loads, choice);
     if (chosen == nullptr) break;
     const fleet::endpoint target = *chosen;
--- a/packages/routing/endpoint_choice.cc
+++ b/packages/routing/endpoint_choice.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/ids.h"
+
 namespace hickorywood::routing {
 namespace {
 
@@ -73,6 +75,13 @@
   return cost;
 }
 
+// Orders endpoints in a way that is constant for a seed, so that connections to
+// the preferred ones are used again.
+uint64_t PreferenceOf(const fleet::endpoint& item, uint64_t seed) {
+  constexpr uint64_t kGoldenRatio = 0x9E3779B97F4A7C15;
+  return (core::Hash64(item.incarnation) ^ seed) * kGoldenRatio;
+}
+
 }  // namespace
 
 const fleet::endpoint* ChooseEndpoint(const endpoint_load_table& loads,
@@ -92,9 +101,13 @@
     const endpoint_load& record = LoadOf(loads, item->incarnation);
     const bool is_avoided = record.avoid_until > input.now;
     const double cost = ExpectedCost(record, *item, median_ms, input);
+    const bool is_same_rank = best != nullptr && is_best_avoided == is_avoided;
+    const bool is_preferred =
+        is_same_rank && cost == best_cost &&
+        PreferenceOf(*item, input.seed) < PreferenceOf(*best, input.seed);
     const bool is_better = best == nullptr ||
                            (is_best_avoided && !is_avoided) ||
-                           (is_best_avoided == is_avoided && cost < best_cost);
+                           (is_same_rank && cost < best_cost) || is_preferred;
     if (!is_better) continue;
     best = item;
     best_cost = cost;
--- a/packages/routing/endpoint_choice.h
+++ b/packages/routing/endpoint_choice.h
@@ -41,6 +41,9 @@
   const std::set<std::string>* excluded =
       nullptr;  // incarnations that were tried
   core::time_point now{};
+  // Decides between endpoints of equal cost. Many processes with few requests
+  // know no load; with the same order they would all choose the same endpoint.
+  uint64_t seed = 0;
 };
 
 // Returns the endpoint with the lowest expected cost, or nullptr when no
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -252,6 +252,7 @@
   choice.own_zone = own_zone_;
   choice.excluded = &state->tried;
   choice.now = clock_.Now();
+  choice.seed = choice_seed_;
   const fleet::endpoint* target = FirstEndpoint(*state);
   if (target == nullptr) target = ChooseEndpoint(loads_, choice);
   if (target == nullptr) {
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/ids.h"
 #include "fleet/configuration.h"
 #include "fleet/protocol.h"
 #include "fleet/view.h"
@@ -90,6 +91,8 @@
   // Send().
   endpoint_load_table& Loads() { return loads_; }
   const std::string& OwnZone() const { return own_zone_; }
+  // See choice_input::seed.
+  uint64_t ChoiceSeed() const { return choice_seed_; }
 
  private:
   struct attempt_result;
@@ -117,6 +120,7 @@
   const fleet::view& view_;
   quarantine::crash_detector& crashes_;
   const std::string own_zone_;
+  const uint64_t choice_seed_ = core::Hash64(core::RandomId());
   endpoint_load_table loads_;
   std::map<std::string, std::string> addresses_;  // by incarnation
   // Endpoints that were removed while requests were running there.
--- a/tests/unit/routing/endpoint_choice_test.cc
+++ b/tests/unit/routing/endpoint_choice_test.cc
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
+#include "core/ids.h"
+
 namespace hickorywood::routing {
 namespace {
 
@@ -30,6 +33,7 @@
     input.own_zone = "b";
     input.excluded = &excluded_;
     input.now = now_;
+    input.seed = seed_;
     const fleet::endpoint* chosen = ChooseEndpoint(loads_, input);
     return chosen == nullptr ? "" : chosen->incarnation;
   }
@@ -37,6 +41,7 @@
   std::vector<fleet::endpoint> endpoints_;
   std::set<std::string> excluded_;
   endpoint_load_table loads_;
+  uint64_t seed_ = 0;
   core::time_point now_ = core::time_point(seconds(100));
 };
 
@@ -101,5 +106,31 @@
   EXPECT_EQ(Choose(), "in-b");
 }
 
+// Hundreds of entries with a request every few seconds, so that none of them
+// knows any load. Guards against the choice of one endpoint by all of them.
+TEST_F(EndpointChoiceTest, EntriesWithoutLoadSpreadOverTheirZone) {
+  constexpr int kEntries = 167;
+  constexpr int kEndpoints = 116;
+  constexpr int kMostPerEndpoint = 8;
+  endpoints_.clear();
+  for (int i = 0; i < kEndpoints; ++i) {
+    fleet::endpoint item;
+    item.incarnation = "in-" + std::to_string(i);
+    item.service = "slots";
+    item.zone = "b";
+    endpoints_.push_back(item);
+  }
+  std::map<std::string, int> chosen;
+  for (int entry = 0; entry < kEntries; ++entry) {
+    seed_ = core::Hash64("entry-" + std::to_string(entry));
+    const std::string first = Choose();
+    EXPECT_EQ(Choose(), first);
+    ++chosen[first];
+  }
+  for (const auto& [incarnation, count] : chosen) {
+    EXPECT_LE(count, kMostPerEndpoint) << incarnation;
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::routing
