Weights and the choice of engines follow the work, not the number of engines

Cause: a model was kept up to date on twice an even share of all engines: with 9,417 engines and six trainers 2,350 loads a second from one leader, for 275 tasks a second that some hundred engines run. The leader of the tasks collected all engines of a service for each model in each pass, and visited them again for each task; each store rebuilt its sets of all engines at each change; and each order to a store woke the polls of all others.

Change: the leader of the tasks reports the highest number of open tasks of each model; a model gets four places for each, and no fewer than 64 engines, which leaves small deployments as they are. Planning takes a tenth of the loop at most. The tasks of a model are placed on 256 engines from its place on a ring, more if it has more tasks; they are chosen again when the list or the weights of the model change. A service with 256 engines or fewer is chosen from as before.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -266,6 +266,7 @@
   RecordRequest(*input);
   for (const fleet::model_demand& item : input->demands) {
     weights_.demands[item.model] = item.streams;
+    weights_.peak_tasks[item.model] = item.peak_tasks;
   }
   if (on_demands) on_demands(input->service_demands);
   usage_.Record(*input);
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -21,6 +21,8 @@
 // for each follower, it spends at most a tenth of its time on updates, however
 // many endpoints join and leave.
 constexpr milliseconds kGatherTimePerFollower{1};
+// A follower that runs tasks visits each endpoint, which takes it about 0.5 us.
+constexpr std::chrono::microseconds kGatherTimePerEndpoint{10};
 // Maximum of the gather time: well below the one or two seconds after which a
 // leaving endpoint must get no new work.
 constexpr milliseconds kMaxGatherTime{400};
@@ -46,10 +48,12 @@
 
 }  // namespace
 
-milliseconds GatherTime(size_t followers) {
-  const milliseconds time =
-      kGatherTimePerFollower * static_cast<int64_t>(followers);
-  return std::min(time, kMaxGatherTime);
+milliseconds GatherTime(size_t followers, size_t endpoints) {
+  const std::chrono::microseconds time =
+      kGatherTimePerFollower * static_cast<int64_t>(followers) +
+      kGatherTimePerEndpoint * static_cast<int64_t>(endpoints);
+  return std::min(std::chrono::duration_cast<milliseconds>(time),
+                  kMaxGatherTime);
 }
 
 view_publisher::view_publisher(asio::io_context& loop,
@@ -130,7 +134,7 @@
     }
     const time_point next =
         channel.published_at +
-        GatherTime(*channel.followers);
+        GatherTime(*channel.followers, log_.endpoints.items.size());
     while (clock_.Now() < next) {
       co_await net::Sleep(std::chrono::ceil<milliseconds>(next - clock_.Now()));
     }
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -41,8 +41,9 @@
   uint64_t plain = 0;
 };
 
-// How long changes are collected when `followers` processes receive them.
-core::milliseconds GatherTime(size_t followers);
+// How long changes are collected when `followers` processes receive them, which
+// then visit all `endpoints`.
+core::milliseconds GatherTime(size_t followers, size_t endpoints);
 
 class view_publisher {
  public:
--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -20,6 +20,9 @@
 using core::time_point;
 
 constexpr milliseconds kPlanPeriod{200};
+// Pause between two planning rounds for each endpoint. A round visits each of
+// them in about 1 us, so that planning takes at most a tenth of the loop.
+constexpr std::chrono::microseconds kPlanPausePerEndpoint{10};
 constexpr milliseconds kCallTimeout{700};
 // Pause between the first two requests for a report while a load runs, and
 // factor and maximum of the following ones. The next load waits for the report
@@ -49,6 +52,10 @@
 // Pause before another order to an engine that did not accept one.
 constexpr milliseconds kRetryPause{700};
 
+std::chrono::microseconds PlanPause(size_t endpoints) {
+  return kPlanPausePerEndpoint * static_cast<int64_t>(endpoints);
+}
+
 }  // namespace
 
 weight_load_scheduler::weight_load_scheduler(
@@ -103,6 +110,12 @@
     const bool is_idle = state_.Versions().empty() || !MayOrder();
     co_await wake_.WaitUntil(clock_.Now() +
                              (is_idle ? milliseconds(1000) : kPlanPeriod));
+    // Ends of loads that came together are planned for together.
+    const time_point next = planned_at_ + PlanPause(registry_.endpoints.size());
+    if (clock_.Now() < next) {
+      co_await net::Sleep(std::chrono::ceil<milliseconds>(next - clock_.Now()));
+    }
+    planned_at_ = clock_.Now();
     RecordPublications();
     std::erase_if(order_sequences_, [this](const auto& item) {
       return registry_.endpoints.count(item.first) == 0;
@@ -125,6 +138,8 @@
     terms.newest = found->second.version;
     terms.period = found->second.period;
     terms.weight = weights.at(model);
+    const auto peak = table_.peak_tasks.find(model);
+    if (peak != table_.peak_tasks.end()) terms.peak_tasks = peak->second;
   }
   if (input.models.empty()) return;
   input.load_time = load_time_;
@@ -141,6 +156,7 @@
     const auto avoid = avoid_until_.find(incarnation);
     plannable_engine engine;
     engine.incarnation = incarnation;
+    engine.slots = entry.item.slots;
     engine.is_usable = !is_loading &&
                        entry.item.state == fleet::endpoint_state::kReady &&
                        (avoid == avoid_until_.end() || avoid->second <= now);
--- a/packages/controller/weight_load_scheduler.h
+++ b/packages/controller/weight_load_scheduler.h
@@ -84,6 +84,7 @@
   const weight_load_scheduler_options options_;
   duties::act_history orders_;
   net::event wake_;
+  core::time_point planned_at_{};
   std::set<std::string> loads_in_progress_;  // by incarnation
   // Number of orders that each engine has accepted, by incarnation. Unknown
   // after an order whose execution no report has shown. Another order that was
--- a/packages/controller/weight_table.cc
+++ b/packages/controller/weight_table.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <string_view>
 #include <tuple>
+#include <unordered_map>
 
 namespace hickorywood::controller {
 namespace {
@@ -28,9 +30,32 @@
 // Fewest engines on which a model is kept up to date: one loads while the other
 // one serves.
 constexpr size_t kMinEnginesPerModel = 2;
+// Places on engines for each task of a model. Half of the engines load a
+// version while the other half run every task in batches that are half full.
+// Full batches then make up for a lost availability zone.
+constexpr double kPlacesPerTask = 4;
+// Number of engines up to which the work does not limit a model: shorter
+// batches are worth more than fewer loads.
+constexpr size_t kMinEnginesForWork = 64;
+// Tasks of a model whose demand is not known yet: a usual step.
+constexpr int64_t kAssumedTasks = 512;
 // Lowest weight of a model, relative to a mean of 1.
 constexpr double kMinWeight = 0.4;
 
+// Number of engines that have places for the tasks of a model.
+size_t EnginesForWork(const load_plan_input& input,
+                      const plannable_model& terms) {
+  int64_t slots = 0;
+  for (const plannable_engine& engine : input.engines) slots += engine.slots;
+  if (slots == 0) return input.engines.size();
+  const int64_t tasks = terms.peak_tasks > 0 ? terms.peak_tasks : kAssumedTasks;
+  const double slots_per_engine =
+      static_cast<double>(slots) / static_cast<double>(input.engines.size());
+  const auto needed = static_cast<size_t>(std::ceil(
+      kPlacesPerTask * static_cast<double>(tasks) / slots_per_engine));
+  return std::max(kMinEnginesForWork, needed);
+}
+
 size_t AssignmentsOf(const weight_table& table,
                      const std::string& incarnation) {
   size_t count = 0;
@@ -53,22 +78,20 @@
   chosen.erase(worst);
 }
 
+// Index in `load_plan_input::engines`, by incarnation.
+using engine_indexes = std::unordered_map<std::string_view, size_t>;
+
 // Updates the set of engines that are assigned to a model. It adds engines that
 // have the fewest models assigned, and among these the ones with the newest
 // version. Adding one changes the rank of no other, so each is ranked once:
 // with thousands of engines, ranking all for each one takes seconds.
 void Assign(weight_table& table, const load_plan_input& input,
-            const std::string& model) {
+            const engine_indexes& listed, const std::string& model) {
   std::set<std::string>& chosen = table.assigned[model];
-  std::set<std::string_view> listed;
-  for (const plannable_engine& engine : input.engines) {
-    listed.insert(engine.incarnation);
-  }
   std::erase_if(chosen, [&](const std::string& incarnation) {
     return listed.count(incarnation) == 0;
   });
-  const plannable_model& terms = input.models.at(model);
-  const size_t wanted = EnginesPerModel(input, terms.period, terms.weight);
+  const size_t wanted = EnginesPerModel(input, input.models.at(model));
   while (chosen.size() > wanted) RemoveMostOutdated(table, chosen, model);
   if (chosen.size() == wanted) return;
   using ranked_engine = std::tuple<size_t, uint64_t, std::string_view>;
@@ -102,22 +125,54 @@
   std::vector<planned_load> early;
 };
 
+// The recorded weights of each engine, in the order of `input.engines`;
+// nullptr: none.
+std::vector<const engine_weights*> WeightsOfEngines(
+    const weight_table& table, const load_plan_input& input) {
+  std::vector<const engine_weights*> weights;
+  weights.reserve(input.engines.size());
+  // The engines usually come in the order of the table.
+  auto next = table.engines.begin();
+  for (const plannable_engine& engine : input.engines) {
+    const bool is_next =
+        next != table.engines.end() && next->first == engine.incarnation;
+    const auto found = is_next ? next : table.engines.find(engine.incarnation);
+    const bool is_known = found != table.engines.end();
+    weights.push_back(is_known ? &found->second : nullptr);
+    if (is_known) next = std::next(found);
+  }
+  return weights;
+}
+
+uint64_t VersionOf(const engine_weights* weights, const std::string& model) {
+  if (weights == nullptr) return 0;
+  const auto found = weights->versions.find(model);
+  return found == weights->versions.end() ? 0 : found->second;
+}
+
 // Returns the loads to all assigned engines that the next step can't use, and
 // to as many of the others as half of the assigned engines need to have the
 // newest version.
 model_need NeedOf(const weight_table& table, const load_plan_input& input,
+                  const std::vector<const engine_weights*>& weights,
+                  const engine_indexes& indexes,
                   const fleet::model_version& newest) {
   const std::set<std::string>& chosen = table.assigned.at(newest.model);
+  std::vector<bool> is_chosen(input.engines.size(), false);
+  for (const std::string& incarnation : chosen) {
+    is_chosen[indexes.at(incarnation)] = true;
+  }
   model_need need;
   size_t current = 0;
   std::vector<planned_load> optional;
-  for (const plannable_engine& engine : input.engines) {
-    const uint64_t version =
-        VersionAt(table, engine.incarnation, newest.model).value_or(0);
-    const bool is_loading = IsLoading(table, engine.incarnation, newest.model);
+  for (size_t i = 0; i < input.engines.size(); ++i) {
+    const plannable_engine& engine = input.engines[i];
+    const uint64_t version = VersionOf(weights[i], newest.model);
+    const bool is_loading =
+        weights[i] != nullptr && weights[i]->loading == newest.model;
     const bool is_current = version >= newest.version || is_loading;
     if (is_current || version + 1 >= newest.version) ++need.serviceable;
-    if (chosen.count(engine.incarnation) == 0) continue;
+    if (!is_chosen[i]) continue;
     if (is_current) ++current;
     if (is_current || !engine.is_usable) continue;
     const bool is_outdated = version + 1 < newest.version;
@@ -176,19 +231,21 @@
 }
 
 size_t EnginesPerModel(const load_plan_input& input,
-                       std::chrono::milliseconds period, double weight) {
+                       const plannable_model& terms) {
   const size_t engines = input.engines.size();
   const size_t models = std::max<size_t>(1, input.models.size());
   const double loads = kLoaderOvercommit *
                        static_cast<double>(MaxConcurrentLoads(engines)) *
-                       (std::chrono::duration<double>(period) /
+                       (std::chrono::duration<double>(terms.period) /
                         std::chrono::duration<double>(input.load_time)) /
                        static_cast<double>(models);
-  const auto affordable = static_cast<size_t>(2 * weight * loads);
-  const auto doubled = static_cast<size_t>(std::ceil(
-      2 * weight * static_cast<double>(engines) / static_cast<double>(models)));
-  return std::min(engines,
-                  std::max(kMinEnginesPerModel, std::min(affordable, doubled)));
+  const auto affordable = static_cast<size_t>(2 * terms.weight * loads);
+  const auto doubled = static_cast<size_t>(
+      std::ceil(2 * terms.weight * static_cast<double>(engines) /
+                static_cast<double>(models)));
+  const size_t limit =
+      std::min({affordable, doubled, EnginesForWork(input, terms)});
+  return std::min(engines, std::max(kMinEnginesPerModel, limit));
 }
 
 bool RecordVersion(weight_table& table, const std::string& incarnation,
@@ -249,10 +306,18 @@
 
 std::vector<planned_load> PlanLoads(weight_table& table,
                                     const load_plan_input& input) {
+  engine_indexes indexes;
+  indexes.reserve(input.engines.size());
+  for (size_t i = 0; i < input.engines.size(); ++i) {
+    indexes.emplace(input.engines[i].incarnation, i);
+  }
+  const std::vector<const engine_weights*> weights =
+      WeightsOfEngines(table, input);
   std::vector<model_need> needs;
   for (const auto& [model, terms] : input.models) {
-    Assign(table, input, model);
-    needs.push_back(NeedOf(table, input, {model, terms.newest}));
+    Assign(table, input, indexes, model);
+    needs.push_back(
+        NeedOf(table, input, weights, indexes, {model, terms.newest}));
     needs.back().weight = terms.weight;
   }
   std::vector<planned_load> plan;
--- a/packages/controller/weight_table.h
+++ b/packages/controller/weight_table.h
@@ -32,6 +32,8 @@
   // Average number of concurrent streams, as reported by the dispatcher; by
   // model.
   std::map<std::string, double> demands;
+  // Highest number of tasks at once, as reported by the dispatcher; by model.
+  std::map<std::string, int64_t> peak_tasks;
   // Engines and models whose version or load changed since they were published.
   std::set<std::pair<std::string, std::string>> unpublished;
 };
@@ -70,6 +72,7 @@
 struct plannable_engine {
   std::string incarnation;
   int64_t running = 0;    // streams on it
+  int64_t slots = 0;      // streams that it can run at once; 0: unknown
   bool is_usable = true;  // ready, reachable, no load in progress
 };
 
@@ -80,6 +83,8 @@
   std::chrono::milliseconds period{4000};
   // Its demand, relative to the mean of all models of the service.
   double weight = 1;
+  // Highest number of its tasks at once; 0: unknown.
+  int64_t peak_tasks = 0;
 };
 
 // The weight of each model, from the observed demands. A model with much less
@@ -100,9 +105,10 @@
 // new version, and the loads of all models share the loader: when versions are
 // published faster than it can load them, fewer engines are kept up to date.
 // The limit is twice the share of the model by weight: then the versions of all
-// models cost as many loads as there are engines.
+// models cost as many loads as there are engines. And it is no higher than the
+// work of the model needs.
 size_t EnginesPerModel(const load_plan_input& input,
-                       std::chrono::milliseconds period, double weight = 1);
+                       const plannable_model& terms);
 
 // Chooses the loads to order. Each trainer publishes a version every few
 // seconds, and its next step accepts the newest version and the previous one.
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -85,8 +85,11 @@
 struct model_demand {
   std::string model;
   double streams = 0;  // average of the concurrent ones in the last seconds
+  // Highest number of its tasks that were running or waiting at once lately.
+  int64_t peak_tasks = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(model_demand, model, streams)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(model_demand, model, streams,
+                                                peak_tasks)
 
 // The tasks of one service, as reported by the instance that runs them.
 struct service_demand {
--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -94,6 +94,15 @@
 // Time for which the highest number of streams is reported. Trainers submit a
 // step every few seconds, so it covers one.
 constexpr std::chrono::seconds kPeakWindow{8};
+// Number of engines among which the tasks of a model are placed; more if it has
+// more open tasks. With a choice among all of 10,000 engines, each pass would
+// take as long as 40 with this number.
+constexpr size_t kMaxPoolEngines = 256;
+// Period of looking for prompts that are not cached any more.
+constexpr std::chrono::seconds kPromptCheckPeriod{1};
+// The same for the open tasks of a model, by whose number weights are loaded to
+// engines: it covers several steps, also of a trainer that pauses.
+constexpr std::chrono::seconds kTaskPeakWindow{30};
 // Time after the last task of a group until its prompt counts as evicted by the
 // engine. Two steps pass in this time, and a group can occur again in the next
 // step.
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -70,15 +70,22 @@
   if (!is_leader) {
     CancelAll();
     runners_->runners.clear();
-    has_new_orders_.Notify();
+    for (auto& item : new_orders_) item.second.Notify();
     rewards_.CancelAll();
+    service_engines_.clear();
+    pools_.clear();
     steps_.clear();
     uncommitted_results_.clear();
     demands_.clear();
     peaks_.clear();
+    task_peaks_.clear();
     return;
   }
   latest_run_ = group_.Term() << kRunNumberBits;
+  fleet::view_update complete;
+  complete.lists = fleet::list_part::kAll;
+  complete.weights_part = fleet::list_part::kAll;
+  OnView(complete);
   SyncSteps();
 }
 
@@ -88,50 +95,6 @@
   ScheduleDispatch();
 }
 
-void dispatcher::OnView() {
-  std::set<std::string> listed;
-  for (const fleet::endpoint& item : view_.endpoints) {
-    listed.insert(item.incarnation);
-  }
-  std::erase_if(engines_, [&listed](const auto& item) {
-    return listed.count(item.first) == 0 && item.second.running == 0;
-  });
-  for (const fleet::engine_weights_entry& item : view_.weights) {
-    if (listed.count(item.incarnation) == 0) continue;
-    engine_record& record = engines_[item.incarnation];
-    engine_weights& weights = record.weights[item.model];
-    // Loading weights discards the prompts that the engine has processed.
-    if (item.version > weights.version) ClearPrompts(record, item.model);
-    weights.version = std::max(weights.version, item.version);
-    weights.is_loading = item.is_loading;
-  }
-  EndRunsOfOldIncarnations();
-  if (is_leading_) ScheduleDispatch();
-}
-
-// An engine that was restarted under the same name has lost its earlier runs.
-// Their connections may hang until they time out, so these runs are ended at
-// once and their tasks continue on other engines. An engine that is no longer
-// in the list, but has no newer incarnation, may still be finishing its runs.
-void dispatcher::EndRunsOfOldIncarnations() {
-  std::map<std::string, std::string> latest_incarnations;  // by name
-  for (const fleet::endpoint& item : view_.endpoints) {
-    latest_incarnations[item.name] = item.incarnation;
-  }
-  std::vector<std::shared_ptr<run>> ending;
-  for (const auto& item : runs_) {
-    const fleet::endpoint& engine = item.second->engine;
-    const auto found = latest_incarnations.find(engine.name);
-    const bool is_old_incarnation = found != latest_incarnations.end() &&
-                                    found->second != engine.incarnation;
-    if (is_old_incarnation) ending.push_back(item.second);
-  }
-  for (const auto& item : ending) {
-    StopRun(*item);
-    EndRun(item, run_outcome::kBroken);
-  }
-}
-
 awaitable<void> dispatcher::RunDispatchLoop() {
   for (;;) {
     co_await step_added_.WaitUntil(clock_.Now() + (steps_.empty()
@@ -332,14 +295,12 @@
 dispatcher::engine_pool& dispatcher::FindPool(dispatch_pass& pass,
                                               const std::string& service,
                                               const steps::submission& input) {
-  const std::tuple key(service, input.model, input.minimum_version);
+  const pool_key key(service, input.model, input.minimum_version);
   auto pool = pass.pools.find(key);
   if (pool == pass.pools.end()) {
-    engine_pool fresh =
-        CollectEngines(service, input.model, input.minimum_version);
-    pool = pass.pools.emplace(key, std::move(fresh)).first;
+    pool = pass.pools.emplace(key, &CollectEngines(key)).first;
   }
-  return pool->second;
+  return *pool->second;
 }
 
 // Returns false if no engine has a free slot, or if no store can start a run.
@@ -425,55 +386,4 @@
   return steps::MaxStreamsForShortTasks(work, engines, slots);
 }
 
-dispatcher::engine_pool dispatcher::CollectEngines(const std::string& service,
-                                                   const std::string& model,
-                                                   uint64_t minimum_version) {
-  const time_point now = clock_.Now();
-  engine_pool pool;
-  std::vector<double> gaps;
-  for (const fleet::endpoint& item : view_.endpoints) {
-    if (item.service != service ||
-        item.state == fleet::endpoint_state::kDraining) {
-      continue;
-    }
-    const engine_record& record = engines_[item.incarnation];
-    gaps.push_back(steps::GapMillis(record.gap, now));
-    steps::engine_load load;
-    load.incarnation = item.incarnation;
-    load.slots = item.slots;
-    load.running = record.running;
-    load.is_trusted = item.state == fleet::endpoint_state::kReady;
-    const auto weights = record.weights.find(model);
-    const bool is_unfit = weights != record.weights.end() &&
-                          (weights->second.is_loading ||
-                           weights->second.version < minimum_version);
-    if (is_unfit || record.avoid_until > now) load.slots = 0;
-    pool.loads.push_back(std::move(load));
-    pool.records.push_back(&record);
-    pool.endpoints.push_back(&item);
-  }
-  const std::vector<double> slowness = steps::RelativeSlowness(gaps);
-  for (size_t i = 0; i < slowness.size(); ++i) {
-    pool.loads[i].slowness = slowness[i];
-  }
-  return pool;
-}
-
-void dispatcher::ClearPrompts(engine_record& record, const std::string& model) {
-  std::erase_if(record.groups, [&model](const auto& item) {
-    return item.first.starts_with(model + "/");
-  });
-}
-
-// Removes groups without a recent task. The engine has probably evicted their
-// prompts, and the list would grow with every step.
-void dispatcher::RemoveExpiredPrompts() {
-  const time_point now = clock_.Now();
-  for (auto& [incarnation, record] : engines_) {
-    std::erase_if(record.groups, [now](const auto& item) {
-      return now - item.second > kPromptCacheLifetime;
-    });
-  }
-}
-
 }  // namespace hickorywood::store
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -39,6 +39,7 @@
 #include "steps/placement.h"
 #include "steps/step_order.h"
 #include "steps/task_choice.h"
+#include "store/engine_ring.h"
 #include "store/reward_caller.h"
 #include "store/runner_registry.h"
 #include "store/step_state.h"
@@ -64,7 +65,7 @@
   // got results.
   void OnApplied();
   // Called after a change of the endpoints, their weights or the configuration.
-  void OnView();
+  void OnView(const fleet::view_update& update);
   // Set before Start(): whether requests may be sent by the routes of the view.
   std::function<bool()> may_use_routes;
   // Set before Start(): how the engine of a task is chosen.
@@ -121,6 +122,10 @@
     std::vector<std::string> services;
     core::milliseconds due{0};  // after the submission
   };
+  struct peak_count {
+    int64_t count = 0;
+    core::time_point at{};
+  };
   struct engine_weights {
     uint64_t version = 0;
     bool is_loading = false;
@@ -155,12 +160,22 @@
   };
   // The engines that may run the tasks of a step, with their state.
   struct engine_pool {
+    size_t limit = 0;  // number of engines from which on no more are added
     std::vector<steps::engine_load> loads;
-    // Same indexes as `loads`. The pointers are valid until `engines_` or the
-    // view changes.
+    // Same indexes as `loads`. `slots` are those of the task's weights. The
+    // pointers are valid until the list of endpoints changes.
+    std::vector<int64_t> slots;
     std::vector<const engine_record*> records;
     std::vector<const fleet::endpoint*> endpoints;
   };
+  // The engines of a service that are not draining.
+  struct service_engines {
+    std::vector<const fleet::endpoint*> endpoints;
+    std::vector<const engine_record*> records;  // same indexes
+    std::vector<ring_engine> ring;
+  };
+  // By service, model and minimum weights version.
+  using pool_key = std::tuple<std::string, std::string, uint64_t>;
   // A waiting task with its step, its request and its route.
   struct candidate {
     task_key key;
@@ -188,14 +203,13 @@
   // with 48 engines.
   struct dispatch_pass {
     size_t starting = 0;  // runs that this store is starting
-    // By service, model and minimum weights version.
-    std::map<std::tuple<std::string, std::string, uint64_t>, engine_pool> pools;
+    std::map<pool_key, engine_pool*> pools;
     std::map<std::string, engine_use> use;                     // by incarnation
     std::map<std::string, steps::predicted_time> event_times;  // by service
     // Pools without a place that a further task could use.
-    std::set<std::tuple<std::string, std::string, uint64_t>> full_pools;
+    std::set<pool_key> full_pools;
     // Tasks that wait for a place on a faster engine, by pool.
-    std::map<std::tuple<std::string, std::string, uint64_t>, int> waiting;
+    std::map<pool_key, int> waiting;
   };
   enum class start_outcome {
     kDone,      // started, or not startable now for a reason of its own
@@ -229,9 +243,14 @@
                     dispatch_pass& pass);
   bool TryStart(const candidate& item, dispatch_pass& pass);
   int64_t MaxStreamsFor(const candidate& item, const engine_pool& pool) const;
-  engine_pool CollectEngines(const std::string& service,
-                             const std::string& model,
-                             uint64_t minimum_version);
+  // Returns the engines that may run tasks of a model, with their present load.
+  engine_pool& CollectEngines(const pool_key& key);
+  engine_pool FindEngines(const pool_key& key, size_t limit);
+  // Number of engines among which the tasks of a model find enough places.
+  size_t PoolLimit(const std::string& model) const;
+  const service_engines& EnginesOf(const std::string& service);
+  void ApplyEndpoints(const fleet::view_update& update);
+  void ApplyWeights(const std::vector<fleet::engine_weights_entry>& weights);
   // Chooses the store for a run at an engine of `zone`: its peer address, or an
   // empty string for this store. No value if no store can start a run now.
   std::optional<std::string> ChooseRunnerFor(const std::string& zone,
@@ -313,6 +332,9 @@
   void Finish(const task_key& key, bool is_complete, std::string score = "");
   void UpdateDemands();
   void UpdatePeaks();
+  static void UpdatePeaks(std::map<std::string, peak_count>& peaks,
+                          const std::map<std::string, int64_t>& counts,
+                          std::chrono::seconds window, core::time_point now);
   void FailExpiredTasks();
   void RemoveExpiredPrompts();
   static void ClearPrompts(engine_record& record, const std::string& model);
@@ -339,6 +361,11 @@
   bool is_dispatch_scheduled_ = false;
   std::map<std::string, tracked_step> steps_;
   std::map<std::string, engine_record> engines_;  // by incarnation
+  // Both are made when they are needed, and cleared when the list of endpoints
+  // changes. A change of weights clears the pools of its model.
+  std::map<std::string, service_engines> service_engines_;  // by service
+  std::map<pool_key, engine_pool> pools_;
+  core::time_point prompts_expired_at_{};
   std::map<task_key, std::shared_ptr<run>> runs_;
   std::map<uint64_t, std::shared_ptr<run>> runs_by_id_;
   // Id of the latest run. The upper bits are the term, so that the ids of
@@ -349,7 +376,8 @@
   // frames are destroyed after this object.
   std::shared_ptr<runner_registry> runners_ =
       std::make_shared<runner_registry>();
-  net::event has_new_orders_;
+  // Wakes the poll of a store, by its peer address.
+  std::map<std::string, net::event> new_orders_;
   std::vector<step_results> uncommitted_results_;
   net::event has_uncommitted_results_;
   net::event step_added_;
@@ -359,12 +387,10 @@
   // Services whose engines report their current speed.
   std::set<std::string> paced_services_;
   std::map<std::string, double> demands_;  // mean number of streams, by model
+  // Highest number of open tasks of each model in the last seconds.
+  std::map<std::string, peak_count> task_peaks_;
   // Highest number of streams of each service in the last seconds.
-  struct peak_streams {
-    int64_t streams = 0;
-    core::time_point at{};
-  };
-  std::map<std::string, peak_streams> peaks_;
+  std::map<std::string, peak_count> peaks_;
   core::time_point demands_at_{};
   reward_caller rewards_;
 };
--- a/packages/store/dispatcher_placement.cc
+++ b/packages/store/dispatcher_placement.cc
@@ -279,15 +279,15 @@
   const std::string service(
       fleet::DrawService(*item->terms, routing::DrawShare()));
   const steps::submission& input = item->step->input;
-  const std::tuple pool_key(service, input.model, input.minimum_version);
-  if (pass.full_pools.count(pool_key) != 0) return start_outcome::kDone;
+  const pool_key key_of_pool(service, input.model, input.minimum_version);
+  if (pass.full_pools.count(key_of_pool) != 0) return start_outcome::kDone;
   engine_pool& pool = FindPool(pass, service, input);
   UpdateLoads(pool, *item);
   const bool has_place = std::any_of(
       pool.loads.begin(), pool.loads.end(),
       [](const steps::engine_load& load) { return load.running < load.slots; });
   if (!has_place) {
-    pass.full_pools.insert(pool_key);
+    pass.full_pools.insert(key_of_pool);
     return start_outcome::kDone;
   }
   const steps::placement_task task = DescribeTask(key);
@@ -300,8 +300,8 @@
       const steps::engine_load& awaited = pool.loads[*chosen.awaited];
       pass.use[awaited.incarnation].next_free += chosen.end / awaited.slots;
       const bool is_limit_reached =
-          ++pass.waiting[pool_key] >= kMaxWaitingPerPass;
-      if (is_limit_reached) pass.full_pools.insert(pool_key);
+          ++pass.waiting[key_of_pool] >= kMaxWaitingPerPass;
+      if (is_limit_reached) pass.full_pools.insert(key_of_pool);
     }
     return start_outcome::kDone;
   }
@@ -327,8 +327,8 @@
   if (known != pass.engines.end()) return known->second;
   if (pass.figures.use.empty()) CollectUse(pass.figures);
   const steps::submission& input = state_.Find(active.key.step)->input;
-  const engine_pool pool =
-      CollectEngines(service, input.model, input.minimum_version);
+  const engine_pool& pool =
+      CollectEngines({service, input.model, input.minimum_version});
   return pass.engines.emplace(key, DescribeEngines(pool, service, pass.figures))
       .first->second;
 }
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -187,11 +187,30 @@
   const time_point now = clock_.Now();
   std::map<std::string, int64_t> streams;
   for (const auto& item : runs_) ++streams[item.second->engine.service];
-  for (const auto& item : streams) peaks_.try_emplace(item.first);
-  for (auto& [service, peak] : peaks_) {
-    const int64_t current = streams[service];
-    const bool is_over = now - peak.at > kPeakWindow;
-    if (current < peak.streams && !is_over) continue;
+  UpdatePeaks(peaks_, streams, kPeakWindow, now);
+  std::map<std::string, int64_t> tasks;
+  for (const auto& [id, tracked] : steps_) {
+    const steps::step* const step = state_.Find(id);
+    if (step == nullptr) continue;
+    tasks[step->input.model] +=
+        std::count_if(tracked.tasks.begin(), tracked.tasks.end(),
+                      [](const tracked_task& task) {
+                        return task.stage == task_stage::kWaiting ||
+                               task.stage == task_stage::kRunning;
+                      });
+  }
+  UpdatePeaks(task_peaks_, tasks, kTaskPeakWindow, now);
+}
+
+void dispatcher::UpdatePeaks(std::map<std::string, peak_count>& peaks,
+                             const std::map<std::string, int64_t>& counts,
+                             std::chrono::seconds window, time_point now) {
+  for (const auto& item : counts) peaks.try_emplace(item.first);
+  for (auto& [key, peak] : peaks) {
+    const auto found = counts.find(key);
+    const int64_t current = found == counts.end() ? 0 : found->second;
+    const bool is_over = now - peak.at > window;
+    if (current < peak.count && !is_over) continue;
     peak = {current, now};
   }
 }
@@ -200,7 +219,7 @@
   if (!is_leading_) return {};
   std::map<std::string, fleet::service_demand> demands;
   for (const auto& [service, peak] : peaks_) {
-    demands[service].peak_running = peak.streams;
+    demands[service].peak_running = peak.count;
   }
   for (const auto& item : runs_) ++demands[item.second->engine.service].running;
   const time_point now = clock_.Now();
@@ -235,7 +254,9 @@
 std::vector<fleet::model_demand> dispatcher::Demands() const {
   std::vector<fleet::model_demand> list;
   for (const auto& [model, streams] : demands_) {
-    list.push_back({model, streams});
+    const auto peak = task_peaks_.find(model);
+    list.push_back(
+        {model, streams, peak == task_peaks_.end() ? 0 : peak->second.count});
   }
   return list;
 }
@@ -265,19 +286,19 @@
 // slots. Otherwise one slow engine delays every group that has a task on it.
 void dispatcher::MoveStragglers() {
   std::vector<std::shared_ptr<run>> moving;
-  std::map<std::string, engine_pool> by_step;
+  std::map<std::string, const engine_pool*> by_step;
   for (const auto& [key, item] : runs_) {
     if (!MayMove(*item) || UsesPrediction(item->engine.service)) continue;
     const auto step = state_.Steps().find(key.step);
     if (step == state_.Steps().end()) continue;
     auto pool = by_step.find(key.step);
     if (pool == by_step.end()) {
-      engine_pool fresh =
-          CollectEngines(item->engine.service, step->second.input.model,
-                         step->second.input.minimum_version);
-      pool = by_step.emplace(key.step, std::move(fresh)).first;
+      const engine_pool& engines =
+          CollectEngines({item->engine.service, step->second.input.model,
+                          step->second.input.minimum_version});
+      pool = by_step.emplace(key.step, &engines).first;
     }
-    const std::vector<steps::engine_load>& loads = pool->second.loads;
+    const std::vector<steps::engine_load>& loads = pool->second->loads;
     const std::string& incarnation = item->engine.incarnation;
     const auto own = std::find_if(loads.begin(), loads.end(),
                                   [&incarnation](const auto& load) {
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -67,7 +67,7 @@
     return;
   }
   AddOrder(*runners_, runner, std::move(order));
-  has_new_orders_.Notify();
+  new_orders_[runner].Notify();
 }
 
 run_order dispatcher::MakeOrder(const candidate& item, const run& self) const {
@@ -156,7 +156,7 @@
   };
   while (is_known() && !HasOrders(*runners_, input->runner) &&
          clock_.Now() < until) {
-    co_await has_new_orders_.WaitUntil(until);
+    co_await new_orders_[input->runner].WaitUntil(until);
   }
   poll.Close();
   // Leadership or the lease may have ended while the poll waited. If the
@@ -256,8 +256,12 @@
   // The response may report newer weights than the view of this store.
   engine_record& record = engines_[self.engine.incarnation];
   uint64_t& recorded_version = record.weights[self.model].version;
-  if (weights_version > recorded_version) ClearPrompts(record, self.model);
-  recorded_version = std::max(recorded_version, weights_version);
+  if (weights_version <= recorded_version) return;
+  ClearPrompts(record, self.model);
+  recorded_version = weights_version;
+  std::erase_if(pools_, [&self](const auto& item) {
+    return std::get<1>(item.first) == self.model;
+  });
 }
 
 void dispatcher::RemoveRun(const run& ended) {
@@ -276,7 +280,7 @@
     return;
   }
   CancelRun(*runners_, ending.runner, ending.id);
-  has_new_orders_.Notify();
+  new_orders_[ending.runner].Notify();
 }
 
 void dispatcher::EndRun(const std::shared_ptr<run>& ended, run_outcome how) {
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -130,7 +130,7 @@
     if (is_first_voter) group.Bootstrap(voters);
     sender.OnEndpoints(update);
     crashes.OnView();
-    dispatch.OnView();
+    dispatch.OnView(update);
   }
 
   // Logs the steps that a new leader has loaded. After a loss of disks the
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -117,7 +117,7 @@
   }
   EXPECT_EQ(answers, 1U);
   EXPECT_EQ(held.endpoints.size(), 1U);
-  clock.Advance(GatherTime(1));
+  clock.Advance(GatherTime(1, kEndpoints));
   RunUntil(entry);
   EXPECT_EQ(held.endpoints.size(), kEndpoints);
 }
@@ -210,9 +210,10 @@
 // For any number of followers, a leaving endpoint is published well within two
 // seconds.
 TEST(GatherTimeTest, GrowsWithFollowersUpToABound) {
-  EXPECT_LE(GatherTime(14), milliseconds(20));
-  EXPECT_LT(GatherTime(14), GatherTime(200));
-  EXPECT_LE(GatherTime(100000), milliseconds(500));
+  EXPECT_LE(GatherTime(14, 48), milliseconds(20));
+  EXPECT_LT(GatherTime(14, 48), GatherTime(200, 48));
+  EXPECT_LT(GatherTime(14, 48), GatherTime(14, 10000));
+  EXPECT_LE(GatherTime(100000, 1000000), milliseconds(500));
 }
 
 }  // namespace
--- a/tests/unit/controller/weight_table_test.cc
+++ b/tests/unit/controller/weight_table_test.cc
@@ -22,6 +22,13 @@
   return input;
 }
 
+plannable_model Terms(milliseconds period, double weight = 1) {
+  plannable_model terms;
+  terms.period = period;
+  terms.weight = weight;
+  return terms;
+}
+
 void SetAll(weight_table& table, const load_plan_input& input,
             const std::string& model, uint64_t version) {
   for (const plannable_engine& engine : input.engines) {
@@ -89,12 +96,12 @@
 TEST(WeightTableTest, LoadsFitIntoThePeriod) {
   load_plan_input input = Engines(9);
   input.models = {{"a", {2}}, {"b", {2}}, {"c", {2}}};
-  EXPECT_EQ(EnginesPerModel(input, milliseconds(4000)), 6U);
-  EXPECT_EQ(EnginesPerModel(input, milliseconds(1500)), 2U);
-  EXPECT_EQ(EnginesPerModel(input, milliseconds(60000)), 6U);
-  EXPECT_EQ(EnginesPerModel(input, milliseconds(100)), 2U);
+  EXPECT_EQ(EnginesPerModel(input, Terms(milliseconds(4000))), 6U);
+  EXPECT_EQ(EnginesPerModel(input, Terms(milliseconds(1500))), 2U);
+  EXPECT_EQ(EnginesPerModel(input, Terms(milliseconds(60000))), 6U);
+  EXPECT_EQ(EnginesPerModel(input, Terms(milliseconds(100))), 2U);
   input.models = {{"a", {2}}};
-  EXPECT_EQ(EnginesPerModel(input, milliseconds(4000)), 9U);
+  EXPECT_EQ(EnginesPerModel(input, Terms(milliseconds(4000))), 9U);
 }
 
 // When loads have to wait, the model whose next step can use the fewest engines
@@ -173,10 +180,12 @@
   }
   EXPECT_GE(loads["large"], 6U);
   EXPECT_GE(loads["small"], 1U);
-  EXPECT_GE(EnginesPerModel(input, milliseconds(4000), weights.at("small")),
-            2U);
-  EXPECT_EQ(EnginesPerModel(input, milliseconds(60000), weights.at("large")),
-            12U);
+  EXPECT_GE(
+      EnginesPerModel(input, Terms(milliseconds(4000), weights.at("small"))),
+      2U);
+  EXPECT_EQ(
+      EnginesPerModel(input, Terms(milliseconds(60000), weights.at("large"))),
+      12U);
 }
 
 // No demand was reported, or only that of one model: all models have the same
@@ -228,5 +237,43 @@
   }
 }
 
+load_plan_input Fleet(size_t engines, int64_t tasks) {
+  load_plan_input input = Engines(engines);
+  for (plannable_engine& engine : input.engines) engine.slots = 6;
+  for (const char* model : {"a", "b", "c", "d", "e", "f"}) {
+    plannable_model& terms = input.models[model];
+    terms.newest = 2;
+    terms.peak_tasks = tasks;
+  }
+  return input;
+}
+
+// Guards against loads that grow with the fleet: six trainers before 10,000
+// engines had 2,350 loads a second ordered by one leader.
+TEST(WeightTableTest, LoadsFollowTheWorkAndNotTheFleet) {
+  for (const size_t engines : {1000U, 10000U, 20000U}) {
+    weight_table table;
+    const load_plan_input input = Fleet(engines, 224);
+    for (const auto& item : input.models) SetAll(table, input, item.first, 1);
+    EXPECT_LE(LoadAll(table, input), 600U) << engines;
+  }
+}
+
+// A trainer grows tenfold. Guards against tasks that wait for weights for
+// several versions.
+TEST(WeightTableTest, GrownTrainerGetsItsEnginesAtOnce) {
+  load_plan_input input = Fleet(10000, 224);
+  const size_t before = EnginesPerModel(input, input.models.at("a"));
+  input.models.at("a").peak_tasks = 2240;
+  EXPECT_GE(EnginesPerModel(input, input.models.at("a")), 9 * before);
+}
+
+// Guards against a model whose demand is not reported yet and that loads its
+// first version to the whole fleet.
+TEST(WeightTableTest, UnknownDemandNeedsAUsualStep) {
+  const load_plan_input input = Fleet(10000, 0);
+  EXPECT_LE(EnginesPerModel(input, input.models.at("a")), 400U);
+}
+
 }  // namespace
 }  // namespace hickorywood::controller
