Benchmark what grows with a fleet

Cause: nothing showed how announcements, changes, complete lists, plans of loads and the choice of engines grow.

--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -8,8 +8,8 @@
 #include "figures.h"
 
 ABSL_FLAG(std::string, part, "",
-          "control, decisions, entry, routing, rollout, store, quarantine or "
-          "answers; empty: all");
+          "control, decisions, entry, fleet, routing, rollout, store, "
+          "quarantine or answers; empty: all");
 ABSL_FLAG(std::string, out, "figures.txt", "file for the figures");
 
 int main(int argc, char** argv) {
@@ -23,6 +23,7 @@
     hickorywood::bench::MeasureDecisions(out);
   }
   if (part.empty() || part == "entry") hickorywood::bench::MeasureEntry(out);
+  if (part.empty() || part == "fleet") hickorywood::bench::MeasureFleet(out);
   if (part.empty() || part == "routing") {
     hickorywood::bench::MeasureOverload(out);
   }
--- a/bench/figures.h
+++ b/bench/figures.h
@@ -41,6 +41,7 @@
 // Each function measures one part.
 void MeasureControl(figures& out);
 void MeasureDecisions(figures& out);
+void MeasureFleet(figures& out);
 void MeasureEntry(figures& out);
 void MeasureRollout(figures& out);
 void MeasureOverload(figures& out);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the benchmarks. BENCH=control|entry|routing|rollout|store|quarantine|answers selects one part.
+# Runs the benchmarks. BENCH=control|decisions|entry|fleet|routing|rollout|store|quarantine|answers selects one part.
 # The figures are written to build/bench/figures.txt.
 set -euo pipefail
 cd "$(dirname "$0")/.."
