A leader that answers late is asked more patiently, and orders few loads at once

Cause: after all processes of the fleet were killed, entries had no configuration for 8 s. A process that got no answer within 300 ms (who leads) or 1.1 s (a view) asked again at once, and the leader answered requests that nobody waited for any more. Then 1,748 loads of weights began in one round, since a leader that knows no demand assumed a usual step of each model on all engines that lacked a version.

Tests: LeaderThatAnswersLateIsFound, UnknownDemandNeedsFewEngines and LoadsBeginInSmallNumbers fail without the change. Change: each timeout in a row doubles the time limit, to 2.4 s and 4.4 s at most; any answer resets it. 32 loads begin in a round; a model without a known demand has 64 engines; a model gets three places for a task.

--- a/packages/controller/weight_table.cc
+++ b/packages/controller/weight_table.cc
@@ -16,6 +16,9 @@
 // once.
 constexpr size_t kEnginesPerLoad = 5;
 constexpr size_t kMinConcurrentLoads = 2;
+// Number of loads that begin in one round. Each needs a connection and several
+// calls; a thousand at once keep the leader from renewing its lease.
+constexpr size_t kMaxLoadsPerRound = 32;
 
 size_t MaxConcurrentLoads(size_t engines) {
   const size_t share = (engines + kEnginesPerLoad / 2) / kEnginesPerLoad;
@@ -31,14 +34,13 @@
 // one serves.
 constexpr size_t kMinEnginesPerModel = 2;
 // Places on engines for each task of a model. Half of the engines load a
-// version while the other half run every task in batches that are half full.
-// Full batches then make up for a lost availability zone.
-constexpr double kPlacesPerTask = 4;
+// version while the other half run every task in batches that are two thirds
+// full. Full batches then make up for a lost availability zone.
+constexpr double kPlacesPerTask = 3;
 // Number of engines up to which the work does not limit a model: shorter
-// batches are worth more than fewer loads.
+// batches are worth more than fewer loads. A model has so many while its work
+// is not known, as after a restart of all instances.
 constexpr size_t kMinEnginesForWork = 64;
-// Tasks of a model whose demand is not known yet: a usual step.
-constexpr int64_t kAssumedTasks = 512;
 // Lowest weight of a model, relative to a mean of 1.
 constexpr double kMinWeight = 0.4;
 
@@ -48,11 +50,11 @@
   int64_t slots = 0;
   for (const plannable_engine& engine : input.engines) slots += engine.slots;
   if (slots == 0) return input.engines.size();
-  const int64_t tasks = terms.peak_tasks > 0 ? terms.peak_tasks : kAssumedTasks;
   const double slots_per_engine =
       static_cast<double>(slots) / static_cast<double>(input.engines.size());
-  const auto needed = static_cast<size_t>(std::ceil(
-      kPlacesPerTask * static_cast<double>(tasks) / slots_per_engine));
+  const auto needed = static_cast<size_t>(
+      std::ceil(kPlacesPerTask * static_cast<double>(terms.peak_tasks) /
+                slots_per_engine));
   return std::max(kMinEnginesForWork, needed);
 }
 
@@ -324,7 +326,8 @@
   std::set<std::string> planned_engines;
   const size_t limit = MaxConcurrentLoads(input.engines.size());
   const auto has_room = [&] {
-    return input.loads_in_progress + plan.size() < limit;
+    return plan.size() < kMaxLoadsPerRound &&
+           input.loads_in_progress + plan.size() < limit;
   };
   // Plans one load at a time for the model with the lowest supply, so that the
   // models take turns when the loader is overloaded.
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -22,6 +22,11 @@
 // longer, and an election takes longer anyway.
 constexpr milliseconds kSearchTimeout{300};
 
+// Each timeout in a row doubles the time limit, this many times at most. After
+// a restart of a thousand processes the leader answers late; questions that are
+// given up and asked again would keep it busy for good.
+constexpr int kMaxSearchDoublings = 3;
+
 // Time limit of sending an update: the request that crashed an endpoint may
 // arrive again for as long. After a failure the caller queues the update again.
 // One attempt takes much less than the time within which all instances must
@@ -123,9 +128,17 @@
 awaitable<bool> leader_caller::FindLeader(time_point deadline) {
   while (!has_answered_) {
     const std::string target = NextTarget();
-    const time_point until = std::min(deadline, Now() + kSearchTimeout);
+    const time_point until =
+        std::min(deadline, Now() + kSearchTimeout * (1 << search_timeouts_));
     const envelope answer =
         co_await AttemptCall(target, kLeaderMethod, "", until);
+    const bool is_unanswered = answer.outcome == call_outcome::kUnavailable ||
+                               answer.outcome == call_outcome::kUnknown;
+    if (!is_unanswered) {
+      search_timeouts_ = 0;
+    } else if (Now() >= until) {
+      search_timeouts_ = std::min(search_timeouts_ + 1, kMaxSearchDoublings);
+    }
     UpdateLeader(target, answer);
     if (has_answered_) break;
     if (Now() + kRetryPause >= deadline) co_return false;
--- a/packages/peering/leader_caller.h
+++ b/packages/peering/leader_caller.h
@@ -62,6 +62,7 @@
   std::string leader_;                    // latest known; empty: none
   bool has_answered_ = false;             // as the leader
   size_t next_target_ = 0;
+  int search_timeouts_ = 0;  // in a row
   std::string own_address_;
   local_handler local_;
 };
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -1,5 +1,6 @@
 #include "peering/view_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/binary.h"
@@ -17,6 +18,11 @@
 // Pause after a request for which no leader was found.
 constexpr core::milliseconds kPauseWithoutLeader{50};
 
+// Each unanswered request in a row doubles the time limit, this many times at
+// most: a leader that many processes ask for complete views answers late, and
+// would have to make each of them again.
+constexpr int kMaxTimeoutDoublings = 2;
+
 time_point Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -34,8 +40,9 @@
     : clock_(clock), caller_(caller), options_(std::move(options)) {}
 
 awaitable<void> view_follower::Run() {
-  const core::milliseconds attempt_timeout = options_.wait + options_.slack;
   for (;;) {
+    const core::milliseconds attempt_timeout =
+        (options_.wait + options_.slack) * (1 << timeouts_);
     // Separate from the call, which needs its full time limit.
     co_await caller_.FindLeader(Now() + attempt_timeout);
     fleet::view_request input;
@@ -63,6 +70,8 @@
         co_await caller_.Call(kViewMethod, core::EncodeBinary(input),
                               Now() + attempt_timeout, attempt_timeout);
     const bool is_answered = answer.outcome == call_outcome::kDone;
+    const bool is_lost = answer.outcome == call_outcome::kUnknown;
+    timeouts_ = is_lost ? std::min(timeouts_ + 1, kMaxTimeoutDoublings) : 0;
     if (is_answered != is_following_) {
       is_following_ = is_answered;
       LogEvent(
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -90,6 +90,7 @@
   fleet::view view_;
   std::optional<core::boot_time_point> confirmed_at_;
   bool is_following_ = false;
+  int timeouts_ = 0;  // requests in a row that were sent and not answered
   std::function<bool()> wants_weights_;
   std::function<std::vector<fleet::model_demand>()> demands_;
   std::function<std::vector<fleet::service_demand>()> service_demands_;
--- a/tests/unit/controller/weight_table_test.cc
+++ b/tests/unit/controller/weight_table_test.cc
@@ -268,11 +268,20 @@
   EXPECT_GE(EnginesPerModel(input, input.models.at("a")), 9 * before);
 }
 
-// Guards against a model whose demand is not reported yet and that loads its
-// first version to the whole fleet.
-TEST(WeightTableTest, UnknownDemandNeedsAUsualStep) {
+// Guards against loads to the whole fleet while no demand is reported, as after
+// a restart of all instances.
+TEST(WeightTableTest, UnknownDemandNeedsFewEngines) {
   const load_plan_input input = Fleet(10000, 0);
-  EXPECT_LE(EnginesPerModel(input, input.models.at("a")), 400U);
+  EXPECT_LE(EnginesPerModel(input, input.models.at("a")), 64U);
+}
+
+// Guards against a new leader that orders so many loads at once that it can't
+// renew its lease: 1,748 of them kept it from all other work for 4 s.
+TEST(WeightTableTest, LoadsBeginInSmallNumbers) {
+  weight_table table;
+  const load_plan_input input = Fleet(10000, 2240);
+  for (const auto& item : input.models) SetAll(table, input, item.first, 0);
+  EXPECT_LE(PlanLoads(table, input).size(), 32U);
 }
 
 }  // namespace
--- a/tests/unit/fleet/view_log_test.cc
+++ b/tests/unit/fleet/view_log_test.cc
@@ -336,9 +336,9 @@
   BeginTerm(log, 1);
   std::vector<endpoint> list = MakeEndpoints(kEndpoints);
   for (endpoint& item : list) {
-    item.service = "engines-of-the-trainers";
+    item.service = "rollout-engines";
     item.address = "10.128.200.109:8080";
-    item.zone = "availability-1";
+    item.zone = "zone-north";
     item.slots = 12;
   }
   UpdateEndpoints(log, list);
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "core/binary.h"
+#include "net/event.h"
 #include "net/listener.h"
 #include "peering/peer_interface.h"
 #include "support/duplicate_response_server.h"
@@ -195,5 +196,43 @@
   EXPECT_EQ(answer.outcome, call_outcome::kDone) << answer.reason;
 }
 
+// Guards against processes that never find a leader that is busy with many of
+// them: each gave up after 300 ms and asked again.
+TEST(LeaderCallerTest, LeaderThatAnswersLateIsFound) {
+  constexpr milliseconds kAnswerTime{700};
+  constexpr milliseconds kCallLimit{8000};
+  io_context loop;
+  net::listener leader(
+      loop, PeerListenerOptions("127.0.0.1:0"),
+      [&](net::exchange& call) -> awaitable<void> {
+        return ServePeer(
+            call,
+            [](std::string payload) -> awaitable<std::string> {
+              co_return payload;
+            },
+            [&](std::string /*method*/,
+                std::string /*payload*/) -> awaitable<envelope> {
+              co_await net::Sleep(kAnswerTime);
+              envelope answer;
+              answer.outcome = call_outcome::kDone;
+              co_return answer;
+            });
+      });
+  ASSERT_TRUE(leader.Start());
+  net::connection_pool pool(loop);
+  leader_caller caller(pool, {"127.0.0.1:" + std::to_string(leader.Port())});
+  envelope answer;
+  boost::asio::co_spawn(
+      loop,
+      caller.Call("method", "", std::chrono::steady_clock::now() + kCallLimit,
+                  kCallLimit),
+      [&](const std::exception_ptr& /*failure*/, envelope received) {
+        answer = std::move(received);
+        loop.stop();
+      });
+  loop.run_for(kCallLimit + kAnswerTime);
+  EXPECT_EQ(answer.outcome, call_outcome::kDone) << answer.reason;
+}
+
 }  // namespace
 }  // namespace hickorywood::peering
