Complete lists are shared for half a second

Cause: after all processes were killed the leader answered 40 stores in half a second, and lost its lease at last. Each store that joined, and each report of weights, discarded the encoded answers, so that the complete list of 10,000 endpoints was encoded again for nearly every process.

Test: CompleteListsAreSharedWhileEndpointsJoin fails without the change. Change: an answer with complete lists is sent to other processes for 500 ms; they get the changes since with their next request. Changes of weights discard only answers with weights.

--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -46,6 +46,15 @@
   const std::shared_ptr<size_t> count_;
 };
 
+// How long an answer with complete lists is sent to other processes too. They
+// get the changes since with their next request. After a restart of all
+// processes the lists change all the time, and encoding 10,000 endpoints for
+// each process takes longer than the process waits.
+constexpr milliseconds kCompleteLifetime{500};
+
+// Index in view_publisher::answer_key.
+constexpr size_t kWantsWeights = 5;
+
 }  // namespace
 
 milliseconds GatherTime(size_t followers, size_t endpoints) {
@@ -73,6 +82,7 @@
 void view_publisher::BeginTerm(uint64_t term, time_point complete_at,
                                const fleet::view& followed) {
   fleet::BeginTerm(log_, term);
+  complete_answers_.clear();
   fleet::UpdateScope(log_, sources_.config());
   fleet::InheritLists(log_, followed);
   if (sources_.config().version > 0) RecordConfiguration();
@@ -102,6 +112,7 @@
 void view_publisher::OnConfigurationChanged() {
   RecordConfiguration();
   fleet::UpdateScope(log_, sources_.config());
+  complete_answers_.clear();
   Wake(lists_);
 }
 
@@ -119,7 +130,13 @@
 }
 
 void view_publisher::Wake(update_channel& channel) {
-  answers_.clear();
+  if (&channel == &lists_) {
+    answers_.clear();
+  } else {
+    std::erase_if(answers_, [](const auto& item) {
+      return std::get<kWantsWeights>(item.first);
+    });
+  }
   // Stores follow both channels, but wait only for the event of the weights.
   if (&channel == &lists_) lists_.published.Notify();
   weights_.published.Notify();
@@ -161,6 +178,8 @@
 bool view_publisher::UpdateLists() {
   const bool has_endpoints = sources_.update_endpoints(log_);
   const bool has_warnings = fleet::UpdateWarnings(log_, sources_.warnings());
+  // A process must not run a request that all others have quarantined.
+  if (has_warnings) complete_answers_.clear();
   const bool has_members = fleet::UpdateMembers(log_, sources_.members());
   return has_endpoints || has_warnings || has_members;
 }
@@ -212,6 +231,7 @@
   if (!fleet::HasBase(log_, input)) {
     input.held = {};
     input.held_scope = 0;
+    if (!input.wants_weights) return EncodedCompleteUpdate(input);
   }
   if (input.held.term != log_.term) input.held_weights = 0;
   const answer_key key(input.held.term, input.held.count, input.held_weights,
@@ -219,9 +239,24 @@
                        input.takes_config_changes);
   const auto cached = answers_.find(key);
   if (cached != answers_.end()) return cached->second;
+  return answers_[key] = MakeUpdate(input);
+}
+
+const std::string& view_publisher::EncodedCompleteUpdate(
+    const fleet::view_request& input) {
+  complete_answer& answer = complete_answers_[{input.scope, input.held_config,
+                                               input.takes_config_changes}];
+  const time_point now = clock_.Now();
+  const bool is_usable =
+      !answer.update.empty() && now - answer.made_at < kCompleteLifetime;
+  if (!is_usable) answer = {MakeUpdate(input), now};
+  return answer.update;
+}
+
+std::string view_publisher::MakeUpdate(const fleet::view_request& input) const {
   fleet::view_update update = fleet::MakeUpdate(log_, input);
   AddConfiguration(input, update);
-  return answers_[key] = core::EncodeBinary(update);
+  return core::EncodeBinary(update);
 }
 
 }  // namespace hickorywood::controller
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -103,6 +103,8 @@
   bool UpdateWeights();
   bool HasChangesFor(const fleet::view_request& input) const;
   const std::string& EncodedUpdate(fleet::view_request input);
+  const std::string& EncodedCompleteUpdate(const fleet::view_request& input);
+  std::string MakeUpdate(const fleet::view_request& input) const;
   void AddConfiguration(const fleet::view_request& input,
                         fleet::view_update& update) const;
   void RecordConfiguration();
@@ -124,6 +126,15 @@
   using answer_key = std::tuple<uint64_t, uint64_t, uint64_t, uint64_t,
                                 fleet::view_scope, bool, bool>;
   std::map<answer_key, std::string> answers_;
+  // Encoded answers with complete lists and without weights, for a while after
+  // they were made; by scope, held configuration and whether its changes are
+  // accepted.
+  struct complete_answer {
+    std::string update;
+    core::time_point made_at{};
+  };
+  using complete_key = std::tuple<fleet::view_scope, uint64_t, bool>;
+  std::map<complete_key, complete_answer> complete_answers_;
 };
 
 }  // namespace hickorywood::controller
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -122,6 +122,29 @@
   EXPECT_EQ(held.endpoints.size(), kEndpoints);
 }
 
+// All processes restart at once while endpoints join. Guards against complete
+// lists that are encoded again for each of them, which took longer than they
+// waited.
+TEST_F(ViewPublisherTest, CompleteListsAreSharedWhileEndpointsJoin) {
+  constexpr int kProcesses = 10;
+  clock.Pause();
+  for (int i = 0; i < kProcesses; ++i) {
+    fleet::endpoint item;
+    item.incarnation = "i-" + std::to_string(i);
+    endpoints.push_back(item);
+    publisher.PublishEndpoints();
+    held = {};
+    std::optional<fleet::view_update> answer;
+    RequestUpdate(answer, false, true);
+    RunUntil(answer);
+    EXPECT_EQ(held.endpoints.size(), 1U);
+  }
+  std::optional<fleet::view_update> next;
+  RequestUpdate(next, false);
+  RunUntil(next);
+  EXPECT_EQ(held.endpoints.size(), static_cast<size_t>(kProcesses));
+}
+
 // A configuration is committed among many other changes. It is sent in the next
 // turn of the loop and is not collected with them.
 TEST_F(ViewPublisherTest, ConfigurationIsSentAtOnce) {
