Names that the library looks for, and an await in braces

Cause: the linter. Change: the two functions by which endpoints are encoded are marked; the await of the leader stands in braces.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -72,7 +72,9 @@
 
 awaitable<envelope> leader_service::Handle(std::string method,
                                            std::string payload) {
-  if (method == peering::kLeaderMethod) co_await AwaitLeader();
+  if (method == peering::kLeaderMethod) {
+    co_await AwaitLeader();
+  }
   if (!group_.IsServing()) co_return NotLeader();
   if (method == peering::kLeaderMethod) co_return Done();
   if (method == peering::kViewMethod) {
--- a/packages/fleet/endpoint_registry.h
+++ b/packages/fleet/endpoint_registry.h
@@ -100,8 +100,10 @@
 };
 // Encoded as an array without field names: a complete list of 10,000 endpoints
 // has 0.6 MB instead of 1.5 MB.
+// NOLINTBEGIN(readability-identifier-naming): the library looks for these names
 void to_json(nlohmann::json& output, const endpoint& item);
 void from_json(const nlohmann::json& input, endpoint& item);
+// NOLINTEND(readability-identifier-naming)
 
 bool operator==(const endpoint& left, const endpoint& right);
 
