Shared complete lists have acknowledged departures

Cause, found while reading the change: a process that started after a departure was acknowledged could get a complete list of up to half a second before, and send requests to an endpoint that had left.

Test: SharedListsHaveAcknowledgedDepartures fails without the change.

Measured: the unit tests of the publisher.

--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -168,6 +168,8 @@
     co_await lists_.published.WaitUntil(until);
   }
   if (lists_.has_changes) co_return std::nullopt;
+  // A process that asks after an acknowledgement must not get lists without it.
+  complete_answers_.clear();
   co_return published_lists{log_.count, log_.plain_changed_at};
 }
 
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -145,6 +145,34 @@
   EXPECT_EQ(held.endpoints.size(), static_cast<size_t>(kProcesses));
 }
 
+// Guards against a process that starts after the departure of an endpoint was
+// acknowledged, and sends requests to it by an older list.
+TEST_F(ViewPublisherTest, SharedListsHaveAcknowledgedDepartures) {
+  fleet::endpoint item;
+  item.incarnation = "i-1";
+  endpoints = {item};
+  publisher.PublishEndpoints();
+  clock.Pause();
+  std::optional<fleet::view_update> before;
+  RequestUpdate(before, false, true);
+  RunUntil(before);
+  ASSERT_EQ(before->endpoints.size(), 1U);
+  endpoints.clear();
+  publisher.PublishEndpoints();
+  bool is_published = false;
+  boost::asio::co_spawn(
+      loop, publisher.AwaitPublished(clock.Now() + milliseconds(1000)),
+      [&is_published](const std::exception_ptr& /*none*/,
+                      std::optional<published_lists> published) {
+        is_published = published.has_value();
+      });
+  while (!is_published) loop.run_one();
+  std::optional<fleet::view_update> after;
+  RequestUpdate(after, false, true);
+  RunUntil(after);
+  EXPECT_TRUE(after->endpoints.empty());
+}
+
 // A configuration is committed among many other changes. It is sent in the next
 // turn of the loop and is not collected with them.
 TEST_F(ViewPublisherTest, ConfigurationIsSentAtOnce) {
