--- a/tests/unit/controller/weight_table_test.cc
+++ b/tests/unit/controller/weight_table_test.cc
@@ -268,7 +268,7 @@
   EXPECT_GE(EnginesPerModel(input, input.models.at("a")), 9 * before);
 }
 
-// Guards against loads to the whole fleet while no demand is reported, as after
+// Guards against loads to all engines while no demand is reported, as after
 // a restart of all instances.
 TEST(WeightTableTest, UnknownDemandNeedsFewEngines) {
   const load_plan_input input = Fleet(10000, 0);
--- a/tests/unit/duties/fencing_test.cc
+++ b/tests/unit/duties/fencing_test.cc
@@ -48,7 +48,7 @@
   return terms;
 }
 
-// Guards against weights that are not loaded for a whole lease after each
+// Guards against weights that are not loaded for the lease time after each
 // election.
 TEST(FencingTest, HolderThatNeverActedWaitsForCallsOnTheirWayOnly) {
   const act_history history = BeginHistory(time_point(milliseconds(0)));
--- a/tests/unit/fleet/view_log_test.cc
+++ b/tests/unit/fleet/view_log_test.cc
@@ -347,7 +347,7 @@
 }
 
 // A configuration sends requests to another service. Guards against an entry
-// that lacks its endpoints, or that is told to know that one of them leaves.
+// that lacks its endpoints, or that counts as knowing that one of them leaves.
 TEST(ViewLogTest, AnotherScopeGetsCompleteLists) {
   view_log log;
   BeginTerm(log, 1);
--- a/tests/unit/store/engine_ring_test.cc
+++ b/tests/unit/store/engine_ring_test.cc
@@ -42,7 +42,7 @@
       [&right](const std::string& name) { return right.count(name) != 0; }));
 }
 
-// Guards against a pass over the waiting tasks that visits the whole fleet.
+// Guards against a pass over the waiting tasks that visits all engines.
 TEST(EngineRingTest, VisitsDoNotGrowWithTheFleet) {
   for (const size_t engines : {1000U, 10000U, 20000U}) {
     size_t visits = 0;
