--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -1,4 +1,5 @@
 // standin engine ID ADDRESS ZONE CONTROLS
+// standin first-start RECORD FOLDER CONTROLS ENTRIES SERVERS
 // standin held-items RECORD FOLDER CONTROLS ENTRIES SERVERS TROUBLE
 // standin port ADDRESS...   prints a port that is free at all addresses
 
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "engine.h"
+#include "first_start.h"
 #include "fleet.h"
 #include "held_items.h"
 
@@ -59,6 +61,9 @@
   const std::string mode = words.empty() ? "" : words[0];
   if (mode == "engine" && words.size() == 5) return RunEngine(words);
   if (mode == "port") return PrintPort(words);
+  if (mode == "first-start" && words.size() == 6) {
+    return review::RunFirstStart(words, arguments[0]);
+  }
   if (mode == "held-items" && words.size() == 7) {
     return review::RunHeldItems(words, arguments[0]);
   }
