Review: case 2, items that follow a new route; the founder's disk becomes case 3

A valid change adds a route with a longer prefix to another service. 8 of 32 accepted items are sent there, get 404 and are listed as terminated 0.5 s later.

--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -1,3 +1,4 @@
+#!/usr/bin/env bash
 # Starts a small deployment on loopback addresses, with settings made from the templates of the deploy file: 5 control
 # instances, 3 stores and 3 entries in 3 zones, as strathallan-tunnels has them. Sourced by the scripts of the cases.
 # Sets CONTROLS, ENTRIES and FOLDER. The first machine starts AHEAD seconds before the others. Everything that was started ends with the script.
@@ -44,12 +45,15 @@
 }
 
 start_deployment() {
-  [ -x "$PROGRAM" ] && [ -x "$STANDIN" ] || { echo "build target/ and review/build.sh first" >&2; exit 2; }
+  if [ ! -x "$PROGRAM" ] || [ ! -x "$STANDIN" ]; then
+    echo "build target/ and run review/build.sh first" >&2
+    exit 2
+  fi
   local ips=("$NET.11" "$NET.12" "$NET.13" "$NET.14" "$NET.15" "$NET.21" "$NET.22" "$NET.23" "$NET.31" "$NET.32" "$NET.33")
   PEERS_PORT=$("$STANDIN" port "${ips[@]}") && CONTROL_PORT=$("$STANDIN" port "${ips[@]}") || exit 2
   FRONT_PORT=$("$STANDIN" port "${ips[@]}") && READY_PORT=$("$STANDIN" port "${ips[@]}") || exit 2
   local zones=(hall-clyde hall-forth hall-tay) i
-  CONTROLS= ENTRIES=
+  CONTROLS='' ENTRIES=''
   for i in 1 2 3 4 5; do
     write_settings control "core-$i" "$NET.1$i" "${zones[$(((i - 1) % 3))]}" true
     CONTROLS+=$NET.1$i:$CONTROL_PORT,
--- a/review/standin/engine.h
+++ b/review/standin/engine.h
@@ -1,5 +1,6 @@
 // A stand-in of a model server: announces itself, runs requests for tokens as
-// streams of events, and reports and loads weights.
+// streams of events, and reports and loads weights. With `known_path` it is a
+// server of an application, which knows this one path.
 #ifndef HICKORYWOOD_REVIEW_STANDIN_ENGINE_H_
 #define HICKORYWOOD_REVIEW_STANDIN_ENGINE_H_
 
@@ -22,6 +23,7 @@
   std::string zone;
   std::string service;
   std::string model;
+  std::string known_path;  // empty: a model server
   std::vector<std::string> controls;
   int slots = 12;
   int event_ms = 100;
@@ -62,12 +64,13 @@
   void SendHeartbeats() {
     size_t turn = 0;
     for (int sequence = 1;; ++sequence) {
-      const nlohmann::json beat = {
+      nlohmann::json beat = {
           {"service", options_.service}, {"address", options_.address},
           {"zone", options_.zone},       {"version", "v1"},
           {"slots", options_.slots},     {"state", "ready"},
           {"cold_left_ms", 0},           {"stage", "both"},
           {"models", Models()},          {"seq", sequence}};
+      if (options_.known_path.empty()) beat["models"] = Models();
       for (size_t tries = 0; tries < options_.controls.size(); ++tries) {
         const message answer =
             Call(options_.controls[turn % options_.controls.size()], "POST",
@@ -143,9 +146,26 @@
     if (running_ >= options_.slots) {
       return Reply(caller, input, 503, "Service Unavailable", false, "{}");
     }
+    if (!options_.known_path.empty()) return ServePath(caller, input);
     return Generate(caller, input);
   }
 
+  // An application answers what it doesn't know with 404.
+  bool ServePath(const channel& caller, const message& input) {
+    const std::string id = input.Header("x-request-id");
+    const bool is_known = input.Target() == options_.known_path;
+    Log("run " + id + " path " + input.Target() + " -> " +
+        (is_known ? "200" : "404"));
+    const std::string body = is_known ? "{\"held\":true}" : "{}";
+    return caller.Send(std::string("HTTP/1.1 ") +
+                       (is_known ? "200 OK" : "404 Not Found") +
+                       "\r\nX-Request-Id: " + id +
+                       "\r\nX-Response-Stamp: " + options_.id + "." + id +
+                       "\r\nContent-Type: application/json"
+                       "\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
   // The number of events is in the body: "... events=40".
   bool Generate(channel& caller, const message& input) {
     const std::string id = input.Header("x-request-id");
--- a/review/standin/first_start.h
+++ b/review/standin/first_start.h
@@ -1,4 +1,4 @@
-// Case 2: one core machine loses its disk right after the first start of all.
+// Case 3: one core machine loses its disk right after the first start of all.
 #ifndef HICKORYWOOD_REVIEW_STANDIN_FIRST_START_H_
 #define HICKORYWOOD_REVIEW_STANDIN_FIRST_START_H_
 
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -63,6 +63,7 @@
   std::string address;
   std::string zone;
   pid_t pid = -1;
+  std::string kind = "engine";
 };
 
 class server_fleet {
@@ -77,8 +78,10 @@
     for (server& item : servers) Kill(item, "end of the test");
   }
 
-  void Add(const std::string& address, const std::string& zone) {
-    servers.push_back({"", address, zone, -1});
+  // `kind`: `engine` or `app`, a mode of the stand-in.
+  void Add(const std::string& address, const std::string& zone,
+           const std::string& kind = "engine") {
+    servers.push_back({"", address, zone, -1, kind});
     Start(servers.back());
   }
 
@@ -86,7 +89,7 @@
   void Start(server& item) {
     item.id = "i-" + std::to_string(10000 + ++starts_);
     const std::string log = folder_ + "/server-" + item.id + ".log";
-    const std::vector<std::string> words = {program_,     "engine",  item.id,
+    const std::vector<std::string> words = {program_,     item.kind, item.id,
                                             item.address, item.zone, controls_};
     item.pid = fork();
     if (item.pid == 0) {
--- a/review/standin/held_items.h
+++ b/review/standin/held_items.h
@@ -20,8 +20,8 @@
 constexpr int64_t kUnservedMs = 5000;
 constexpr int64_t kContactMs = 3000;
 constexpr int kSlots = 12;
-// Six of nine servers crash once each, a second apart; one is down at a time.
-constexpr int kCrashes = 6;
+// Each of the nine servers crashes once, a second apart; one is down at a time.
+constexpr int kCrashes = 9;
 constexpr int64_t kCrashPeriodMs = 1000;
 constexpr int64_t kDownMs = 750;
 
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -1,4 +1,5 @@
-// standin engine ID ADDRESS ZONE CONTROLS
+// standin engine|app ID ADDRESS ZONE CONTROLS
+// standin moved-path RECORD FOLDER CONTROLS ENTRIES SERVERS TROUBLE
 // standin first-start RECORD FOLDER CONTROLS ENTRIES SERVERS
 // standin held-items RECORD FOLDER CONTROLS ENTRIES SERVERS TROUBLE
 // standin port ADDRESS...   prints a port that is free at all addresses
@@ -11,6 +12,7 @@
 #include "first_start.h"
 #include "fleet.h"
 #include "held_items.h"
+#include "moved_path.h"
 
 namespace {
 
@@ -22,6 +24,10 @@
   options.controls = review::Split(words[4]);
   options.service = "huvo11a";
   options.model = "daka510000";
+  if (words[0] == "app") {
+    options.service = "wuno96b";
+    options.known_path = "/lohu930/2f";
+  }
   return review::engine(options).Run();
 }
 
@@ -59,11 +65,15 @@
 int main(int count, char** arguments) {
   const std::vector<std::string> words(arguments + 1, arguments + count);
   const std::string mode = words.empty() ? "" : words[0];
-  if (mode == "engine" && words.size() == 5) return RunEngine(words);
+  const bool is_server = mode == "engine" || mode == "app";
+  if (is_server && words.size() == 5) return RunEngine(words);
   if (mode == "port") return PrintPort(words);
   if (mode == "first-start" && words.size() == 6) {
     return review::RunFirstStart(words, arguments[0]);
   }
+  if (mode == "moved-path" && words.size() == 7) {
+    return review::RunMovedPath(words, arguments[0]);
+  }
   if (mode == "held-items" && words.size() == 7) {
     return review::RunHeldItems(words, arguments[0]);
   }
