Review: case 3, line breaks in the data of events, in place of the founder's disk

An event may have several data lines; only the first is kept, and the result is listed as completed.

--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Starts a small deployment on loopback addresses, with settings made from the templates of the deploy file: 5 control
 # instances, 3 stores and 3 entries in 3 zones, as strathallan-tunnels has them. Sourced by the scripts of the cases.
-# Sets CONTROLS, ENTRIES and FOLDER. The first machine starts AHEAD seconds before the others. Everything that was started ends with the script.
+# Sets CONTROLS, ENTRIES and FOLDER; everything that was started ends with the script.
 
 FOLDER=$(mktemp -d)
 STARTED=()
@@ -58,7 +58,6 @@
     write_settings control "core-$i" "$NET.1$i" "${zones[$(((i - 1) % 3))]}" true
     CONTROLS+=$NET.1$i:$CONTROL_PORT,
     start_instance "core-$i"
-    [ "$i" = 1 ] && sleep "${AHEAD:-0}"
   done
   for i in 1 2 3; do
     write_settings store "store-$i" "$NET.2$i" "${zones[$((i - 1))]}" true
--- a/review/standin/engine.h
+++ b/review/standin/engine.h
@@ -4,8 +4,11 @@
 #ifndef HICKORYWOOD_REVIEW_STANDIN_ENGINE_H_
 #define HICKORYWOOD_REVIEW_STANDIN_ENGINE_H_
 
+#include <signal.h>
+
 #include <atomic>
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -24,18 +27,28 @@
   std::string service;
   std::string model;
   std::string known_path;  // empty: a model server
+  // Version of its software. From v2 on a line break in a text is sent as
+  // text/event-stream has it: as a further data line of the event.
+  std::string software = "v1";
   std::vector<std::string> controls;
   int slots = 12;
   int event_ms = 100;
   int heartbeat_ms = 1200;
 };
 
+// Set by SIGTERM.
+inline std::atomic<bool>& LeaveFlag() {
+  static std::atomic<bool> flag{false};
+  return flag;
+}
+
 class engine {
  public:
   explicit engine(engine_options options) : options_(std::move(options)) {}
 
   // Serves until the process ends. Returns if the address can't be used.
   int Run() {
+    signal(SIGTERM, [](int /*number*/) { LeaveFlag() = true; });
     const int listening = socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
     setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -55,32 +68,66 @@
   }
 
  private:
+  static constexpr int64_t kDrainMs = 2500;
+
+  static bool MustLeave() { return LeaveFlag(); }
+
   nlohmann::json Models() const {
     return nlohmann::json::array({{{"name", options_.model},
                                    {"version", version_.load()},
                                    {"adapters", nlohmann::json::array()}}});
   }
 
+  nlohmann::json Heartbeat(int sequence) const {
+    nlohmann::json beat = {{"service", options_.service},
+                           {"address", options_.address},
+                           {"zone", options_.zone},
+                           {"version", options_.software},
+                           {"slots", options_.slots},
+                           {"state", MustLeave() ? "draining" : "ready"},
+                           {"cold_left_ms", 0},
+                           {"seq", sequence}};
+    if (!options_.known_path.empty()) return beat;
+    beat["stage"] = "both";
+    beat["models"] = Models();
+    return beat;
+  }
+
+  // Sends a call to the control instances in turn until one takes it.
+  bool Announce(const std::string& call, const std::string& body) {
+    for (size_t tries = 0; tries < options_.controls.size(); ++tries) {
+      const message answer =
+          Call(options_.controls[turn_ % options_.controls.size()], "POST",
+               "/v1/instances/" + options_.id + "/" + call, {}, body, 1000);
+      if (answer.status / 100 == 2) return true;
+      ++turn_;
+    }
+    return false;
+  }
+
+  // On SIGTERM the server drains: it serves for drain_ms and a little longer
+  // after the acknowledgement, and until its runs have ended; then it leaves.
   void SendHeartbeats() {
-    size_t turn = 0;
+    int64_t acknowledged_at = 0;
     for (int sequence = 1;; ++sequence) {
-      nlohmann::json beat = {
-          {"service", options_.service}, {"address", options_.address},
-          {"zone", options_.zone},       {"version", "v1"},
-          {"slots", options_.slots},     {"state", "ready"},
-          {"cold_left_ms", 0},           {"stage", "both"},
-          {"models", Models()},          {"seq", sequence}};
-      if (options_.known_path.empty()) beat["models"] = Models();
-      for (size_t tries = 0; tries < options_.controls.size(); ++tries) {
-        const message answer =
-            Call(options_.controls[turn % options_.controls.size()], "POST",
-                 "/v1/instances/" + options_.id + "/heartbeat", {}, beat.dump(),
-                 1000);
-        if (answer.status / 100 == 2) break;
-        ++turn;
+      const bool is_leaving = MustLeave();
+      const bool is_taken = Announce("heartbeat", Heartbeat(sequence).dump());
+      if (is_leaving && is_taken && acknowledged_at == 0) {
+        acknowledged_at = NowMs();
+        Log("drain - acknowledged");
+      }
+      const bool may_leave = acknowledged_at > 0 &&
+                             NowMs() - acknowledged_at > kDrainMs &&
+                             running_ == 0;
+      if (may_leave) {
+        Announce("leave", "");
+        Log("leave - left");
+        std::exit(0);
+      }
+      const int64_t until = NowMs() + options_.heartbeat_ms;
+      while (NowMs() < until && MustLeave() == is_leaving) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
       }
-      std::this_thread::sleep_for(
-          std::chrono::milliseconds(options_.heartbeat_ms));
     }
   }
 
@@ -166,6 +213,14 @@
                        std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
+  // The data lines of an event, whose text has a line break in it. Version 1 of
+  // the software writes it as two characters.
+  std::string DataOf(const std::string& id, int event) const {
+    const std::string name = id + "/" + std::to_string(event);
+    return options_.software == "v1" ? name + " a\\n" + name + " b"
+                                     : name + " a\ndata: " + name + " b";
+  }
+
   // The number of events is in the body: "... events=40".
   bool Generate(channel& caller, const message& input) {
     const std::string id = input.Header("x-request-id");
@@ -187,8 +242,7 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(options_.event_ms));
       ++event;
       const std::string text = "id: " + std::to_string(event) +
-                               "\ndata: " + id + "/" + std::to_string(event) +
-                               "\n\n";
+                               "\ndata: " + DataOf(id, event) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof size, "%zx\r\n", text.size());
       is_open = !caller.IsClosed() && caller.Send(size + text + "\r\n");
@@ -204,6 +258,7 @@
   std::atomic<int> version_{1};
   std::atomic<int> orders_{0};
   std::atomic<int> running_{0};
+  size_t turn_ = 0;
   std::mutex mutex_;
 };
 
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -78,7 +78,7 @@
     for (server& item : servers) Kill(item, "end of the test");
   }
 
-  // `kind`: `engine` or `app`, a mode of the stand-in.
+  // `kind`: `engine`, `engine-v2` or `app`, a mode of the stand-in.
   void Add(const std::string& address, const std::string& zone,
            const std::string& kind = "engine") {
     servers.push_back({"", address, zone, -1, kind});
@@ -115,6 +115,14 @@
     record_.Note("server " + item.id + " is killed: " + why);
   }
 
+  // Planned work: a new server starts at another address, the old one drains.
+  void Replace(size_t index, const std::string& address,
+               const std::string& kind) {
+    Add(address, servers[index].zone, kind);
+    record_.Note("server " + servers[index].id + " is to drain");
+    kill(servers[index].pid, SIGTERM);
+  }
+
   // All lines that the servers wrote: time, server, text.
   std::vector<std::string> Lines() const {
     std::vector<std::string> lines;
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -1,7 +1,7 @@
-// standin engine|app ID ADDRESS ZONE CONTROLS
+// standin engine|engine-v2|app ID ADDRESS ZONE CONTROLS
 // standin moved-path RECORD FOLDER CONTROLS ENTRIES SERVERS TROUBLE
-// standin first-start RECORD FOLDER CONTROLS ENTRIES SERVERS
 // standin held-items RECORD FOLDER CONTROLS ENTRIES SERVERS TROUBLE
+// standin line-breaks RECORD FOLDER CONTROLS ENTRIES SERVERS TROUBLE
 // standin port ADDRESS...   prints a port that is free at all addresses
 
 #include <cstdio>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "engine.h"
-#include "first_start.h"
 #include "fleet.h"
 #include "held_items.h"
+#include "line_breaks.h"
 #include "moved_path.h"
 
 namespace {
@@ -24,6 +24,7 @@
   options.controls = review::Split(words[4]);
   options.service = "huvo11a";
   options.model = "daka510000";
+  if (words[0] == "engine-v2") options.software = "v2";
   if (words[0] == "app") {
     options.service = "wuno96b";
     options.known_path = "/lohu930/2f";
@@ -65,11 +66,12 @@
 int main(int count, char** arguments) {
   const std::vector<std::string> words(arguments + 1, arguments + count);
   const std::string mode = words.empty() ? "" : words[0];
-  const bool is_server = mode == "engine" || mode == "app";
+  const bool is_server =
+      mode == "engine" || mode == "engine-v2" || mode == "app";
   if (is_server && words.size() == 5) return RunEngine(words);
   if (mode == "port") return PrintPort(words);
-  if (mode == "first-start" && words.size() == 6) {
-    return review::RunFirstStart(words, arguments[0]);
+  if (mode == "line-breaks" && words.size() == 7) {
+    return review::RunLineBreaks(words, arguments[0]);
   }
   if (mode == "moved-path" && words.size() == 7) {
     return review::RunMovedPath(words, arguments[0]);
