--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -8,11 +8,11 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
--- a/review/standin/moved_path.h
+++ b/review/standin/moved_path.h
@@ -4,7 +4,6 @@
 #define HICKORYWOOD_REVIEW_STANDIN_MOVED_PATH_H_
 
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
