--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -64,6 +64,7 @@
   std::string zone;
   pid_t pid = -1;
   std::string kind = "engine";
+  int version = 1;  // of its weights at its start
 };
 
 class server_fleet {
@@ -81,7 +82,7 @@
   // `kind`: `engine`, `engine-v2` or `app`, a mode of the stand-in.
   void Add(const std::string& address, const std::string& zone,
            const std::string& kind = "engine") {
-    servers.push_back({"", address, zone, -1, kind});
+    servers.push_back({"", address, zone, -1, kind, newest_version});
     Start(servers.back());
   }
 
@@ -89,8 +90,13 @@
   void Start(server& item) {
     item.id = "i-" + std::to_string(10000 + ++starts_);
     const std::string log = folder_ + "/server-" + item.id + ".log";
-    const std::vector<std::string> words = {program_,     item.kind, item.id,
-                                            item.address, item.zone, controls_};
+    const std::vector<std::string> words = {program_,
+                                            item.kind,
+                                            item.id,
+                                            item.address,
+                                            item.zone,
+                                            controls_,
+                                            std::to_string(item.version)};
     item.pid = fork();
     if (item.pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -135,6 +141,9 @@
   }
 
   std::vector<server> servers;
+  // A server that starts again has the version of before (no test names one
+  // before a crash), a new one has the newest.
+  int newest_version = 1;
 
  private:
   const std::string program_;
--- a/review/standin/line_breaks.h
+++ b/review/standin/line_breaks.h
@@ -72,6 +72,8 @@
     if (!user.Submit(work, "/pufi791/7c41e0", model, NowMs() + 8000)) return 2;
     user.Read(work, work.accepted_at + 12000);
     user.End(work);
+    fleet.newest_version = step + 2;
+    if (!user.NameVersion(model, fleet.newest_version)) return 2;
     for (const nlohmann::json& result : work.results) {
       const std::string id = result.value("id", "");
       const std::string output = result.value("output", "");
--- a/review/standin/moved_path.h
+++ b/review/standin/moved_path.h
@@ -77,6 +77,13 @@
       !has_trouble ||
       user.Operate("/v1/config/put", ConfigurationWithApplication(2, model),
                    NowMs() + 8000);
+  // The new route serves what is meant for it.
+  if (has_trouble) {
+    const message answer =
+        Call(Split(words[4]).front(), "GET", "/pufi791/3/2f",
+             {{"Host", kHost}, {"X-Request-Id", "9c41d07be2a35f68"}}, "", 3000);
+    record.Note("GET /pufi791/3/2f -> " + std::to_string(answer.status));
+  }
   reading.join();
 
   const std::vector<std::string> lines = fleet.Lines();
