--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O1 -Wall -Wextra -pthread -o target/review/standin review/standin/main.cc
+g++ -std=c++20 -O1 -Wall -Wextra -pthread -o target/review/standin review/standin/main.cpp
--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -27,7 +27,7 @@
     [ "$1" = control ] && echo "  control: \"$3:$CONTROL_PORT\""
     [ "$1" = entry ] && echo "  callers: \"$3:$FRONT_PORT\"" && echo "  readiness: \"$3:$READY_PORT\""
     echo "  peers: \"$3:$PEERS_PORT\""
-    echo "  metrics: \"$3:9464\""
+    echo "  metrics: \"$3:$METRICS_PORT\""
     echo "seeds: [$NET.11:$CONTROL_PORT, $NET.12:$CONTROL_PORT, $NET.13:$CONTROL_PORT]"
     [ "$1" != entry ] && echo "first_start: $5" && echo "data_folder: \"$FOLDER/$2.data\""
     [ "$1" = store ] && echo "memory_mb: 280"
@@ -52,6 +52,7 @@
   local ips=("$NET.11" "$NET.12" "$NET.13" "$NET.14" "$NET.15" "$NET.21" "$NET.22" "$NET.23" "$NET.31" "$NET.32" "$NET.33")
   PEERS_PORT=$("$STANDIN" port "${ips[@]}") && CONTROL_PORT=$("$STANDIN" port "${ips[@]}") || exit 2
   FRONT_PORT=$("$STANDIN" port "${ips[@]}") && READY_PORT=$("$STANDIN" port "${ips[@]}") || exit 2
+  METRICS_PORT=$("$STANDIN" port "${ips[@]}") || exit 2
   local zones=(hall-clyde hall-forth hall-tay) i
   CONTROLS='' ENTRIES=''
   for i in 1 2 3 4 5; do
--- a/review/standin/main.cc
+++ b/review/standin/main.cpp
@@ -48,11 +48,11 @@
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in any = review::ParseAddress("127.0.0.1:0");
     socklen_t size = sizeof any;
-    bind(fd, reinterpret_cast<const sockaddr*>(&any), sizeof any);
-    getsockname(fd, reinterpret_cast<sockaddr*>(&any), &size);
+    bool is_free =
+        bind(fd, reinterpret_cast<const sockaddr*>(&any), size) == 0 &&
+        getsockname(fd, reinterpret_cast<sockaddr*>(&any), &size) == 0;
     close(fd);
     const std::string port = std::to_string(ntohs(any.sin_port));
-    bool is_free = true;
     for (size_t i = 1; i < words.size(); ++i) {
       is_free = is_free && IsFree(words[i] + ":" + port);
     }
