--- a/review/standin/held_items.h
+++ b/review/standin/held_items.h
@@ -14,7 +14,7 @@
 
 namespace review {
 
-constexpr int kGroups = 8;
+constexpr int kGroups = 12;
 constexpr int kSamplesPerGroup = 4;
 constexpr int64_t kTimeBudgetMs = 12000;
 constexpr int64_t kUnservedMs = 5000;
