Never quarantine batch work after crashes of its endpoints

Callers saw: a task of a step met three crashes of engines, and from then on it was sent to no engine for ten minutes, although all were idle; the same request in a later step neither.

Cause: packages/quarantine attributes each crash to every request that was running on the endpoint and quarantines a request after three. That is right for a plain request, whose caller can be told so, but a task is owed: servers may have crashed under it by chance. A second cause with the same effect was found on the way: tasks with crashes could not share engines, so that with more of them than engines the rest waited beside free places. The same on related paths: reward calls of tasks (request_sender) and samples of the native API (call_quarantine, generation_service).

Change: requests of tasks, reward calls and samples are marked as batch work. Their crashes are counted under digests of their own, but never lead to a quarantine and explain no crash of another request. A plain request that crashes endpoints stays quarantined as before. Separate engines are now a preference. Safeguards of an item: from the third crash on it pauses, 250 ms doubled up to 2 s; separate engines while there are free ones; max_attempts answers of 500, one of 422; its lifetime; engines are avoided after a failure. The counts of crashes are in the control leader's list, so a change of leader or of the configuration keeps the pace.

--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -98,7 +98,7 @@
   kStepsLoadedByLeader = 6013,
   kRunsCancelledWithoutLeader = 6014,
   kRunnerUnreachable = 6015,
-  kTaskQuarantined = 6016,
+  kTaskPausedAfterCrash = 6016,
   kTaskBodyRead = 6017,
   kRunMoved = 6018,
   kUsageClosed = 7001,
--- a/packages/fleet/request_warning.h
+++ b/packages/fleet/request_warning.h
@@ -17,9 +17,10 @@
   std::string digest;    // of the request, see quarantine/request_digest.h
   std::string customer;  // that sent the request
   std::string incarnation;
+  bool is_batch = false;  // see quarantine/request_digest.h
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(crash_report, digest, customer,
-                                                incarnation)
+                                                incarnation, is_batch)
 
 // Crashes that are not attributed to a request, because it was served
 // afterwards or an operator released it.
@@ -52,16 +53,19 @@
   int64_t length_s = 0;           // of the quarantine, from its start
   int64_t quarantines = 0;        // so far
   std::vector<std::string> forgiven;  // crashes that are not attributed to it
+  bool is_batch = false;              // see quarantine/request_digest.h
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(request_warning, digest,
                                                 customer, ends, is_quarantined,
-                                                length_s, quarantines, forgiven)
+                                                length_s, quarantines, forgiven,
+                                                is_batch)
 
 inline bool operator==(const request_warning& left,
                        const request_warning& right) {
   const auto fields = [](const request_warning& item) {
     return std::tie(item.digest, item.customer, item.ends, item.forgiven,
-                    item.is_quarantined, item.length_s, item.quarantines);
+                    item.is_quarantined, item.length_s, item.quarantines,
+                    item.is_batch);
   };
   return fields(left) == fields(right);
 }
--- a/packages/hickoryd/call_quarantine.cc
+++ b/packages/hickoryd/call_quarantine.cc
@@ -101,7 +101,8 @@
     return found;
   }
   const size_t crash_count = CrashesOf(found.digest).size();
-  if (crash_count >= ledger_.options.max_crashes) {
+  found.crashes = crash_count;
+  if (crash_count >= ledger_.options.max_crashes && !input.is_batch) {
     found.state = quarantine::quarantine_state::kQuarantined;
     found.remaining = kConfirmationTime;
   } else if (crash_count + 1 >= ledger_.options.max_crashes) {
@@ -129,9 +130,9 @@
 void call_quarantine::RecordBrokenConnection(
     const quarantine::request_identity& input,
     const membership::announcement& target) {
-  const fleet::crash_report suspected_request{quarantine::DigestOf(key_, input),
-                                              std::string(input.customer),
-                                              IncarnationOf(target)};
+  const fleet::crash_report suspected_request{
+      quarantine::DigestOf(key_, input), std::string(input.customer),
+      IncarnationOf(target), input.is_batch};
   if (!Watch(suspected_request, target)) return;
   AddUnconfirmed(suspected_request);
   quarantine_update update;
@@ -142,7 +143,7 @@
 void call_quarantine::RecordAbandoned(const quarantine::request_identity& input,
                                       const membership::announcement& target) {
   Watch({quarantine::DigestOf(key_, input), std::string(input.customer),
-         IncarnationOf(target)},
+         IncarnationOf(target), input.is_batch},
         target);
 }
 
@@ -337,7 +338,8 @@
     quarantine::LogQuarantineChanges(
         ledger_, quarantine::ClearCrashes(ledger_, forgiven, now));
     for (const std::string& crash : item.ends) {
-      const fleet::crash_report report{item.digest, item.customer, crash};
+      const fleet::crash_report report{item.digest, item.customer, crash,
+                                       item.is_batch};
       quarantine::LogQuarantineChanges(
           ledger_, quarantine::RecordCrash(ledger_, report, now));
     }
--- a/packages/hickoryd/generation_attempt.cc
+++ b/packages/hickoryd/generation_attempt.cc
@@ -1,6 +1,7 @@
 // The attempts of a generation on engines: their streams, failures and
 // completion.
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -8,6 +9,7 @@
 #include "core/events.h"
 #include "hickoryd/generation_service.h"
 #include "hickoryd/generation_state.h"
+#include "quarantine/suspect_separation.h"
 
 namespace hickorywood::hickoryd {
 namespace {
@@ -187,9 +189,12 @@
   }
   context_.counters.CountRetry(item.request.pool);
   item.request.avoid_engine = engine;
-  const bool is_suspected = quarantine_.Check(IdentityOf(item)).state !=
-                            quarantine::quarantine_state::kClear;
-  Requeue(item, is_suspected ? kSuspectedPause : kFailurePause);
+  const quarantine::quarantine_decision decision =
+      quarantine_.Check(IdentityOf(item));
+  const bool is_suspected =
+      decision.state != quarantine::quarantine_state::kClear;
+  Requeue(item, std::max(is_suspected ? kSuspectedPause : kFailurePause,
+                         quarantine::PauseAfterCrash(decision.crashes)));
 }
 
 void generation_service::Requeue(generation& item, core::milliseconds pause) {
@@ -209,7 +214,6 @@
   if (decision.state != quarantine::quarantine_state::kQuarantined) {
     return false;
   }
-  item.was_quarantined = true;
   Fail(item, "engines crashed while running this request; it is held back",
        decision.remaining);
   return true;
@@ -218,7 +222,8 @@
 void generation_service::Fail(generation& item, const std::string& reason,
                               core::milliseconds retry_after) {
   generation_result result;
-  result.was_quarantined = item.was_quarantined;
+  result.crash_pause =
+      quarantine::PauseAfterCrash(quarantine_.Check(IdentityOf(item)).crashes);
   result.generated = item.generated;
   result.reason = reason;
   result.retry_after = retry_after;
--- a/packages/hickoryd/generation_service.h
+++ b/packages/hickoryd/generation_service.h
@@ -53,7 +53,9 @@
   request_outcome outcome = request_outcome::kNotRun;
   std::string reason;
   core::milliseconds retry_after{0};  // 0: a retry does not help
-  bool was_quarantined = false;       // engines crashed while running it
+  // Minimum time until the next attempt because engines crashed under it; 0:
+  // none.
+  core::milliseconds crash_pause{0};
 };
 
 struct generation_callbacks {
--- a/packages/hickoryd/generation_state.h
+++ b/packages/hickoryd/generation_state.h
@@ -25,7 +25,6 @@
   core::time_point arrived_at{};
   int failures = 0;
   bool was_maybe_sent = false;
-  bool was_quarantined = false;
   std::string target;  // identifies the request together with the prompt
 
   // The current attempt.
@@ -45,7 +44,9 @@
 
 inline quarantine::request_identity generation_service::IdentityOf(
     const generation& item) {
-  return {item.request.pool, "POST", item.target, item.request.prompt};
+  const bool is_sample = item.request.kind == routing::traffic_class::kRollout;
+  return {item.request.pool, "POST", item.target, item.request.prompt,
+          is_sample};
 }
 
 }  // namespace hickorywood::hickoryd
--- a/packages/hickoryd/step_service.cc
+++ b/packages/hickoryd/step_service.cc
@@ -16,9 +16,6 @@
 
 constexpr milliseconds kRunPeriod{20};
 constexpr milliseconds kFailedSamplePause{100};
-// Retry interval of a quarantined sample, which may have been cleared
-// meanwhile.
-constexpr milliseconds kQuarantinedPause{5000};
 // Generations of one step that may be queued in the pool in addition to those
 // that its engines can run.
 constexpr int64_t kQueuedBeyondCapacity = 16;
@@ -71,15 +68,14 @@
       pool->hedge_after, pool->hedge_token_budget, hedging_enabled_};
   for (const rollout::launch& launch : rollout::NextLaunches(
            step->run, hedging, now, static_cast<size_t>(limit - running))) {
-    BeginSample(step, launch);
+    BeginSample(step, launch, *pool);
   }
 }
 
 void step_service::BeginSample(const step_ptr& step,
-                               const rollout::launch& launch) {
+                               const rollout::launch& launch,
+                               const settings::pool_config& pool) {
   const rollout::step_spec& spec = step->run.spec;
-  const auto view = context_.view_holder.Get();
-  const settings::pool_config& pool = view->config->pools.at(spec.pool);
   generation_request request;
   request.id = spec.step + "." + std::to_string(launch.slot) + "." +
                std::to_string(step->run.epoch) + "." +
@@ -125,9 +121,8 @@
   if (step->is_stopped) return;
   const core::time_point now = context_.clock.Now();
   if (!result.is_complete || !rollout::IsLabelComplete(result.generated)) {
-    rollout::RecordFailed(
-        step->run, launch.slot, launch.attempt, now,
-        result.was_quarantined ? kQuarantinedPause : kFailedSamplePause);
+    rollout::RecordFailed(step->run, launch.slot, launch.attempt, now,
+                          std::max(kFailedSamplePause, result.crash_pause));
     return;
   }
   rollout::sample sample;
--- a/packages/hickoryd/step_service.h
+++ b/packages/hickoryd/step_service.h
@@ -106,7 +106,8 @@
   // Functions that run the steps which this instance coordinates.
   void RunSteps();
   void LaunchSamples(const step_ptr& step);
-  void BeginSample(const step_ptr& step, const rollout::launch& launch);
+  void BeginSample(const step_ptr& step, const rollout::launch& launch,
+                   const settings::pool_config& pool);
   void HandleSampleResult(const step_ptr& step, const rollout::launch& launch,
                           const generation_result& result);
   void Replicate(const step_ptr& step);
--- a/packages/quarantine/crash_detector.cc
+++ b/packages/quarantine/crash_detector.cc
@@ -133,7 +133,8 @@
   std::string digest = DigestOf(input);
   if (digest.empty() || IsLeaving(target)) return;
   RemoveExpiredEntries();
-  AddUnresponsive(target, {std::move(digest), std::string(input.customer)});
+  AddUnresponsive(
+      target, {std::move(digest), std::string(input.customer), input.is_batch});
   if (HasSuccessor(target)) HandleCrash(target.incarnation);
 }
 
@@ -150,7 +151,8 @@
                     return item.digest == digest;
                   });
   if (!is_recorded && entry.requests.size() < kMaxRequests) {
-    entry.requests.push_back({digest, std::string(input.customer)});
+    entry.requests.push_back(
+        {digest, std::string(input.customer), input.is_batch});
   }
   if (HasSuccessor(target)) {
     HandleCrash(target.incarnation);
@@ -230,7 +232,8 @@
              {{"digest", item.digest},
               {"customer", item.customer},
               {"endpoint", incarnation}});
-    const fleet::crash_report report{item.digest, item.customer, incarnation};
+    const fleet::crash_report report{item.digest, item.customer, incarnation,
+                                     item.is_batch};
     RecordCrash(ledger_, report, now);
     outbox_.reports.push_back(report);
   }
@@ -294,7 +297,7 @@
     for (const std::string& crash : item.ends) {
       if (Has(warning.ends, crash) || Has(warning.forgiven, crash)) continue;
       if (outbox_.reports.size() >= kMaxReports) return;
-      outbox_.reports.push_back({digest, item.customer, crash});
+      outbox_.reports.push_back({digest, item.customer, crash, item.is_batch});
     }
     fleet::cleared_crashes cleared{digest, item.customer, {}};
     for (const std::string& crash : item.cleared) {
--- a/packages/quarantine/crash_detector.h
+++ b/packages/quarantine/crash_detector.h
@@ -69,6 +69,7 @@
   struct affected_request {
     std::string digest;
     std::string customer;
+    bool is_batch = false;
   };
   // Requests that were running on an endpoint that may have crashed without
   // closing its connections.
--- a/packages/quarantine/crash_ledger.cc
+++ b/packages/quarantine/crash_ledger.cc
@@ -52,10 +52,11 @@
 }
 
 // Makes room for one more request. Evicts requests of the customer that has the
-// most: first those that are not quarantined, of these the ones with the fewest
-// crashes (none, if all were cleared), then the oldest. So a customer that
-// keeps sending new requests evicts only its own. Evicts several requests at a
-// time, since finding them scans the entire ledger.
+// most: first those that are not quarantined, of these first batch work, then
+// the ones with the fewest crashes (none, if all were cleared), then the
+// oldest. So a customer that keeps sending new requests evicts only its own.
+// Evicts several requests at a time, since finding them scans the entire
+// ledger.
 void EvictIfFull(crash_ledger& ledger) {
   if (ledger.suspects.size() < ledger.options.max_requests) return;
   std::map<std::string_view, size_t> counts;
@@ -64,16 +65,18 @@
                                      [](const auto& left, const auto& right) {
                                        return left.second < right.second;
                                      });
-  using rank = std::tuple<bool, size_t, time_point, std::string>;
+  using rank = std::tuple<bool, bool, size_t, time_point, std::string>;
   std::vector<rank> ranks;
   for (const auto& [digest, item] : ledger.suspects) {
     if (item.customer != most->first) continue;
-    ranks.emplace_back(item.is_quarantined, item.ends.size(), item.changed_at,
-                       digest);
+    ranks.emplace_back(item.is_quarantined, !item.is_batch, item.ends.size(),
+                       item.changed_at, digest);
   }
   std::sort(ranks.begin(), ranks.end());
   const size_t evicted = std::max<size_t>(1, ranks.size() / kEvictionDivisor);
-  for (size_t i = 0; i < evicted; ++i) Remove(ledger, std::get<3>(ranks[i]));
+  for (size_t i = 0; i < evicted; ++i) {
+    Remove(ledger, std::get<std::string>(ranks[i]));
+  }
 }
 
 void AddCrash(crash_ledger& ledger, const std::string& digest, suspect& item,
@@ -202,10 +205,11 @@
   }
   suspect& item = ledger.suspects[report.digest];
   item.customer = report.customer;
+  item.is_batch = report.is_batch;
   item.changed_at = now;
   AddCrash(ledger, report.digest, item, report.incarnation);
   const bool must_quarantine =
-      !item.is_quarantined &&
+      !item.is_batch && !item.is_quarantined &&
       CountUnexplainedCrashes(ledger, report.digest, item) >=
           ledger.options.max_crashes;
   if (must_quarantine) {
@@ -335,7 +339,8 @@
                     item.is_quarantined,
                     item.duration.count(),
                     item.quarantines,
-                    {item.cleared.begin(), item.cleared.end()}});
+                    {item.cleared.begin(), item.cleared.end()},
+                    item.is_batch});
   }
   return list;
 }
@@ -353,6 +358,7 @@
                     return !Contains(warning.ends, incarnation);
                   });
   item.customer = warning.customer;
+  item.is_batch = warning.is_batch;
   for (const std::string& crash : warning.ends) {
     item.cleared.erase(crash);
     if (!HasCrash(item, crash)) AddCrash(ledger, warning.digest, item, crash);
--- a/packages/quarantine/crash_ledger.h
+++ b/packages/quarantine/crash_ledger.h
@@ -12,6 +12,9 @@
 // on the endpoint. A request turns out not to be the cause when an endpoint
 // serves it, or when its crashes are explained by another request that has more
 // of them.
+//
+// Batch work (request_identity::is_batch) has its crashes counted, but is never
+// quarantined and explains no crash of another request.
 
 #include <chrono>
 #include <cstddef>
@@ -50,6 +53,7 @@
 
 struct suspect {
   std::string customer;
+  bool is_batch = false;
   // Incarnations that crashed under the request, oldest first.
   std::vector<std::string> ends;
   // Incarnations whose crashes no longer count: the request was served or
--- a/packages/quarantine/quarantine_decision.cc
+++ b/packages/quarantine/quarantine_decision.cc
@@ -20,6 +20,7 @@
   quarantine_decision decision;
   decision.digest = digest;
   decision.state = QuarantineStateOf(ledger, digest, now);
+  decision.crashes = CountCrashes(ledger, digest);
   if (decision.state == quarantine_state::kQuarantined) {
     decision.remaining = std::chrono::ceil<core::milliseconds>(
         ledger.suspects.at(digest).quarantined_until - now);
--- a/packages/quarantine/quarantine_decision.h
+++ b/packages/quarantine/quarantine_decision.h
@@ -19,6 +19,7 @@
   // Empty: the request is not in the ledger, so its digest was not computed.
   std::string digest;
   core::milliseconds remaining{0};  // until the quarantine ends
+  size_t crashes = 0;               // that are attributed to the request
 };
 
 // Whether the request can be one of those in the ledger, by the prefix of its
--- a/packages/quarantine/request_digest.cc
+++ b/packages/quarantine/request_digest.cc
@@ -50,7 +50,8 @@
 mac_state StartDigest(std::string_view key, const request_identity& input) {
   mac_state state = StartMac(key);
   AddField(state, absl::AsciiStrToLower(std::string(input.customer)));
-  AddField(state, input.method);
+  AddField(state, input.is_batch ? "batch " + std::string(input.method)
+                                 : std::string(input.method));
   AddField(state, input.target);
   AddNumber(state, input.body.size());
   return state;
--- a/packages/quarantine/request_digest.h
+++ b/packages/quarantine/request_digest.h
@@ -18,6 +18,10 @@
   std::string_view method;
   std::string_view target;  // path with the query
   std::string_view body;
+  // Work that was accepted to be run later: a task, its reward call, a sample
+  // of a step. It is never quarantined, because its result is still due. A
+  // caller's request with the same content is another request.
+  bool is_batch = false;
 };
 
 // Identity of a request as its caller sent it, or as it is sent to an endpoint:
--- a/packages/quarantine/suspect_separation.cc
+++ b/packages/quarantine/suspect_separation.cc
@@ -8,6 +8,14 @@
 // A request that has made this many events counts as past its crash, so that
 // long requests don't keep an endpoint to themselves after a loss by chance.
 constexpr uint64_t kEventsWithoutCrash = 5;
+// Crashes from which on a request pauses. Fewer are common by chance when a
+// rack fails.
+constexpr size_t kCrashesToPause = 3;
+// Pause after that crash. Each further crash doubles it.
+constexpr core::milliseconds kFirstPause{250};
+// Half of the time within which endpoints with free places must run waiting
+// work, so that a pause and the choice of an endpoint fit in it.
+constexpr core::milliseconds kMaxPause{2000};
 
 }  // namespace
 
@@ -22,6 +30,15 @@
   return events > std::min(request.events_at_crash, kEventsWithoutCrash);
 }
 
+core::milliseconds PauseAfterCrash(size_t crashes) {
+  if (crashes < kCrashesToPause) return core::milliseconds(0);
+  core::milliseconds pause = kFirstPause;
+  for (size_t i = kCrashesToPause; i < crashes && pause < kMaxPause; ++i) {
+    pause *= 2;
+  }
+  return std::min(pause, kMaxPause);
+}
+
 void AddSuspect(suspects_on_endpoint& there, const crash_suspicion& request) {
   if (request.crashes == 0) return;
   ++there.all;
--- a/packages/quarantine/suspect_separation.h
+++ b/packages/quarantine/suspect_separation.h
@@ -1,14 +1,20 @@
 #ifndef HICKORYWOOD_QUARANTINE_SUSPECT_SEPARATION_H_
 #define HICKORYWOOD_QUARANTINE_SUSPECT_SEPARATION_H_
 
-// Keeps the possible causes of a crash on separate endpoints. After a crash the
-// cause can't be distinguished from the other requests that were running there.
-// If they ran together again, each crash would be attributed to all of them,
-// until all were quarantined. Decisions over plain data.
+// Limits the damage of batch work that crashes endpoints. Such work is not
+// quarantined, because an endpoint may have crashed under it by chance and its
+// result is still due.
+//
+// Possible causes of a crash are kept on separate endpoints where other places
+// are free: after a crash the cause can't be distinguished from the other
+// requests that were running there. From the third crash on, a request also
+// pauses after each crash. Decisions over plain data.
 
 #include <cstddef>
 #include <cstdint>
 
+#include "core/clock.h"
+
 namespace hickorywood::quarantine {
 
 // What is known of one request.
@@ -26,8 +32,9 @@
   int all = 0;       // with any
 };
 
-// Whether a request may join those on an endpoint. One with a single crash
-// avoids requests that may be the cause of it. One with two crashes is most
+// Whether a request may join those on an endpoint while another endpoint has a
+// free place that it may take. One with a single crash avoids requests that may
+// be the cause of it. One with two crashes is most
 // likely the cause, so it avoids every request that could be taken for it.
 bool MayJoin(const crash_suspicion& request, const suspects_on_endpoint& there);
 
@@ -36,6 +43,10 @@
 // each time.
 bool IsPastCrash(const crash_suspicion& request, uint64_t events);
 
+// Minimum time between a crash under a request and its next run, by the number
+// of its crashes.
+core::milliseconds PauseAfterCrash(size_t crashes);
+
 // Records a request that begins to run, gets past its crash, or ends on an
 // endpoint.
 void AddSuspect(suspects_on_endpoint& there, const crash_suspicion& request);
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -83,6 +83,7 @@
   std::optional<net::response> best;  // usable answer so far
   std::string problem;
   bool is_suspected = false;
+  size_t crashes = 0;
   std::optional<milliseconds> quarantined_for;
   net::event changed;
 
@@ -167,6 +168,7 @@
   const quarantine::quarantine_decision decision = crashes_.Check(identity);
   state.is_suspected =
       decision.state == quarantine::quarantine_state::kSuspected;
+  state.crashes = decision.crashes;
   if (decision.state != quarantine::quarantine_state::kQuarantined) {
     return true;
   }
@@ -198,7 +200,8 @@
   if (state->service.empty()) {
     state->service = std::string(fleet::DrawService(terms.route, DrawShare()));
   }
-  const quarantine::request_identity identity = quarantine::IdentityOf(input);
+  quarantine::request_identity identity = quarantine::IdentityOf(input);
+  identity.is_batch = terms.is_batch;
   for (;;) {
     const bool is_time = state->running == 0 || clock_.Now() >= state->hedge_at;
     const bool is_due = is_time && MayStart(*state);
@@ -224,6 +227,7 @@
   outcome.refusals = state->refusals;
   outcome.endpoints = state->tried.size();
   outcome.problem = state->problem;
+  outcome.crashes = state->crashes;
   outcome.quarantined_for = state->quarantined_for;
   co_return outcome;
 }
@@ -324,10 +328,12 @@
     const bool is_cancelled =
         cancellation.cancelled() != asio::cancellation_type::none;
     const bool is_abandoned = call.is_timeout || is_cancelled;
+    quarantine::request_identity identity = quarantine::IdentityOf(output);
+    identity.is_batch = state->terms.is_batch;
     if (result.may_have_run && !is_abandoned) {
-      crashes_.RecordBrokenConnection(quarantine::IdentityOf(output), target);
+      crashes_.RecordBrokenConnection(identity, target);
     } else if (result.may_have_run && !state->best) {
-      crashes_.RecordAbandoned(quarantine::IdentityOf(output), target);
+      crashes_.RecordAbandoned(identity, target);
     }
   }
   if (!result.is_usable) {
--- a/packages/routing/request_sender.h
+++ b/packages/routing/request_sender.h
@@ -50,6 +50,8 @@
   run_observer on_run;  // empty: not called
   // The service, if it was chosen from those of the route already.
   std::string service;
+  // See quarantine::request_identity.
+  bool is_batch = false;
   // Incarnation of the endpoint for the first attempt, if it is still in use;
   // empty: chosen by load.
   std::string first_endpoint;
@@ -67,6 +69,7 @@
   int refusals = 0;           // attempts that ended without running it
   size_t endpoints = 0;       // endpoints that were tried
   std::string problem;        // why no further endpoint was tried
+  size_t crashes = 0;  // attributed to the request before the last attempt
   // Set when the request is quarantined because endpoints crash while they run
   // it: the time for which it is sent to no endpoint.
   std::optional<std::chrono::milliseconds> quarantined_for;
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -272,9 +272,9 @@
 bool dispatcher::MayStart(const task_key& key, tracked_task& task) {
   const bool is_due =
       task.stage == task_stage::kWaiting && task.not_before <= clock_.Now();
-  if (!is_due || MustWaitForQuarantine(key, task)) return false;
-  UpdateSuspicion(task);
-  return true;
+  if (!is_due) return false;
+  UpdateSuspicion(key, task);
+  return !IsPausedAfterCrash(key, task);
 }
 
 // Returns nothing if the request of the task was discarded, or has no route.
@@ -317,8 +317,11 @@
       steps::ChooseEngine(engines.loads, max_streams, task.left_engine);
   // No other engine has a free slot, so allow the engine that the task left.
   if (!choice) choice = steps::ChooseEngine(engines.loads, max_streams);
-  // A suspected task may wait for an engine when the tasks after it need not.
-  if (!choice) return task.suspicion.crashes > 0;
+  if (!choice && task.suspicion.crashes > 0) {
+    AdmitExcluded(engines);
+    choice = steps::ChooseEngine(engines.loads, max_streams);
+  }
+  if (!choice) return false;
   const fleet::endpoint& engine = *engines.endpoints[*choice];
   const std::optional<std::string> runner = ChooseRunnerFor(engine.zone, pass);
   if (!runner) return false;
@@ -344,6 +347,10 @@
   }
 }
 
+void dispatcher::AdmitExcluded(engine_pool& pool) {
+  for (steps::engine_load& load : pool.loads) load.is_excluded = false;
+}
+
 std::optional<std::string> dispatcher::ChooseRunnerFor(
     const std::string& zone, const dispatch_pass& pass) const {
   const bool is_own_limit_reached = runs_.size() >= kMaxOwnRuns;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -102,9 +102,10 @@
     bool is_complete_text_committed = false;
     core::time_point completed_at{};
     std::string digest;  // of the request; computed when first needed
-    bool is_waiting_for_quarantine = false;
     // Crashes of engines under its runs.
     quarantine::crash_suspicion suspicion;
+    core::time_point broken_at{};  // end of the last run that broke
+    int paused_crashes = 0;        // crashes for which a pause was logged
   };
   struct tracked_step {
     std::vector<tracked_task> tasks;
@@ -263,6 +264,9 @@
   static std::string PromptOf(const candidate& item);
   // Updates the loads of a pool for one task.
   void UpdateLoads(engine_pool& pool, const candidate& item) const;
+  // Admits engines that the task should not share with other suspected tasks.
+  // Used when no other engine has a free slot.
+  static void AdmitExcluded(engine_pool& pool);
   std::optional<candidate> FindCandidate(const task_key& key) const;
   bool MayStart(const task_key& key, tracked_task& task);
 
@@ -317,11 +321,11 @@
   void RecordEngineOutcome(const std::string& incarnation, run_outcome how);
   void RecordBrokenConnection(const run& ended);
   void RecordServed(const task_key& key);
-  // Whether the request of the task is quarantined because engines crashed
-  // while they ran it. Such a task must wait.
-  bool MustWaitForQuarantine(const task_key& key, tracked_task& task);
+  // Whether the task must wait because engines crashed while they ran it, see
+  // quarantine::PauseAfterCrash().
+  bool IsPausedAfterCrash(const task_key& key, tracked_task& task);
   // Updates how many engines are known to have crashed under the task.
-  void UpdateSuspicion(tracked_task& task) const;
+  void UpdateSuspicion(const task_key& key, tracked_task& task);
   void UpdatePastCrash(run& self, const tracked_task& task);
   // Called when the text of a task is complete. Requests the score, or finishes
   // the task if it has no reward request.
--- a/packages/store/dispatcher_placement.cc
+++ b/packages/store/dispatcher_placement.cc
@@ -291,9 +291,15 @@
     return start_outcome::kDone;
   }
   const steps::placement_task task = DescribeTask(key);
-  const steps::placement chosen =
-      steps::Place(DescribeEngines(pool, service, pass), task,
-                   steps::SlowdownPerStream(EffectOf(service)));
+  const double slowdown = steps::SlowdownPerStream(EffectOf(service));
+  steps::placement chosen =
+      steps::Place(DescribeEngines(pool, service, pass), task, slowdown);
+  const bool is_suspected =
+      steps_.at(key.step).tasks[key.task].suspicion.crashes > 0;
+  if (!chosen.engine && is_suspected) {
+    AdmitExcluded(pool);
+    chosen = steps::Place(DescribeEngines(pool, service, pass), task, slowdown);
+  }
   if (!chosen.engine) {
     if (chosen.awaited) {
       // The next task that waits for this engine gets a later place.
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -340,7 +340,8 @@
       task->suspicion.events_at_crash =
           std::max(task->suspicion.events_at_crash,
                    task->text.events - ended->events_at_start);
-      task->not_before = clock_.Now() + kCrashCheckTime;
+      task->broken_at = clock_.Now();
+      task->not_before = task->broken_at + kCrashCheckTime;
       break;
     case run_outcome::kMoved:
       break;
@@ -354,36 +355,33 @@
   const steps::task_request* const input = RequestOf(key);
   if (input == nullptr) return std::nullopt;
   return quarantine::request_identity{state_.Find(key.step)->input.host, "POST",
-                                      input->path, input->body};
+                                      input->path, input->body, true};
 }
 
-bool dispatcher::MustWaitForQuarantine(const task_key& key,
-                                       tracked_task& task) {
-  if (crashes_.HasNoSuspects()) {
-    task.is_waiting_for_quarantine = false;
-    return false;
+bool dispatcher::IsPausedAfterCrash(const task_key& key, tracked_task& task) {
+  const milliseconds pause =
+      quarantine::PauseAfterCrash(static_cast<size_t>(task.suspicion.crashes));
+  if (clock_.Now() - task.broken_at >= pause) return false;
+  if (task.paused_crashes != task.suspicion.crashes) {
+    task.paused_crashes = task.suspicion.crashes;
+    LogEvent(event_id::kTaskPausedAfterCrash,
+             {{"step", key.step},
+              {"task", Text(key.task)},
+              {"digest", task.digest},
+              {"crashes", std::to_string(task.suspicion.crashes)},
+              {"ms", std::to_string(pause.count())}});
   }
+  return true;
+}
+
+void dispatcher::UpdateSuspicion(const task_key& key, tracked_task& task) {
+  task.suspicion.crashes = 0;
+  if (crashes_.HasNoSuspects()) return;
   if (task.digest.empty()) {
     const auto identity = IdentityOf(key);
-    if (!identity) return false;
+    if (!identity) return;
     task.digest = crashes_.DigestOf(*identity);
   }
-  const bool was_waiting_for_quarantine = task.is_waiting_for_quarantine;
-  task.is_waiting_for_quarantine = crashes_.CheckDigest(task.digest).state ==
-                                   quarantine::quarantine_state::kQuarantined;
-  if (task.is_waiting_for_quarantine && !was_waiting_for_quarantine) {
-    LogEvent(event_id::kTaskQuarantined, {{"step", key.step},
-                                          {"task", Text(key.task)},
-                                          {"digest", task.digest}});
-  }
-  return task.is_waiting_for_quarantine;
-}
-
-void dispatcher::UpdateSuspicion(tracked_task& task) const {
-  if (crashes_.HasNoSuspects() || task.digest.empty()) {
-    task.suspicion.crashes = 0;
-    return;
-  }
   task.suspicion.crashes = static_cast<int>(crashes_.CountCrashes(task.digest));
 }
 
--- a/packages/store/reward_caller.cc
+++ b/packages/store/reward_caller.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/events.h"
+#include "quarantine/suspect_separation.h"
 #include "steps/reward_choice.h"
 #include "store/dispatch_limits.h"
 
@@ -17,14 +18,8 @@
 // Timeout of requests of a route that has none configured.
 constexpr milliseconds kDefaultTimeout{2000};
 
-// Maximum pause before a quarantined request is tried again. A quarantine may
-// be lifted before its scheduled end.
-constexpr milliseconds kMaxQuarantinePause{1000};
-
 milliseconds RetryPauseAfter(const routing::send_outcome& outcome) {
-  return outcome.quarantined_for
-             ? std::min(*outcome.quarantined_for, kMaxQuarantinePause)
-             : kRetryPause;
+  return std::max(kRetryPause, quarantine::PauseAfterCrash(outcome.crashes));
 }
 
 bool IsScored(const routing::send_outcome& outcome) {
@@ -117,6 +112,7 @@
   routing::send_terms terms;
   terms.route = route;
   terms.id = job->job.request.id;
+  terms.is_batch = true;
   if (view_.config.needs_keys) terms.customer = job->job.customer;
   terms.deadline = started + timeout;
   job->is_sent = true;
--- a/tests/integration/samples_test.cc
+++ b/tests/integration/samples_test.cc
@@ -123,6 +123,38 @@
   }
 }
 
+// Guards against a sample without a fault that is held back for minutes,
+// because engines crashed while they ran it.
+TEST_F(SamplesTest, SampleIsGeneratedAfterManyEnginesCrashedUnderIt) {
+  constexpr int kCrashes = 5;
+  std::vector<endpoint_spec> engines = {{"e1"}, {"e2"}};
+  for (endpoint_spec& spec : engines) spec.flags = {"--ends_on=crash"};
+  StartWith(engines);
+  json spec = StepSpec("unlucky", 2, 1);
+  spec["prompts"][0] = "crash";
+  Open("n1", spec);
+  int crashes = 0;
+  ASSERT_TRUE(WaitUntil([&] {
+    for (const endpoint_spec& engine : engines) {
+      const auto exit_code =
+          fleet_.Endpoint(engine.id).WaitForExit(std::chrono::milliseconds(0));
+      if (!exit_code) continue;
+      ++crashes;
+      endpoint_spec next = engine;
+      if (crashes >= kCrashes) next.flags.clear();
+      fleet_.StartEndpoint(next);
+    }
+    return crashes >= kCrashes;
+  }));
+  // One engine may still have the flag, and crash once more.
+  const auto started = std::chrono::steady_clock::now();
+  const pull_outcome outcome = PullAll(fleet_, "unlucky", {{"n1", "n2"}});
+  ASSERT_TRUE(outcome.is_done);
+  ExpectEachSlotOnce(outcome, 2);
+  EXPECT_LE(std::chrono::steady_clock::now() - started,
+            std::chrono::seconds(20));
+}
+
 // An engine streams chunks without a version, or with the id of another
 // request. Its text is not used in any sample; the other engine generates all
 // samples.
--- a/tests/support/simulated_endpoints.h
+++ b/tests/support/simulated_endpoints.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -49,6 +50,11 @@
   // Sets the number of events that engines send for a crashing request before
   // they crash.
   void CrashAfterEvents(int events);
+  // Sets the total number of crashes, after which requests with that body are
+  // served like any other.
+  void LimitCrashes(int crashes);
+  // Crashes all endpoints of `service`.
+  void CrashAll(const std::string& service);
   // The number of crashes so far.
   int Crashes();
   // The number of running endpoints.
@@ -111,6 +117,7 @@
   std::set<std::string> complete_ids_;        // by task
   std::string crash_body_;                    // empty: no request crashes
   int crash_after_ = 0;                       // number of events
+  int max_crashes_ = std::numeric_limits<int>::max();
   int crashes_ = 0;
   int started_ = 0;
   int early_rewards_ = 0;
--- a/tests/unit/quarantine/crash_ledger_test.cc
+++ b/tests/unit/quarantine/crash_ledger_test.cc
@@ -51,6 +51,33 @@
   EXPECT_TRUE(changes[0].is_quarantined);
 }
 
+// Guards against batch work that is held back because endpoints crashed under
+// it by chance, also by a process that learns of the crashes from a warning.
+TEST_F(CrashLedgerTest, BatchWorkIsNotQuarantined) {
+  for (const std::string incarnation : {"a", "b", "c", "d"}) {
+    RecordCrash(ledger_, {"task", "customer", incarnation, true}, now_);
+  }
+  EXPECT_EQ(State("task"), quarantine_state::kSuspected);
+  EXPECT_EQ(CountCrashes(ledger_, "task"), 4U);
+  const auto warnings = ListWarnings(ledger_);
+  ASSERT_EQ(warnings.size(), 1U);
+  ledger_ = {};
+  MergeWarning(ledger_, warnings[0], now_);
+  RecordCrash(ledger_, {"task", "customer", "e", true}, now_);
+  EXPECT_EQ(State("task"), quarantine_state::kSuspected);
+  EXPECT_EQ(CountCrashes(ledger_, "task"), 5U);
+}
+
+// Guards against a plain request that crashes endpoints and is released because
+// a task was running on the same endpoints.
+TEST_F(CrashLedgerTest, BatchWorkExplainsNoCrashOfAnotherRequest) {
+  for (const std::string incarnation : {"a", "b", "c", "d", "e"}) {
+    RecordCrash(ledger_, {"task", "customer", incarnation, true}, now_);
+  }
+  RecordCrashes("cause", {"a", "b", "c"});
+  EXPECT_TRUE(IsQuarantined("cause"));
+}
+
 // Guards against a quarantine that returns after a release or a served request:
 // an instance that missed the clearing reports the old crashes to the next
 // leader.
--- a/tests/unit/quarantine/request_digest_test.cc
+++ b/tests/unit/quarantine/request_digest_test.cc
@@ -47,6 +47,16 @@
   EXPECT_NE(Digest(body), digest);
 }
 
+// Guards against a caller's request that is confused with a task of the same
+// content, which is never quarantined.
+TEST(RequestDigestTest, BatchWorkHasItsOwnDigest) {
+  const net::request input = MakeRequest("id");
+  request_identity task = IdentityOf(input);
+  task.is_batch = true;
+  EXPECT_NE(DigestOf(kKey, task), Digest(input));
+  EXPECT_TRUE(DigestOf(kKey, task).starts_with(DigestPrefixOf(kKey, task)));
+}
+
 // Someone who reads the logs and has a body cannot find out whether it was
 // sent.
 TEST(RequestDigestTest, DigestDependsOnTheKey) {
--- a/tests/unit/quarantine/suspect_separation_test.cc
+++ b/tests/unit/quarantine/suspect_separation_test.cc
@@ -209,5 +209,17 @@
   EXPECT_TRUE(MayJoin({2, 3}, there));
 }
 
+// Guards against a task that crashes one endpoint after the other without a
+// pause, and against a pause after which it is not run for seconds.
+TEST(PauseAfterCrashTest, BeginsWithTheThirdCrashAndIsBounded) {
+  using core::milliseconds;
+  EXPECT_EQ(PauseAfterCrash(0), milliseconds(0));
+  EXPECT_EQ(PauseAfterCrash(2), milliseconds(0));
+  EXPECT_EQ(PauseAfterCrash(3), milliseconds(250));
+  EXPECT_EQ(PauseAfterCrash(4), milliseconds(500));
+  EXPECT_EQ(PauseAfterCrash(6), milliseconds(2000));
+  EXPECT_EQ(PauseAfterCrash(1000), milliseconds(2000));
+}
+
 }  // namespace
 }  // namespace hickorywood::quarantine
