Commit the failed attempts of tasks and reward calls

Callers saw: nothing yet; found while looking at what bounds an item now that tasks are not quarantined. A task that an engine answers with 500 at each run got max_attempts again from each new leader of the data group, so repeated changes of leader could run it without a bound (BUDGET allows three times max_attempts).

Cause: the count was only in the memory of the leader (tracked_task, reward_caller). A second cause showed when the count was first committed: a new leader tracks its steps before it has applied the last entries of its predecessor, and what these add was ignored (logs of the test: committed before the kill, 0 at the next leader).

Change: failed attempts are committed with the results, batched in the same entries; entries applied later are merged. They are dropped with the result or the end of the step. Old logs are read as before.

Red before: DeploymentTest.FailedAttemptsSurviveChangesOfLeader (7 runs where 3 attempts and 2 cut runs are the most). Green after, three runs; with StepStateTest.FailedAttemptsAreKeptUntilTheResult and RewardCallerTest.EarlierFailedAttemptsCount, which need the new fields.

--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -66,6 +66,7 @@
     const bool is_valid = item.task < owner.input.tasks.size();
     if (!is_valid || HasResult(owner, item.task)) continue;
     owner.progress.erase(item.task);
+    owner.failures.erase(item.task);
     // The task will not run again, and the request would stay in memory until
     // the step is removed.
     owner.input.tasks[item.task].request.reset();
@@ -98,12 +99,28 @@
   }
 }
 
+void RecordFailures(step_table& table, const std::string& id,
+                    const std::vector<failed_attempts>& failures) {
+  const auto found = table.find(id);
+  if (found == table.end() || found->second.is_ended) return;
+  step& owner = found->second;
+  for (const failed_attempts& item : failures) {
+    const bool is_valid = item.task < owner.input.tasks.size();
+    if (!is_valid || HasResult(owner, item.task)) continue;
+    failed_attempts& known = owner.failures[item.task];
+    known.task = item.task;
+    known.runs = std::max(known.runs, item.runs);
+    known.reward_calls = std::max(known.reward_calls, item.reward_calls);
+  }
+}
+
 bool EndStep(step_table& table, const std::string& id) {
   const auto found = table.find(id);
   if (found == table.end()) return false;
   step& owner = found->second;
   owner.is_ended = true;
   owner.progress.clear();
+  owner.failures.clear();
   for (task& item : owner.input.tasks) item.request.reset();
   return true;
 }
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -89,6 +89,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(task_result, task, is_complete,
                                                 output, versions, score)
 
+// The failed attempts of one task.
+struct failed_attempts {
+  uint32_t task = 0;
+  int64_t runs = 0;  // answers of engines that count as a failed attempt
+  int64_t reward_calls = 0;  // the same of its reward request
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(failed_attempts, task, runs,
+                                                reward_calls)
+
 struct step {
   submission input;
   int64_t opened_ms = 0;      // wall clock of the leader that opened it
@@ -98,9 +107,12 @@
   // Text so far of long tasks without a result, by task: the next leader
   // continues after it.
   std::map<uint32_t, generated_text> progress;
+  // Of tasks without a result that have any, by task.
+  std::map<uint32_t, failed_attempts> failures;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step, input, opened_ms,
-                                                is_ended, results, progress)
+                                                is_ended, results, progress,
+                                                failures)
 
 // Further text of one task, to be appended to the text that the step has.
 struct task_progress {
@@ -130,6 +142,11 @@
 void AddProgress(step_table& table, const std::string& id,
                  std::vector<task_progress> progress);
 
+// Records the failed attempts of tasks that have no result, so that the next
+// leader continues to count from them. The numbers never decrease.
+void RecordFailures(step_table& table, const std::string& id,
+                    const std::vector<failed_attempts>& failures);
+
 // Returns false if there is no such step.
 bool EndStep(step_table& table, const std::string& id);
 
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -54,6 +54,12 @@
                                 const std::string& score) {
     OnScored(key, how, score);
   };
+  rewards_.on_failed = [this](const task_key& key, int64_t failures) {
+    tracked_task* const task = FindTask(key);
+    if (task == nullptr) return;
+    task->failures.reward_calls = failures;
+    CommitFailures(key);
+  };
   rewards_.open_in_group = [this](const task_key& key) {
     return OpenInGroup(key);
   };
@@ -125,6 +131,7 @@
         !step.is_ended && step.results.size() < step.input.tasks.size();
     const bool is_known = steps_.count(id) != 0;
     if (is_open && !is_known) TrackStep(id, step);
+    if (is_open) MergeFailures(step, steps_.at(id));
     if (!is_open && is_known) {
       CancelRuns(id);
       rewards_.CancelStep(id);
@@ -138,6 +145,17 @@
   });
 }
 
+// A new leader tracks its steps before it has applied the last entries of its
+// predecessor, so the failed attempts in these are merged when they are
+// applied.
+void dispatcher::MergeFailures(const steps::step& step, tracked_step& tracked) {
+  for (const auto& [task, committed] : step.failures) {
+    steps::failed_attempts& known = tracked.tasks[task].failures;
+    known.runs = std::max(known.runs, committed.runs);
+    known.reward_calls = std::max(known.reward_calls, committed.reward_calls);
+  }
+}
+
 void dispatcher::TrackStep(const std::string& id, const steps::step& step) {
   tracked_step& tracked = steps_[id];
   const milliseconds age(std::max<int64_t>(
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -94,7 +94,7 @@
   struct tracked_task {
     task_stage stage = task_stage::kWaiting;
     steps::generated_text text;
-    int64_t failures = 0;  // answers that count as a failed attempt
+    steps::failed_attempts failures;
     core::time_point not_before{};
     int moves = 0;                  // away from slow engines
     std::string left_engine;        // engine of the run that was moved last
@@ -237,6 +237,7 @@
 
   void SyncSteps();
   void TrackStep(const std::string& id, const steps::step& step);
+  static void MergeFailures(const steps::step& step, tracked_step& tracked);
   void ScheduleDispatch();
   void DispatchTasks();
   size_t CountStartingRuns() const;
@@ -333,6 +334,9 @@
   void OnScored(const task_key& key, reward_outcome how,
                 const std::string& score);
   size_t OpenInGroup(const task_key& key);
+  // Commits the failed attempts of a task, so that the next leader continues to
+  // count from them.
+  void CommitFailures(const task_key& key);
   void Finish(const task_key& key, bool is_complete, std::string score = "");
   void UpdateDemands();
   void UpdatePeaks();
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -38,7 +38,7 @@
   task->stage = task_stage::kScoring;
   task->completed_at = clock_.Now();
   rewards_.Add({key, input->reward, state_.Find(key.step)->input.customer,
-                steps_.at(key.step).opened_at});
+                steps_.at(key.step).opened_at, task->failures.reward_calls});
   ScheduleDispatch();
 }
 
@@ -75,10 +75,19 @@
     LogEvent(event_id::kTaskFailed,
              {{"step", key.step},
               {"task", Text(key.task)},
-              {"failures", std::to_string(task->failures)}});
+              {"failures", std::to_string(task->failures.runs)}});
   }
   task->text = steps::generated_text{};
-  uncommitted_results_.push_back({key.step, {std::move(result)}});
+  uncommitted_results_.push_back({key.step, {std::move(result)}, {}});
+  has_uncommitted_results_.Notify();
+}
+
+void dispatcher::CommitFailures(const task_key& key) {
+  const tracked_task* const task = FindTask(key);
+  if (task == nullptr) return;
+  steps::failed_attempts failures = task->failures;
+  failures.task = key.task;
+  uncommitted_results_.push_back({key.step, {}, {failures}});
   has_uncommitted_results_.Notify();
 }
 
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -56,7 +56,7 @@
             {"lists", fleet::VersionText(view_.version)},
             {"runner", runner},
             {"after_event", Text(task.text.events)},
-            {"failures", std::to_string(task.failures)},
+            {"failures", std::to_string(task.failures.runs)},
             {"expected",
              std::to_string(
                  steps_.at(item.key.step).expected_tokens[item.key.task])},
@@ -317,10 +317,14 @@
       Finish(ended->key, false);
       break;
     case run_outcome::kFailed: {
-      ++task->failures;
+      ++task->failures.runs;
       const fleet::route* terms = RouteOf(ended->key);
       const int64_t max_attempts = terms == nullptr ? 1 : terms->max_attempts;
-      if (task->failures >= max_attempts) Finish(ended->key, false);
+      if (task->failures.runs >= max_attempts) {
+        Finish(ended->key, false);
+      } else {
+        CommitFailures(ended->key);
+      }
       break;
     }
     case run_outcome::kNotRun:
--- a/packages/store/reward_caller.cc
+++ b/packages/store/reward_caller.cc
@@ -148,8 +148,9 @@
   } else if (outcome.answer) {
     routing::RecordServed(limit, SlotsOf(route));
   }
-  job->failures += outcome.failed_answers;
-  const bool is_abandoned = !is_scored && job->failures >= route.max_attempts;
+  job->job.failures += outcome.failed_answers;
+  const bool is_abandoned =
+      !is_scored && job->job.failures >= route.max_attempts;
   const auto call_time =
       std::chrono::duration_cast<milliseconds>(now - started);
   const int status = outcome.answer ? outcome.answer->status : 0;
@@ -161,12 +162,17 @@
             {"status", std::to_string(status)},
             {"endpoints", std::to_string(outcome.endpoints)},
             {"refusals", std::to_string(outcome.refusals)},
-            {"failures", std::to_string(job->failures)},
+            {"failures", std::to_string(job->job.failures)},
             {"problem", outcome.problem},
             {"ms", std::to_string(call_time.count())}});
   job->is_sent = false;
   job->not_before = now + RetryPauseAfter(outcome);
-  if (!is_scored && !is_abandoned) return;
+  if (!is_scored && !is_abandoned) {
+    if (outcome.failed_answers > 0) {
+      on_failed(job->job.key, job->job.failures);
+    }
+    return;
+  }
   const task_key key = job->job.key;
   jobs_.erase(key);
   if (is_scored) {
--- a/packages/store/reward_caller.h
+++ b/packages/store/reward_caller.h
@@ -32,6 +32,7 @@
   steps::reward_request request;
   std::string customer;          // of the step; empty: none
   core::time_point opened_at{};  // when the step was submitted
+  int64_t failures = 0;          // answers that count as a failed attempt
 };
 
 enum class reward_outcome {
@@ -49,6 +50,8 @@
   // is kScored.
   std::function<void(const task_key&, reward_outcome, const std::string& score)>
       on_finished;
+  // Called when a job has more failed attempts, but is not abandoned.
+  std::function<void(const task_key&, int64_t failures)> on_failed;
   // Returns the number of tasks without a result in the group of a task.
   std::function<size_t(const task_key&)> open_in_group;
 
@@ -69,7 +72,6 @@
  private:
   struct job_state {
     reward_job job;
-    int64_t failures = 0;  // answers that count as a failed attempt
     core::time_point not_before{};
     bool is_sent = false;       // the request is being sent
     net::cancel_signal cancel;  // of that request
--- a/packages/store/step_state.cc
+++ b/packages/store/step_state.cc
@@ -23,6 +23,7 @@
   auto input = core::DecodeBinary<add_results_command>(command.payload);
   if (!input) return;
   for (step_results& item : input->steps) {
+    steps::RecordFailures(state.steps, item.step, item.failures);
     steps::AddResults(state.steps, item.step, std::move(item.results),
                       command.index);
   }
--- a/packages/store/step_state.h
+++ b/packages/store/step_state.h
@@ -26,8 +26,10 @@
 struct step_results {
   std::string step;
   std::vector<steps::task_result> results;
+  std::vector<steps::failed_attempts> failures;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step_results, step, results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(step_results, step, results,
+                                                failures)
 
 struct add_results_command {
   std::vector<step_results> steps;
--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -216,7 +216,7 @@
   constexpr int kTasks = 12;
   fleet.Endpoints().SetWorkTime(std::chrono::milliseconds(400));
   const std::string failing = deployment::RewardId("scored", 3);
-  fleet.Endpoints().FailPlain(failing, 1000);
+  fleet.Endpoints().Fail(failing, 1000);
   ASSERT_TRUE(fleet.Submit("e1", "scored", kTasks, true));
   for (const std::string& store : fleet.Stores()) {
     fleet.KillNode(store);
@@ -238,6 +238,35 @@
   EXPECT_GE(fleet.Endpoints().RunsOf(failing), 2);
 }
 
+// Guards against a task that fails at each run and gets all of its attempts
+// again from each new leader of the data group.
+TEST(DeploymentTest, FailedAttemptsSurviveChangesOfLeader) {
+  constexpr int kMaxAttempts = 3;
+  constexpr int kRestarts = 2;
+  constexpr std::chrono::milliseconds kFailureTime{1000};
+  deployment fleet;
+  ASSERT_TRUE(fleet.Start());
+  fleet.Endpoints().SetEventTime(kFailureTime);
+  const std::string failing = deployment::TaskId("step", 0);
+  fleet.Endpoints().Fail(failing, 1000);
+  ASSERT_TRUE(fleet.Submit("e1", "step", 1));
+  for (int restart = 0; restart < kRestarts; ++restart) {
+    // In the middle of the run after a failed one, so that the failure was
+    // committed.
+    const int runs = fleet.Endpoints().RunsOf(failing);
+    ASSERT_TRUE(WaitUntil(
+        [&] { return fleet.Endpoints().RunsOf(failing) >= runs + 2; }));
+    std::this_thread::sleep_for(kFailureTime / 4);
+    for (const std::string& store : fleet.Stores()) fleet.KillNode(store);
+    for (const std::string& store : fleet.Stores()) fleet.StartNode(store);
+  }
+  const json results = fleet.WaitForResults("e2", "step", 1);
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0]["state"], "terminated");
+  // Each restart cuts one run off, which is no failed attempt.
+  EXPECT_LE(fleet.Endpoints().RunsOf(failing), kMaxAttempts + kRestarts);
+}
+
 // The control instances are killed one after the other and all at once. An
 // acknowledged configuration stays in force: it is read back, and a removed
 // route is rejected at every entry.
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -313,8 +313,8 @@
 json deployment::Configuration(int version, bool with_plain_route) const {
   json body = {
       {"version", version},
-      {"routes", json::array({StepRoute(), StreamRoute(), SingleRoute(),
-                              VersionRoute(version)})},
+      {"routes",
+       json::array({StreamRoute(), SingleRoute(), VersionRoute(version)})},
       {"services",
        json::array(
            {{{"name", "echo"}},
@@ -322,6 +322,8 @@
              {"engine",
               {{"slots", 8}, {"models", json::array({{{"name", "m"}}})}}}}})}};
   if (with_plain_route) body["routes"].push_back(PlainRoute());
+  if (has_step_route) body["routes"].push_back(StepRoute());
+  for (const json& route : extra_routes) body["routes"].push_back(route);
   if (!customers.is_null()) body["tenants"] = customers;
   if (!extra_service.is_null()) body["services"].push_back(extra_service);
   return body;
@@ -493,7 +495,7 @@
     const std::string id = TaskId(step, i);
     body["requests"].push_back(
         {{"id", id},
-         {"path", "/s/run"},
+         {"path", task_path},
          {"headers", json::object()},
          {"body", Base64(i == crashing ? kCrashBody : BodyOf(step, i))},
          {"tokens", 10},
@@ -507,7 +509,8 @@
   std::vector<transport::http_header> headers = CallerHeaders();
   headers.push_back({"X-Request-Id", step});
   return WaitUntil([&] {
-    return web_.Post(Address(entry, callers_port_), "/s/" + step, body, headers)
+    return web_.Post(Address(entry, callers_port_), step_path + step, body,
+                     headers)
                .status == 202;
   });
 }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -65,6 +65,13 @@
   std::string extra_settings;
   // Customers of the next configurations, in the operator's format; null: none.
   nlohmann::json customers;
+  // Further routes of the next configurations, in the operator's format.
+  nlohmann::json extra_routes = nlohmann::json::array();
+  // Whether the next configurations have the route of steps.
+  bool has_step_route = true;
+  // Paths of the steps that are submitted from now on, and of their tasks.
+  std::string step_path = "/s/";
+  std::string task_path = "/s/run";
   // A further service of the next configurations; null: none.
   nlohmann::json extra_service;
   // Key that is sent with all requests of callers; empty: none.
--- a/tests/support/simulated_endpoints.cc
+++ b/tests/support/simulated_endpoints.cc
@@ -213,7 +213,7 @@
   break_after_ = events;
 }
 
-void simulated_endpoints::FailPlain(const std::string& request_id, int times) {
+void simulated_endpoints::Fail(const std::string& request_id, int times) {
   const std::lock_guard<std::mutex> lock(mutex_);
   failures_left_[request_id] = times;
 }
@@ -331,6 +331,17 @@
   const std::string id(net::Find(input.headers, "X-Request-Id"));
   const std::string last(net::Find(input.headers, "Last-Event-Id"));
   CountRun(input);
+  bool is_failure = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_failure = failures_left_[id]-- > 0;
+  }
+  if (is_failure) {
+    co_await net::Sleep(event_time_);
+    net::response failure = SignedAnswer(input, 500, "");
+    co_await call.Reply(std::move(failure));
+    co_return;
+  }
   net::response head = SignedAnswer(input, 200, "");
   head.headers.push_back({"X-Weight-Versions", std::to_string(self->version)});
   co_await call.BeginStream(std::move(head));
--- a/tests/support/simulated_endpoints.h
+++ b/tests/support/simulated_endpoints.h
@@ -60,8 +60,9 @@
   // The number of running endpoints.
   size_t Running();
 
-  // Lets the next `times` plain requests with this id fail.
-  void FailPlain(const std::string& request_id, int times);
+  // Lets the next `times` requests with this id fail with status 500. A stream
+  // fails after the time of an event.
+  void Fail(const std::string& request_id, int times);
 
   // The number of times that a request with this id was run.
   int RunsOf(const std::string& request_id);
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -58,6 +58,9 @@
                                  const std::string& score) {
       results_[key.task] = how == reward_outcome::kScored ? score : "abandoned";
     };
+    caller_.on_failed = [this](const task_key& key, int64_t failures) {
+      failures_[key.task] = failures;
+    };
     caller_.open_in_group = [this](const task_key& key) {
       return open_in_group_[key.task];
     };
@@ -123,6 +126,7 @@
   std::vector<std::unique_ptr<net::listener>> listeners_;
   std::vector<std::string> received_ids_;  // of requests at the endpoints
   std::map<uint32_t, std::string> results_;
+  std::map<uint32_t, int64_t> failures_;
   std::map<uint32_t, size_t> open_in_group_;
 };
 
@@ -160,6 +164,26 @@
   EXPECT_EQ(received_ids_.size(), static_cast<size_t>(kMaxAttempts));
 }
 
+// Guards against a job that gets all of its attempts again from each new
+// leader.
+TEST_F(RewardCallerTest, EarlierFailedAttemptsCount) {
+  StartEndpoint([](net::exchange& call) -> awaitable<void> {
+    net::response answer = SignedResponse(call.Request(), 500, "mark");
+    co_await call.Reply(std::move(answer));
+  });
+  Add(0);
+  EXPECT_TRUE(RunUntil([this] { return failures_[0] == 1; }));
+  caller_.CancelAll();
+  reward_job job;
+  job.key = {"s", 0};
+  job.request = {"r0", "h", "/r/x", "body"};
+  job.failures = failures_[0];
+  caller_.Add(job);
+  EXPECT_TRUE(RunUntil([this] { return !results_.empty(); }));
+  EXPECT_EQ(results_[0], "abandoned");
+  EXPECT_EQ(received_ids_.size(), static_cast<size_t>(kMaxAttempts));
+}
+
 // Guards against a job that is abandoned because one failed response arrived
 // twice. A reward request that is sent again has the same id, so the second
 // response could be taken for the response to the second request.
--- a/tests/unit/store/step_state_test.cc
+++ b/tests/unit/store/step_state_test.cc
@@ -35,7 +35,7 @@
   result.is_complete = true;
   result.output = output;
   add_results_command input;
-  input.steps.push_back({id, {result}});
+  input.steps.push_back({id, {result}, {}});
   return Command(index, kAddResultsCommand, core::EncodeBinary(input));
 }
 
@@ -51,6 +51,26 @@
   return Command(index, kRemoveStepsCommand, core::EncodeBinary(input));
 }
 
+// Guards against a task that gets all of its attempts again from a new leader,
+// and against failures that outlive their task.
+TEST(StepStateTest, FailedAttemptsAreKeptUntilTheResult) {
+  step_state state(kOutputBudgetBytes);
+  state.Apply(Open(1, "a"));
+  const auto apply_failures = [&state](uint64_t index, int64_t runs) {
+    steps::failed_attempts failures;
+    failures.runs = runs;
+    add_results_command input;
+    input.steps.push_back({"a", {}, {failures}});
+    state.Apply(Command(index, kAddResultsCommand, core::EncodeBinary(input)));
+  };
+  apply_failures(2, 2);
+  apply_failures(3, 1);
+  EXPECT_EQ(state.Find("a")->failures.at(0).runs, 2);
+  state.Apply(Result(4, "a", "text"));
+  apply_failures(5, 3);
+  EXPECT_TRUE(state.Find("a")->failures.empty());
+}
+
 // Steps are opened, and the oldest is removed. The snapshot is small, because
 // its index is before the oldest stored step. Another replica gets the same
 // state from the snapshot and the entries after it, also if these entries
