Keep the tasks of a step on the route that accepted it

Callers saw: a valid change added a route with a longer prefix, for another service.

Cause: dispatcher::RouteOf() looked up the route of each task in the latest configuration by the task's own path. PROTOCOL.md has an item run "at a server of the route's service", with the route being that of the submission. The same lookup decided the services, the maximum number of attempts, the lifetime, the due time, whether one version is required, and all of them again at a new leader. It also had two more effects: a task whose own path is under no route was never run, and after the removal of a route its tasks neither ran nor expired.

Change: a submission contains the prefix and the limits of the route that accepted it, so every leader finds the same route: the one with that prefix while the configuration has it (moved to other services, it is followed), or else a route for steps that has the submission's path. If it has ended, tasks wait for its return at most for the lifetime of the accepted route. The route is found once per step and configuration, not per task and pass. HK6007 has the route and the configuration, HK6019 logs changes of it.

--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -101,6 +101,7 @@
   kTaskPausedAfterCrash = 6016,
   kTaskBodyRead = 6017,
   kRunMoved = 6018,
+  kStepRouteChanged = 6019,
   kUsageClosed = 7001,
   kUsageReported = 7002,
   kUsageReportFailed = 7003,
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -303,7 +303,10 @@
       co_return;
     }
     if (route->kind == fleet::route_kind::kRollout) {
-      co_await gateway.Open(accounted, std::move(customer));
+      steps::accepted_route accepted{route->path_prefix, route->max_attempts,
+                                     route->task_lifetime_ms};
+      co_await gateway.Open(accounted, std::move(accepted),
+                            std::move(customer));
       co_return;
     }
     co_await plain.Serve(accounted, *route, std::move(access.customer));
--- a/packages/entry/step_gateway.cc
+++ b/packages/entry/step_gateway.cc
@@ -43,13 +43,16 @@
   return peering::EncodeFailure(wire_, answer, kRetryAfter);
 }
 
-awaitable<void> step_gateway::Open(net::exchange& call, std::string customer) {
+awaitable<void> step_gateway::Open(net::exchange& call,
+                                   steps::accepted_route route,
+                                   std::string customer) {
   auto submission = wire_.DecodeSubmission(call.Request());
   if (!submission) {
     const std::string reason = core::LastReason().text;
     co_await call.Reply(wire_.EncodeFailure(400, reason, std::nullopt));
     co_return;
   }
+  submission->route = std::move(route);
   submission->customer = std::move(customer);
   const core::time_point started = clock_.Now();
   const envelope answer = co_await caller_.Call(
@@ -61,6 +64,7 @@
   LogEvent(is_accepted ? event_id::kStepOpened : event_id::kRequestRefused,
            {{"step", submission->id},
             {"customer", submission->customer},
+            {"prefix", submission->route.prefix},
             {"tasks", std::to_string(submission->tasks.size())},
             {"number", std::to_string(submission->number)},
             {"reason", answer.reason},
--- a/packages/entry/step_gateway.h
+++ b/packages/entry/step_gateway.h
@@ -19,7 +19,9 @@
                peering::leader_caller& caller);
 
   // `customer`: on whose behalf the caller acts; empty: none.
-  boost::asio::awaitable<void> Open(net::exchange& call, std::string customer);
+  boost::asio::awaitable<void> Open(net::exchange& call,
+                                    steps::accepted_route route,
+                                    std::string customer);
   // `input` must not be an other_call.
   boost::asio::awaitable<void> Serve(net::exchange& call,
                                      fleet::step_call input,
--- a/packages/fleet/configuration.cc
+++ b/packages/fleet/configuration.cc
@@ -94,6 +94,21 @@
   return best;
 }
 
+const route* FindRouteOfStep(const configuration& config, std::string_view host,
+                             std::string_view accepted_prefix,
+                             std::string_view path) {
+  for (const route& where : config.routes) {
+    const bool is_accepted = where.kind == route_kind::kRollout &&
+                             where.host == host &&
+                             where.path_prefix == accepted_prefix;
+    if (is_accepted) return &where;
+  }
+  const route* const successor = FindRoute(config, host, path);
+  const bool runs_steps =
+      successor != nullptr && successor->kind == route_kind::kRollout;
+  return runs_steps ? successor : nullptr;
+}
+
 bool HasPublicSteps(const configuration& config, std::string_view host) {
   return std::any_of(config.routes.begin(), config.routes.end(),
                      [host](const route& where) {
--- a/packages/fleet/configuration.h
+++ b/packages/fleet/configuration.h
@@ -149,6 +149,15 @@
 const route* FindRoute(const configuration& config, std::string_view host,
                        std::string_view path);
 
+// Returns the route of a step that was accepted earlier, by the route with the
+// prefix `accepted_prefix`: that route as long as the configuration has it, or
+// else the route for steps that now has the path of the submission. A route
+// that is added inside of the accepted one changes nothing for the step.
+// nullptr: its route has ended. `accepted_prefix` may be empty: unknown.
+const route* FindRouteOfStep(const configuration& config, std::string_view host,
+                             std::string_view accepted_prefix,
+                             std::string_view path);
+
 // Whether callers of steps at this host need no key: it has a public route for
 // steps. The calls about a submitted step contain the host, but not the path of
 // the route.
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -54,11 +54,21 @@
 void from_json(const nlohmann::json& tree, task& output);
 // NOLINTEND(readability-identifier-naming)
 
+// The route that accepted a step. Its limits apply when the route has ended.
+struct accepted_route {
+  std::string prefix;  // empty: unknown
+  int64_t max_attempts = 1;
+  int64_t task_lifetime_ms = 0;  // 0: unlimited
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(accepted_route, prefix,
+                                                max_attempts, task_lifetime_ms)
+
 // A step as its trainer submits it.
 struct submission {
   std::string id;
   std::string host;
   std::string path;
+  accepted_route route;
   std::string customer;  // that submitted it; empty: none
   int64_t number = 0;    // of the step, from 0
   std::string model;
@@ -67,7 +77,7 @@
   std::vector<task> tasks;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(submission, id, host, path,
-                                                customer, number, model,
+                                                route, customer, number, model,
                                                 minimum_version, wanted_groups,
                                                 tasks)
 
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -224,13 +224,26 @@
   return request ? &*request : nullptr;
 }
 
-// Returns the route of a task in the current configuration, or nullptr if there
-// is none or the request was discarded.
-const fleet::route* dispatcher::RouteOf(const task_key& key) const {
-  const steps::task_request* const input = RequestOf(key);
-  if (input == nullptr) return nullptr;
-  return fleet::FindRoute(view_.config, state_.Find(key.step)->input.host,
-                          input->path);
+const fleet::route* dispatcher::RouteOf(const std::string& step) {
+  const auto found = steps_.find(step);
+  if (found == steps_.end()) return nullptr;
+  UpdateRoute(step, found->second);
+  return found->second.route ? &*found->second.route : nullptr;
+}
+
+int64_t dispatcher::MaxAttemptsOf(const std::string& step) {
+  const fleet::route* const route = RouteOf(step);
+  if (route != nullptr) return route->max_attempts;
+  const steps::step* const owner = state_.Find(step);
+  return owner == nullptr ? 1 : owner->input.route.max_attempts;
+}
+
+milliseconds dispatcher::TaskLifetimeOf(const std::string& step) {
+  const fleet::route* const route = RouteOf(step);
+  if (route != nullptr) return milliseconds(route->task_lifetime_ms);
+  const steps::step* const owner = state_.Find(step);
+  return milliseconds(owner == nullptr ? 0
+                                       : owner->input.route.task_lifetime_ms);
 }
 
 // --- Choice of the next tasks and their engines.
@@ -295,14 +308,15 @@
   return !IsPausedAfterCrash(key, task);
 }
 
-// Returns nothing if the request of the task was discarded, or has no route.
+// Returns nothing if the request of the task was discarded, or the route of its
+// step has ended.
 std::optional<dispatcher::candidate> dispatcher::FindCandidate(
-    const task_key& key) const {
+    const task_key& key) {
   candidate item;
   item.key = key;
   item.step = state_.Find(key.step);
   item.input = RequestOf(key);
-  item.terms = RouteOf(key);
+  item.terms = RouteOf(key.step);
   if (item.input == nullptr || item.terms == nullptr) return std::nullopt;
   const tracked_step& tracked = steps_.at(key.step);
   const int64_t longest = tracked.expected_tokens[tracked.order.front()];
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -118,10 +118,11 @@
     std::vector<uint32_t> group_indexes;  // of each task
     // Whether an earlier step of the trainer has begun each group.
     std::vector<bool> carried_groups;
-    // By the route, in the configuration with this version.
+    // The route in the configuration with this version; none: it has ended.
     uint64_t route_version = 0;
-    std::vector<std::string> services;
-    core::milliseconds due{0};  // after the submission
+    std::optional<fleet::route> route;
+    std::vector<std::string> services;  // of the route
+    core::milliseconds due{0};          // after the submission
   };
   struct peak_count {
     int64_t count = 0;
@@ -268,7 +269,7 @@
   // Admits engines that the task should not share with other suspected tasks.
   // Used when no other engine has a free slot.
   static void AdmitExcluded(engine_pool& pool);
-  std::optional<candidate> FindCandidate(const task_key& key) const;
+  std::optional<candidate> FindCandidate(const task_key& key);
   bool MayStart(const task_key& key, tracked_task& task);
 
   // Choice by prediction, see steps/placement.h.
@@ -276,7 +277,8 @@
   static void IndexGroups(const steps::step& step,
                           const steps::step_table& known,
                           tracked_step& tracked);
-  void UpdateRoute(const std::string& id, tracked_step& tracked) const;
+  // Finds the route of a step anew if the configuration has changed.
+  void UpdateRoute(const std::string& id, tracked_step& tracked);
   bool UsesPrediction(const std::string& service) const;
   bool UsesPrediction(const tracked_step& tracked) const;
   void DispatchByUrgency(const std::vector<std::string>& ids,
@@ -354,7 +356,13 @@
   const steps::task_request* RequestOf(const task_key& key) const;
   std::optional<quarantine::request_identity> IdentityOf(
       const task_key& key) const;
-  const fleet::route* RouteOf(const task_key& key) const;
+  // Returns the route of a step in the current configuration, or nullptr if it
+  // has ended.
+  const fleet::route* RouteOf(const std::string& step);
+  // Limits of the tasks of a step: those of its route, or those of the route
+  // that accepted it if that has ended.
+  int64_t MaxAttemptsOf(const std::string& step);
+  core::milliseconds TaskLifetimeOf(const std::string& step);
   std::vector<std::string> StepsByAge() const;
 
   boost::asio::io_context& loop_;
--- a/packages/store/dispatcher_placement.cc
+++ b/packages/store/dispatcher_placement.cc
@@ -1,6 +1,8 @@
 // Chooses which task of all steps starts next, on which engine, and which runs
 // are moved, by the predicted ends of the tasks.
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -56,23 +58,36 @@
   }
 }
 
-// Reads what the choice needs of the route once for each configuration. Finding
-// the route for each task of each pass would take too long with some thousand
-// routes.
-void dispatcher::UpdateRoute(const std::string& id,
-                             tracked_step& tracked) const {
-  if (tracked.route_version == view_.config.version) return;
+// Once for each configuration: finding the route in each pass would take too
+// long with some thousand routes.
+void dispatcher::UpdateRoute(const std::string& id, tracked_step& tracked) {
+  const steps::step* const step = state_.Find(id);
+  const bool is_current = tracked.route_version == view_.config.version;
+  if (is_current || step == nullptr) return;
   tracked.route_version = view_.config.version;
+  const fleet::route* const found =
+      fleet::FindRouteOfStep(view_.config, step->input.host,
+                             step->input.route.prefix, step->input.path);
+  const std::vector<std::string> previous_services = tracked.services;
+  tracked.route.reset();
   tracked.services.clear();
-  const fleet::route* terms = nullptr;
-  for (uint32_t i = 0; i < tracked.tasks.size() && terms == nullptr; ++i) {
-    terms = RouteOf({id, i});
-  }
-  if (terms == nullptr) return;
-  tracked.due = milliseconds(terms->due_ms);
-  for (const fleet::weighted_service& item : terms->services) {
-    tracked.services.push_back(item.service);
+  if (found != nullptr) {
+    tracked.route = *found;
+    tracked.due = milliseconds(found->due_ms);
+    for (const fleet::weighted_service& item : found->services) {
+      tracked.services.push_back(item.service);
+    }
   }
+  const bool is_unchanged =
+      found != nullptr && tracked.services == previous_services;
+  if (is_unchanged) return;
+  LogEvent(event_id::kStepRouteChanged,
+           {{"step", id},
+            {"accepted", step->input.route.prefix},
+            {"route", found == nullptr ? "" : found->name},
+            {"prefix", found == nullptr ? "" : found->path_prefix},
+            {"services", absl::StrJoin(tracked.services, " ")},
+            {"configuration", std::to_string(view_.config.version)}});
 }
 
 bool dispatcher::UsesPrediction(const std::string& service) const {
--- a/packages/store/dispatcher_results.cc
+++ b/packages/store/dispatcher_results.cc
@@ -273,13 +273,11 @@
 void dispatcher::FailExpiredTasks() {
   const time_point now = clock_.Now();
   for (auto& [id, tracked] : steps_) {
+    const milliseconds lifetime = TaskLifetimeOf(id);
+    if (lifetime <= milliseconds(0)) continue;
+    if (now - tracked.opened_at < lifetime + kTaskLifetimeSlack) continue;
     for (uint32_t i = 0; i < tracked.tasks.size(); ++i) {
       if (tracked.tasks[i].stage == task_stage::kDone) continue;
-      const fleet::route* terms = RouteOf({id, i});
-      const bool has_route = terms != nullptr && terms->task_lifetime_ms > 0;
-      if (!has_route) continue;
-      const milliseconds lifetime(terms->task_lifetime_ms);
-      if (now - tracked.opened_at < lifetime + kTaskLifetimeSlack) continue;
       const auto running = runs_.find({id, i});
       if (running != runs_.end()) {
         const std::shared_ptr<run> ending = running->second;
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -53,6 +53,8 @@
            {{"task", step.tasks[item.key.task].id},
             {"step", item.key.step},
             {"endpoint", engine.incarnation},
+            {"route", item.terms->name},
+            {"configuration", std::to_string(view_.config.version)},
             {"lists", fleet::VersionText(view_.version)},
             {"runner", runner},
             {"after_event", Text(task.text.events)},
@@ -316,17 +318,14 @@
     case run_outcome::kImpossible:
       Finish(ended->key, false);
       break;
-    case run_outcome::kFailed: {
+    case run_outcome::kFailed:
       ++task->failures.runs;
-      const fleet::route* terms = RouteOf(ended->key);
-      const int64_t max_attempts = terms == nullptr ? 1 : terms->max_attempts;
-      if (task->failures.runs >= max_attempts) {
+      if (task->failures.runs >= MaxAttemptsOf(ended->key.step)) {
         Finish(ended->key, false);
       } else {
         CommitFailures(ended->key);
       }
       break;
-    }
     case run_outcome::kNotRun:
       task->not_before = clock_.Now() + kRetryPause;
       break;
--- a/packages/store/reward_caller.cc
+++ b/packages/store/reward_caller.cc
@@ -77,9 +77,14 @@
 }
 
 // Returns the route of a job in the current configuration, or nullptr if there
-// is none.
+// is none, or one whose endpoints don't serve plain requests.
 const fleet::route* reward_caller::RouteOf(const reward_job& job) const {
-  return fleet::FindRoute(view_.config, job.request.host, job.request.path);
+  const fleet::route* const found =
+      fleet::FindRoute(view_.config, job.request.host, job.request.path);
+  const bool is_plain =
+      found != nullptr && (found->kind == fleet::route_kind::kIdempotent ||
+                           found->kind == fleet::route_kind::kNonIdempotent);
+  return is_plain ? found : nullptr;
 }
 
 int64_t reward_caller::SlotsOf(const fleet::route& route) const {
--- a/tests/unit/fleet/configuration_test.cc
+++ b/tests/unit/fleet/configuration_test.cc
@@ -36,6 +36,48 @@
   EXPECT_EQ(FindRoute(config, "host", "/xy/"), nullptr);
 }
 
+route MakeStepRoute(const std::string& name, const std::string& prefix,
+                    const std::string& service) {
+  route where = MakeRoute(name, prefix, service);
+  where.kind = route_kind::kRollout;
+  return where;
+}
+
+std::string RouteOfStep(const configuration& config,
+                        const std::string& accepted_prefix) {
+  const route* const found =
+      FindRouteOfStep(config, "host", accepted_prefix, "/x/y/step");
+  return found == nullptr ? "" : found->name;
+}
+
+// Guards against a step that follows the longest prefix of its path to a route
+// that did not accept it.
+TEST(ConfigurationTest, StepKeepsItsRouteBesideLongerPrefixes) {
+  configuration config = MakeConfiguration(1);
+  config.routes = {MakeStepRoute("outer", "/x/", "a")};
+  EXPECT_EQ(RouteOfStep(config, "/x/"), "outer");
+  config.routes.push_back(MakeStepRoute("inner", "/x/y/", "b"));
+  EXPECT_EQ(RouteOfStep(config, "/x/"), "outer");
+  EXPECT_EQ(RouteOfStep(config, "/x/y/"), "inner");
+  config.routes[0].services = {{"b", 1}};
+  EXPECT_EQ(
+      FindRouteOfStep(config, "host", "/x/", "/x/y/step")->services[0].service,
+      "b");
+}
+
+// Guards against a step that is sent to a route for other requests once its own
+// route has ended.
+TEST(ConfigurationTest, StepOfARemovedRouteOnlyMovesToAStepRoute) {
+  configuration config = MakeConfiguration(1);
+  config.routes = {MakeRoute("plain", "/x/y/", "b")};
+  EXPECT_EQ(RouteOfStep(config, "/x/"), "");
+  config.routes = {MakeRoute("plain", "/x/", "b")};
+  EXPECT_EQ(RouteOfStep(config, "/x/"), "");
+  config.routes = {MakeStepRoute("other", "/x/y/", "b")};
+  EXPECT_EQ(RouteOfStep(config, "/x/"), "other");
+  EXPECT_EQ(RouteOfStep(config, ""), "other");
+}
+
 TEST(ConfigurationTest, EachFaultIsReported) {
   EXPECT_TRUE(CheckConfiguration(MakeConfiguration(1)).empty());
   configuration unknown = MakeConfiguration(1);
