Bound what is read of an answer that has no end

Cause: several readers of endpoints had only a deadline, or none that such bytes don't reset. Found by a server that sends fifteen kinds of them to each reader: a call read 64 MB of a body without a length, any number of interim responses and of responses to another request, and any size of a chunk extension or of trailers; a stated length of 1 TB was allocated at once, which ended the process (std::bad_alloc). A task buffered an event without an end until its timeout, an entry passed it on until the caller's deadline, libcurl's bodies had no limit, and on the native API comments counted as progress, so a sample waited for them without a limit.

Change: limits for a stated length (64 MB; plain answers and rewards 32 MB, orders and reports 1 MB), for a body without one (8 MB), for unparsed bytes (128 KB), interim responses (8), skipped responses (16), one event of a stream or text (256 KB, with what is between events), the events of one run (4 MB) and the headers and bodies of libcurl (64 KB, 32 MB). Only events are progress of a sample. All readers of the platform use net::connection: relay, streams, tasks, rewards, reports and orders.

Red before: EndlessResponseTest (7 of 10), EndlessHttpResponseTest (5 of 10, one of them is now left to the timeout since libcurl discards those bytes), TaskRunnerTest.EndlessStreamsEndTheRun (std::bad_alloc), RelayTest.EndlessStreamsAreBrokenOff (537 MB passed on, with the relay of before), SamplesTest.StreamsOfCommentsCountAsStalled (not done in 60 s). Green after, with the other tests of the relay, the task runner and stalled streams.

--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -24,6 +24,9 @@
 // them in about 1 us, so that planning takes at most a tenth of the loop.
 constexpr std::chrono::microseconds kPlanPausePerEndpoint{10};
 constexpr milliseconds kCallTimeout{700};
+// Maximum size of the answer to a report call or an order. Dozens of them are
+// received at the same time.
+constexpr size_t kMaxReplyBytes = 1024UL * 1024;
 // Pause between the first two requests for a report while a load runs, and
 // factor and maximum of the following ones. The next load waits for the report
 // of the previous one, so a load near its usual time must be noticed at once.
@@ -255,6 +258,7 @@
   net::call_options options;
   options.connect_deadline = clock_.Now() + kCallTimeout;
   options.deadline = options.connect_deadline;
+  options.body_limit = kMaxReplyBytes;
   const net::request input = wire_.EncodeReportCall(target.name);
   const net::call_result result =
       co_await net::Call(pool_, target.address, input, options);
@@ -281,6 +285,7 @@
   net::call_options options;
   options.connect_deadline = clock_.Now() + kCallTimeout;
   options.deadline = options.connect_deadline;
+  options.body_limit = kMaxReplyBytes;
   const net::request input = wire_.EncodeOrder(order);
   duties::RecordAct(orders_, group_.LedSince(), clock_.BootNow());
   const net::call_result result =
--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -9,6 +9,7 @@
 #include "net/call.h"
 #include "net/event.h"
 #include "net/spawn.h"
+#include "steps/event_text.h"
 
 namespace hickorywood::entry {
 namespace {
@@ -294,9 +295,20 @@
     stream.head.headers = net::EndToEnd(stream.head.headers);
     co_await call.BeginStream(std::move(stream.head));
     net::body_state state = net::body_state::kMore;
+    steps::event_meter meter;
     while (state == net::body_state::kMore) {
       std::string piece;
       state = co_await stream.from->ReadSome(piece, deadline);
+      if (!steps::AddPiece(meter, piece)) {
+        LogEvent(event_id::kAttemptFailed,
+                 {{"request", wire_.RequestId(input)},
+                  {"endpoint", target.incarnation},
+                  {"may_have_run", "true"},
+                  {"reason", "the endpoint sends bytes that are no events"}});
+        routing::RecordFailure(loads, target.incarnation, clock_.Now());
+        state = net::body_state::kBroken;
+        break;
+      }
       co_await call.WriteStream(std::move(piece));
     }
     const auto cancellation = co_await asio::this_coro::cancellation_state;
--- a/packages/hickoryd/generation_attempt.cc
+++ b/packages/hickoryd/generation_attempt.cc
@@ -47,12 +47,13 @@
   }
   const std::shared_ptr<generation> item = found->second;
   if (item->status != 200) return;
-  item->progress_at = context_.clock.Now();
   const auto events = item->stream.Feed(bytes);
   if (!events) {
     HandleFailure(*item, core::LastReason().text, true);
     return;
   }
+  // Other bytes, such as comments, are no progress.
+  if (!events->empty()) item->progress_at = context_.clock.Now();
   for (const transport::completion_stream::event& event : *events) {
     if (event.is_end) {
       item->has_end_mark = true;
--- a/packages/net/call.cc
+++ b/packages/net/call.cc
@@ -1,7 +1,11 @@
 #include "net/call.h"
 
+#include <algorithm>
+#include <charconv>
 #include <memory>
+#include <optional>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "core/events.h"
@@ -15,6 +19,12 @@
 
 // Size above which a mismatched answer is not read to its end.
 constexpr size_t kMaxSkippedBytes = 1024 * 1024;
+// Mismatched answers after which no further one is read. An endpoint that
+// answers twice sends one for each earlier request of the connection.
+constexpr int kMaxSkippedAnswers = 16;
+// Limit of a body that doesn't state its length, which may have no end. Several
+// of them must fit in the memory of a small instance.
+constexpr size_t kMaxUnsizedBytes = 8UL * 1024 * 1024;
 
 void LogMismatchedAnswer(const connection& from, const header& id,
                          const response& head) {
@@ -36,15 +46,33 @@
   co_return state == body_state::kEnd;
 }
 
+// Returns the limit of the body after `head`, or nothing if the body states a
+// length above `limit`.
+std::optional<size_t> BodyLimitOf(const response& head, size_t limit) {
+  if (!Has(head.headers, "Content-Length")) {
+    return std::min(limit, kMaxUnsizedBytes);
+  }
+  size_t length = 0;
+  const std::string_view text = Find(head.headers, "Content-Length");
+  const auto [end, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), length);
+  if (failure != std::errc() || length > limit) return std::nullopt;
+  return limit;
+}
+
 awaitable<bool> ReadAnswer(connection& from, const call_options& options,
                            response& answer) {
   const bool has_head =
       co_await ReadOwnHead(from, options.expected, options.deadline, answer);
   if (!has_head) co_return false;
+  const std::optional<size_t> limit = BodyLimitOf(answer, options.body_limit);
   body_state state = body_state::kMore;
   while (state == body_state::kMore) {
+    if (!limit || answer.body.size() > *limit) {
+      from.SetError("the body of the answer is too long");
+      co_return false;
+    }
     state = co_await from.ReadSome(answer.body, options.deadline);
-    if (answer.body.size() > options.body_limit) co_return false;
   }
   co_return state == body_state::kEnd;
 }
@@ -54,7 +82,7 @@
 awaitable<bool> ReadOwnHead(connection& from, const header& id,
                             time_point deadline, response& head) {
   bool is_first = !from.IsReused();
-  for (;;) {
+  for (int skipped = 0;; ++skipped) {
     const bool has_head = co_await from.ReadHead(head, deadline);
     if (!has_head) co_return false;
     const std::string_view found = Find(head.headers, id.name);
@@ -65,7 +93,8 @@
     if (found.empty() && is_first) co_return true;
     LogMismatchedAnswer(from, id, head);
     // After an answer without a known end, the next answer can't be located.
-    const bool may_follow = !found.empty() && from.IsFramed();
+    const bool may_follow =
+        !found.empty() && from.IsFramed() && skipped < kMaxSkippedAnswers;
     const bool is_skipped = may_follow && co_await SkipBody(from, deadline);
     if (!is_skipped) {
       from.SetError("received an answer that may belong to another request");
--- a/packages/net/call.h
+++ b/packages/net/call.h
@@ -35,6 +35,7 @@
   core::time_point connect_deadline{};
   core::time_point deadline{};  // of the complete answer
   bool needs_fresh = false;
+  // Maximum size of the body. A body without a stated length has a lower limit.
   size_t body_limit = 64 * 1024 * 1024;
   // The header that contains the request id in the request and in its answer. A
   // request with an empty value has no id and uses a new connection.
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -39,6 +39,14 @@
 constexpr unsigned kHttp11 = 11;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
+// Maximum length that an answer may state. The parser allocates a body of that
+// length before the first byte of it arrives.
+constexpr uint64_t kMaxStatedBytes = 64UL * 1024 * 1024;
+// Bytes that are received and not parsed yet: a head, or the framing of a
+// chunked body, whose extensions and trailers could have any length.
+constexpr size_t kMaxBufferedBytes = 2UL * kMaxAnswerHeaderBytes;
+// Interim responses before one final response. Endpoints send one at most.
+constexpr int kMaxInterimResponses = 8;
 
 // Reads "timeout=15" in the value of a Keep-Alive header.
 std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
@@ -107,7 +115,12 @@
   awaitable<bool> ReadHead(response& head, time_point deadline) override {
     is_identified_ = false;
     stream_.expires_at(deadline);
+    int responses = 0;
     do {
+      if (++responses > kMaxInterimResponses) {
+        error_ = "the peer sends interim responses without end";
+        co_return false;
+      }
       parser_.emplace();
       parser_->header_limit(kMaxAnswerHeaderBytes);
       parser_->body_limit(boost::none);
@@ -115,6 +128,11 @@
           stream_, buffer_, *parser_, kNoThrow);
       if (failure) co_return Fail(failure);
     } while (IsInterim(parser_->get().result_int()));
+    const auto length = parser_->content_length();
+    if (length && *length > kMaxStatedBytes) {
+      error_ = "the answer states a length above the limit";
+      co_return false;
+    }
     const auto& message = parser_->get();
     head.status = static_cast<int>(message.result_int());
     head.headers.clear();
@@ -195,7 +213,7 @@
 
   const std::string address_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string error_;
   std::vector<uint64_t> carried_;  // hashes of the request ids
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -27,6 +27,8 @@
 // and enough of the objective remains for the copy.
 constexpr double kHedgeDelayShare = 0.5;
 constexpr milliseconds kMinHedgeDelay{20};
+// Maximum size of an answer: the usual limit of what callers may send.
+constexpr size_t kMaxAnswerBytes = 32UL * 1024 * 1024;
 // Delay for a route without an objective.
 constexpr milliseconds kDefaultHedgeDelay{500};
 
@@ -305,6 +307,7 @@
   options.needs_fresh =
       state->terms.route.kind != fleet::route_kind::kIdempotent;
   options.expected = wire_.RequestIdHeader(state->terms.id);
+  options.body_limit = kMaxAnswerBytes;
   net::call_result call =
       co_await net::Call(pool_, target.address, output, options);
   const time_point now = clock_.Now();
--- a/packages/steps/event_text.cc
+++ b/packages/steps/event_text.cc
@@ -44,6 +44,29 @@
   return fields;
 }
 
+bool AddPiece(event_meter& meter, std::string_view piece) {
+  constexpr size_t kFieldNameBytes = 5;  // the longer of "id:" and "data:"
+  for (const char byte : piece) {
+    if (++meter.bytes > kMaxEventBytes) return false;
+    if (byte == '\r') continue;
+    if (byte != '\n') {
+      if (meter.line_beginning.size() < kFieldNameBytes) {
+        meter.line_beginning.push_back(byte);
+      }
+      continue;
+    }
+    const bool is_event_end = meter.line_beginning.empty() && meter.has_field;
+    if (is_event_end) {
+      meter = event_meter{};
+      continue;
+    }
+    meter.has_field |= meter.line_beginning.starts_with("id:") ||
+                       meter.line_beginning == "data:";
+    meter.line_beginning.clear();
+  }
+  return true;
+}
+
 bool MayContinue(const generated_text& text, const text_rules& rules,
                  std::optional<uint64_t> version) {
   if (!version) return true;
--- a/packages/steps/event_text.h
+++ b/packages/steps/event_text.h
@@ -25,6 +25,20 @@
 // nothing if there is none yet.
 std::optional<event_fields> ExtractEvent(std::string& buffer);
 
+// Maximum size of one event, with the lines between events. Events contain a
+// few tokens; more bytes without an event are no text.
+constexpr size_t kMaxEventBytes = 256UL * 1024;
+
+// Measures the bytes since the end of the last event in a stream that arrives
+// in pieces of any size.
+struct event_meter {
+  size_t bytes = 0;
+  bool has_field = false;      // the present event has an id or data
+  std::string line_beginning;  // of the present line
+};
+// Adds a piece. Returns false once the present event is too long.
+bool AddPiece(event_meter& meter, std::string_view piece);
+
 struct generated_text {
   uint64_t events = 0;  // accepted so far; also the id of the last one
   std::vector<std::string> data;   // of each event
--- a/packages/store/task_runner.cc
+++ b/packages/store/task_runner.cc
@@ -88,13 +88,20 @@
                                              net::connection& from,
                                              std::optional<uint64_t> version) {
   std::string buffer;
+  size_t unread = 0;    // bytes of an incomplete event in the buffer
+  size_t received = 0;  // bytes of this run
   for (;;) {
     const net::body_state state =
         co_await from.ReadSome(buffer, time_point::max());
     if (state == net::body_state::kBroken) co_return run_outcome::kBroken;
     if (!IsCurrent(self)) co_return run_outcome::kMoved;
+    received += buffer.size() - unread;
     const auto event_failure = ConsumeEvents(*self, buffer, version);
     if (event_failure) co_return *event_failure;
+    unread = buffer.size();
+    const bool is_endless =
+        unread > steps::kMaxEventBytes || received > kMaxRunBytes;
+    if (is_endless) co_return run_outcome::kBroken;
     if (state != net::body_state::kEnd) continue;
     co_return buffer.empty() ? run_outcome::kComplete : run_outcome::kBroken;
   }
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -21,6 +21,8 @@
 constexpr long kIdleAgeSeconds = 20;
 constexpr long kKeepaliveIdleSeconds = 5;
 constexpr long kKeepaliveIntervalSeconds = 2;
+// Maximum size of all headers of a response, with those of interim responses.
+constexpr size_t kMaxHeaderBytes = 64UL * 1024;
 // A connection with unacknowledged data for this long is considered dead.
 constexpr unsigned kUserTimeoutMillis = 5000;
 
@@ -47,6 +49,8 @@
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
   bool is_status_reported = false;
+  size_t header_bytes = 0;
+  bool is_too_long = false;
 
   ~transfer() {
     if (easy != nullptr) curl_easy_cleanup(easy);
@@ -68,9 +72,12 @@
   ReportStatus(item);
   if (item.request.on_data) {
     item.request.on_data(bytes);
-  } else {
-    item.response.body.append(bytes);
+    return bytes.size();
   }
+  const size_t size_so_far = item.response.body.size() + bytes.size();
+  item.is_too_long = size_so_far > item.request.max_body_bytes;
+  if (item.is_too_long) return 0;
+  item.response.body.append(bytes);
   return bytes.size();
 }
 
@@ -105,6 +112,9 @@
 size_t OnHeader(char* data, size_t size, size_t count, void* context) {
   auto& item = *static_cast<transfer*>(context);
   const std::string line(data, size * count);
+  item.header_bytes += line.size();
+  item.is_too_long = item.header_bytes > kMaxHeaderBytes;
+  if (item.is_too_long) return 0;
   if (line == "\r\n" && !IsInterim(item.easy)) {
     // Any return value other than the size aborts the transfer and closes its
     // connection.
@@ -229,7 +239,9 @@
   response.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
   if (code != CURLE_OK) response.error = curl_easy_strerror(code);
   if (code == CURLE_WRITE_ERROR) {
-    response.error = "the response may belong to another request";
+    response.error = item->is_too_long
+                         ? "the response is too long"
+                         : "the response may belong to another request";
   }
   curl_multi_remove_handle(multi, item->easy);
   if (code == CURLE_OK) ReportStatus(*item);
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -46,8 +46,9 @@
   // without a status.
   bool only_connects = false;
   // Receives the body in pieces. If it is not set, the body is collected in the
-  // response.
+  // response, up to `max_body_bytes`.
   std::function<void(std::string_view)> on_data;
+  size_t max_body_bytes = 32UL * 1024 * 1024;
   // Called once, when the status of a streamed response is known.
   std::function<void(int status)> on_status;
 };
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -224,6 +224,10 @@
     state_.tokens += static_cast<int64_t>(batch.size());
   }
   for (const sequence_ptr& item : batch) {
+    if (behaviour.only_comments) {
+      item->exchange->WriteStream(": filler\n\n");
+      continue;
+    }
     if (item->prefill_steps > 0) {
       --item->prefill_steps;
       continue;
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -29,11 +29,12 @@
   bool omits_version = false;  // omits the weights version from chunks
   bool echoes_wrong_id = false;
   bool goes_silent = false;  // streams send nothing more, connections stay open
-  bool swap_fails = false;   // a swap takes its normal time and changes nothing
+  bool only_comments = false;  // streams send comments and no text
+  bool swap_fails = false;  // a swap takes its normal time and changes nothing
   int64_t announced_version = -1;  // announced in place of the real version
   double slow_factor = 1;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_behaviour,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(engine_behaviour, only_comments,
                                                 cut_after_tokens, omits_version,
                                                 echoes_wrong_id, goes_silent,
                                                 swap_fails, announced_version,
--- a/tests/integration/samples_test.cc
+++ b/tests/integration/samples_test.cc
@@ -191,6 +191,17 @@
   ExpectEachSlotOnce(outcome, 24);
 }
 
+// Guards against samples that wait without a limit for an engine which sends
+// comments all the time, but no text.
+TEST_F(SamplesTest, StreamsOfCommentsCountAsStalled) {
+  StartWith({{"e1"}, {"e2"}});
+  Behave("e1", {{"only_comments", true}});
+  Open("n2", StepSpec("comments", 6, 2));
+  const pull_outcome outcome = PullAll(fleet_, "comments", {{"n1"}});
+  ASSERT_TRUE(outcome.is_done);
+  ExpectEachSlotOnce(outcome, 12);
+}
+
 // The trainer publishes versions faster than it pulls the samples of the step,
 // also between the completion of a sample and its delivery. Samples beyond the
 // staleness bound are discarded and generated again, and none is delivered.
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -17,6 +17,7 @@
 #include "net/call.h"
 #include "platform/protocol.h"
 #include "support/duplicate_response_server.h"
+#include "support/endless_server.h"
 
 namespace hickorywood::entry {
 namespace {
@@ -277,5 +278,60 @@
   }
 }
 
+// Returns whether a successful response arrived completely. Discards its body.
+awaitable<bool> ReadToEnd(io_context& loop, test_entry& entry,
+                          net::request input, milliseconds timeout) {
+  net::connection_pool pool(loop);
+  const core::time_point deadline = std::chrono::steady_clock::now() + timeout;
+  net::acquire_terms terms;
+  const auto open =
+      co_await pool.Acquire(entry.Address(), deadline, std::move(terms));
+  if (!open) co_return false;
+  co_await open->Write(input, deadline);
+  net::response head;
+  const bool has_head = co_await open->ReadHead(head, deadline);
+  if (!has_head) co_return false;
+  net::body_state state = net::body_state::kMore;
+  while (state == net::body_state::kMore) {
+    std::string piece;
+    state = co_await open->ReadSome(piece, deadline);
+  }
+  co_return state == net::body_state::kEnd&& head.status / 100 == 2;
+}
+
+// Guards against an entry that passes on bytes without end that are no events:
+// the caller must be disconnected without a complete response.
+TEST(RelayTest, EndlessStreamsAreBrokenOff) {
+  // An event that is longer than the limit, and socket buffers.
+  constexpr size_t kMaxSentBytes = 24UL * 1024 * 1024;
+  constexpr milliseconds kDeadline{10000};
+  std::vector<testing::endless_response> scripts = testing::EndlessStreams();
+  for (const auto& script : testing::EndlessResponses()) {
+    scripts.push_back(script);
+  }
+  for (const testing::endless_response& script : scripts) {
+    testing::endless_server endpoint(script);
+    io_context loop;
+    test_entry entry(loop, {endpoint.Address()}, kDeadline, kDeadline);
+    entry.SetKind(route_kind::kStream);
+    net::request input;
+    input.target = "/x";
+    input.headers = {{"X-Request-Id", testing::kEndlessRequestId}};
+    bool is_success = false;
+    boost::asio::co_spawn(loop, ReadToEnd(loop, entry, input, kDeadline),
+                          [&](const std::exception_ptr&, bool is_whole) {
+                            is_success = is_whole;
+                            loop.stop();
+                          });
+    const auto started = std::chrono::steady_clock::now();
+    loop.run_for(kDeadline);
+    EXPECT_FALSE(is_success) << script.name;
+    EXPECT_GT(endpoint.Sent(), 0U) << script.name;
+    EXPECT_LE(std::chrono::steady_clock::now() - started, kDeadline / 2)
+        << script.name;
+    EXPECT_LE(endpoint.Sent(), kMaxSentBytes) << script.name;
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::entry
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -15,6 +15,7 @@
 #include "net/event.h"
 #include "platform/protocol.h"
 #include "support/duplicate_response_server.h"
+#include "support/endless_server.h"
 
 namespace hickorywood::store {
 namespace {
@@ -162,5 +163,47 @@
   }
 }
 
+// Guards against a store whose memory grows with an event that has no end. The
+// run must end because of what it received, before it counts as stalled.
+TEST(TaskRunnerTest, EndlessStreamsEndTheRun) {
+  // An event that is longer than the limit, and socket buffers.
+  constexpr size_t kMaxSentBytes = 16UL * 1024 * 1024;
+  std::vector<testing::endless_response> scripts = testing::EndlessStreams();
+  for (const auto& script : testing::EndlessResponses()) {
+    scripts.push_back(script);
+  }
+  // Events that are valid one by one.
+  std::string events;
+  for (int id = 1; events.size() < kMaxSentBytes; ++id) {
+    events += "id: " + std::to_string(id) +
+              "\ndata: " + std::string(1000, 'x') + "\n\n";
+  }
+  const std::string head = testing::EndlessStreams()[2].begin;
+  scripts.push_back({"events", head + events, ": filler\n"});
+  const auto wire = platform::MakeProtocol();
+  for (const testing::endless_response& script : scripts) {
+    testing::endless_server engine(script);
+    io_context loop;
+    core::runtime_clock clock;
+    net::connection_pool pool(loop);
+    task_runner runs(loop, clock, pool, *wire);
+    std::optional<run_outcome> outcome;
+    runs.on_report = [&](const run_report& report) {
+      if (!report.is_over) return;
+      outcome = report.how;
+      loop.stop();
+    };
+    run_order order;
+    order.run = 1;
+    order.address = engine.Address();
+    order.target = "/s/run";
+    order.headers = {{"X-Request-Id", testing::kEndlessRequestId}};
+    runs.Start(std::move(order));
+    loop.run_for(milliseconds(4000));
+    EXPECT_EQ(outcome, run_outcome::kBroken) << script.name;
+    EXPECT_LE(engine.Sent(), kMaxSentBytes) << script.name;
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::store
