Keep all data lines of an event

Cause: steps::AddEvent() took the first field named data; text/event-stream joins all data lines of an event with line feeds. Nothing counted the others.

Change: the data lines of an event are joined. Streams that entries pass on are not parsed, and a chunk of the native API is one JSON text on one line, so only texts of tasks were affected.

--- a/packages/steps/event_text.cc
+++ b/packages/steps/event_text.cc
@@ -20,6 +20,17 @@
   return nullptr;
 }
 
+// Returns the data of an event: its data lines, joined by line feeds, as
+// text/event-stream defines it. Nothing if it has none.
+std::optional<std::string> DataOf(const event_fields& fields) {
+  std::optional<std::string> data;
+  for (const auto& [field, value] : fields) {
+    if (field != "data") continue;
+    data = data ? *data + "\n" + value : value;
+  }
+  return data;
+}
+
 bool HasVersion(const generated_text& text, uint64_t version) {
   return std::find(text.versions.begin(), text.versions.end(), version) !=
          text.versions.end();
@@ -83,9 +94,9 @@
     if (version) run_version = version;
   }
   const std::string* id_text = FindField(fields, "id");
-  const std::string* data = FindField(fields, "data");
+  std::optional<std::string> data = DataOf(fields);
   uint64_t id = 0;
-  const bool is_next = id_text != nullptr && data != nullptr &&
+  const bool is_next = id_text != nullptr && data &&
                        absl::SimpleAtoi(*id_text, &id) && id == text.events + 1;
   if (!is_next) return event_check::kMalformed;
   if (run_version) {
@@ -96,7 +107,7 @@
     }
   }
   text.events = id;
-  text.data.push_back(*data);
+  text.data.push_back(std::move(*data));
   return event_check::kAccepted;
 }
 
--- a/tests/unit/steps/steps_test.cc
+++ b/tests/unit/steps/steps_test.cc
@@ -32,6 +32,23 @@
   return result;
 }
 
+// Guards against texts that lose all but the first line of an event whose data
+// contains line breaks.
+TEST(EventTextTest, DataOfAnEventMayHaveSeveralLines) {
+  generated_text text;
+  std::optional<uint64_t> version;
+  const version_reader read = [](const std::string&, const std::string&) {
+    return std::optional<uint64_t>();
+  };
+  std::string buffer =
+      "id: 1\ndata: a\ndata: b\n\nid: 2\ndata: \ndata: c\ndata\n\n";
+  while (const auto fields = ExtractEvent(buffer)) {
+    EXPECT_EQ(AddEvent(text, *fields, {}, read, version),
+              event_check::kAccepted);
+  }
+  EXPECT_EQ(JoinText(text), "a\nb\n\nc\n");
+}
+
 // A trainer repeats a submission whose response was lost. The step is opened
 // once, and its tasks and results stay.
 TEST(StepTableTest, RepeatedSubmissionChangesNothing) {
