Endless server of tests counts the requests it has received

RelayTest.EndlessStreamsAreBrokenOff failed once in nine runs: it demanded that bytes had been sent, but an answer without a head ends the request before the thread of the server has counted them.

--- a/tests/support/endless_server.cc
+++ b/tests/support/endless_server.cc
@@ -98,6 +98,7 @@
   setsockopt(client, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
   std::string request(kWriteBytes, '\0');
   if (recv(client, request.data(), request.size(), 0) <= 0) return;
+  ++requests_;
   std::string next = script_.begin;
   const std::string filler = Repeat(script_.filler);
   while (!is_stopping_ && sent_ < kMaxSent) {
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -39,6 +39,8 @@
   std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
   // Bytes sent on all connections, including those in socket buffers.
   size_t Sent() const { return sent_; }
+  // Requests that were received.
+  int Requests() const { return requests_; }
 
  private:
   void Run();
@@ -48,6 +50,7 @@
   int listener_ = -1;
   uint16_t port_ = 0;
   std::atomic<size_t> sent_{0};
+  std::atomic<int> requests_{0};
   std::atomic<bool> is_stopping_{false};
   std::thread thread_;
 };
