Only answers of 500 are failed attempts of a task

Cause: task_runner took each answer but 200, 422 and those that state that nothing ran for a failed attempt, and a 200 without the server's mark too.

Change: such answers are a new outcome of a run. The engine is avoided for a while, as after a broken connection, and the task runs elsewhere until its lifetime is over.

TaskRunnerTest.OnlyServerErrorsAreFailedAttempts needs the new outcome, so it doesn't compile on the code before; that code has no branch for these answers but the one of failed attempts.

--- a/packages/quarantine/suspect_separation.cc
+++ b/packages/quarantine/suspect_separation.cc
@@ -13,8 +13,8 @@
 constexpr size_t kCrashesToPause = 3;
 // Pause after that crash. Each further crash doubles it.
 constexpr core::milliseconds kFirstPause{250};
-// Half of the time within which endpoints with free places must run waiting
-// work, so that a pause and the choice of an endpoint fit in it.
+// Waiting work must run within 5 s where endpoints have free places. The pause,
+// a run that breaks at once and the choice of an endpoint fit in that twice.
 constexpr core::milliseconds kMaxPause{2000};
 
 }  // namespace
--- a/packages/quarantine/suspect_separation.h
+++ b/packages/quarantine/suspect_separation.h
@@ -34,8 +34,8 @@
 
 // Whether a request may join those on an endpoint while another endpoint has a
 // free place that it may take. One with a single crash avoids requests that may
-// be the cause of it. One with two crashes is most
-// likely the cause, so it avoids every request that could be taken for it.
+// be the cause of it. One with two crashes is most likely the cause, so it
+// avoids every request that could be taken for it.
 bool MayJoin(const crash_suspicion& request, const suspects_on_endpoint& there);
 
 // Whether a request that has made `events` events in its present run is past
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -299,9 +299,9 @@
                                      {"how", RunOutcomeName(how)},
                                      {"events", Text(task->text.events)},
                                      {"ms", std::to_string(run_time.count())}});
-  const bool is_answered = how == run_outcome::kComplete ||
-                           how == run_outcome::kFailed ||
-                           how == run_outcome::kImpossible;
+  const bool is_answered =
+      how == run_outcome::kComplete || how == run_outcome::kFailed ||
+      how == run_outcome::kUnexpected || how == run_outcome::kImpossible;
   if (is_answered) RecordServed(ended->key);
   switch (how) {
     case run_outcome::kComplete:
@@ -327,6 +327,7 @@
       }
       break;
     case run_outcome::kNotRun:
+    case run_outcome::kUnexpected:
       task->not_before = clock_.Now() + kRetryPause;
       break;
     case run_outcome::kUnusable:
@@ -401,8 +402,9 @@
 void dispatcher::RecordEngineOutcome(const std::string& incarnation,
                                      run_outcome how) {
   engine_record& engine = engines_[incarnation];
-  const bool is_fault =
-      how == run_outcome::kBroken || how == run_outcome::kNotRun;
+  const bool is_fault = how == run_outcome::kBroken ||
+                        how == run_outcome::kNotRun ||
+                        how == run_outcome::kUnexpected;
   if (!is_fault) {
     if (how == run_outcome::kComplete) engine.failures = 0;
     return;
--- a/packages/store/task_run.cc
+++ b/packages/store/task_run.cc
@@ -36,6 +36,8 @@
       return "impossible";
     case run_outcome::kNotRun:
       return "not_run";
+    case run_outcome::kUnexpected:
+      return "unexpected";
     case run_outcome::kBroken:
       return "broken";
     case run_outcome::kUnusable:
--- a/packages/store/task_run.h
+++ b/packages/store/task_run.h
@@ -22,6 +22,7 @@
   kBroken,      // connection broken, timeout or malformed response
   kUnusable,    // generated with weights that the step does not allow
   kMoved,       // cancelled, to continue on another engine or runner
+  kUnexpected,  // an answer that is neither text nor a failed attempt
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(run_outcome, {{run_outcome::kBroken, 4},
                                            {run_outcome::kComplete, 0},
@@ -29,7 +30,8 @@
                                            {run_outcome::kImpossible, 2},
                                            {run_outcome::kNotRun, 3},
                                            {run_outcome::kUnusable, 5},
-                                           {run_outcome::kMoved, 6}})
+                                           {run_outcome::kMoved, 6},
+                                           {run_outcome::kUnexpected, 7}})
 
 // Returns the name of an outcome for logs.
 const char* RunOutcomeName(run_outcome how);
--- a/packages/store/task_runner.cc
+++ b/packages/store/task_runner.cc
@@ -68,7 +68,9 @@
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
   if (marks.is_not_run) co_return run_outcome::kNotRun;
   if (head.status == 422) co_return run_outcome::kImpossible;
-  if (head.status != 200 || !marks.IsSigned()) co_return run_outcome::kFailed;
+  if (head.status == 500) co_return run_outcome::kFailed;
+  const bool is_text = head.status == 200 && marks.IsSigned();
+  if (!is_text) co_return run_outcome::kUnexpected;
   self->has_head = true;
   run_report head_report;
   head_report.run = self->order.run;
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "net/event.h"
+#include "net/listener.h"
 #include "platform/protocol.h"
 #include "support/duplicate_response_server.h"
 #include "support/endless_server.h"
@@ -163,6 +164,56 @@
   }
 }
 
+// Runs a task once at an engine that answers with `answer`.
+run_outcome OutcomeOf(const net::response& answer) {
+  io_context loop;
+  core::runtime_clock clock;
+  net::connection_pool pool(loop);
+  const auto wire = platform::MakeProtocol();
+  net::listener_options options;
+  options.address = "127.0.0.1:0";
+  options.limits = [] { return net::caller_limits{}; };
+  net::listener engine(loop, options,
+                       [&answer](net::exchange& call) -> awaitable<void> {
+                         net::response copy = answer;
+                         co_await call.Reply(std::move(copy));
+                       });
+  EXPECT_TRUE(engine.Start());
+  task_runner runs(loop, clock, pool, *wire);
+  run_outcome outcome = run_outcome::kMoved;
+  runs.on_report = [&](const run_report& report) {
+    if (!report.is_over) return;
+    outcome = report.how;
+    loop.stop();
+  };
+  run_order order;
+  order.run = 1;
+  order.address = "127.0.0.1:" + std::to_string(engine.Port());
+  order.target = "/s/run";
+  order.headers = {{"X-Request-Id", "t"}};
+  runs.Start(std::move(order));
+  loop.run_for(kTestTimeout);
+  return outcome;
+}
+
+// Guards against a task that is terminated after answers that are no failed
+// attempts: only 500 counts.
+TEST(TaskRunnerTest, OnlyServerErrorsAreFailedAttempts) {
+  net::response answer;
+  answer.headers = {{"X-Request-Id", "t"}, {"X-Response-Stamp", "signed"}};
+  for (const int status : {400, 404, 502, 503, 504}) {
+    answer.status = status;
+    EXPECT_EQ(OutcomeOf(answer), run_outcome::kUnexpected) << status;
+  }
+  answer.status = 500;
+  EXPECT_EQ(OutcomeOf(answer), run_outcome::kFailed);
+  answer.status = 422;
+  EXPECT_EQ(OutcomeOf(answer), run_outcome::kImpossible);
+  answer.status = 200;
+  answer.headers.pop_back();
+  EXPECT_EQ(OutcomeOf(answer), run_outcome::kUnexpected);
+}
+
 // Guards against a store whose memory grows with an event that has no end. The
 // run must end because of what it received, before it counts as stalled.
 TEST(TaskRunnerTest, EndlessStreamsEndTheRun) {
