--- a/tests/support/endless_server.cc
+++ b/tests/support/endless_server.cc
@@ -7,6 +7,8 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <stdexcept>
 #include <utility>
 
 namespace hickorywood::testing {
@@ -66,11 +68,13 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
   socklen_t size = sizeof address;
-  getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+  auto* const target = reinterpret_cast<sockaddr*>(&address);
+  const bool is_listening = bind(listener_, target, size) == 0 &&
+                            getsockname(listener_, target, &size) == 0 &&
+                            listen(listener_, SOMAXCONN) == 0;
+  if (!is_listening) throw std::runtime_error("can't listen on loopback");
   port_ = ntohs(address.sin_port);
-  listen(listener_, SOMAXCONN);
   thread_ = std::thread([this] { Run(); });
 }
 
