Restart stores at fixed runs in the test of failed attempts

Its log shows no fault of the product: the task had begun its first run before the test read the number of runs, so the test waited for a run more than it meant, the second failure was committed too, and the task was terminated with the third one while the test waited for further runs. The test now restarts the stores in the second and in the fourth run, whatever was read before. The bound is unchanged.

--- a/tests/integration/deployment_test.cc
+++ b/tests/integration/deployment_test.cc
@@ -250,12 +250,11 @@
   const std::string failing = deployment::TaskId("step", 0);
   fleet.Endpoints().Fail(failing, 1000);
   ASSERT_TRUE(fleet.Submit("e1", "step", 1));
-  for (int restart = 0; restart < kRestarts; ++restart) {
+  for (int restart = 1; restart <= kRestarts; ++restart) {
     // In the middle of the run after a failed one, so that the failure was
-    // committed.
-    const int runs = fleet.Endpoints().RunsOf(failing);
+    // committed. Each round has one of each.
     ASSERT_TRUE(WaitUntil(
-        [&] { return fleet.Endpoints().RunsOf(failing) >= runs + 2; }));
+        [&] { return fleet.Endpoints().RunsOf(failing) == 2 * restart; }));
     std::this_thread::sleep_for(kFailureTime / 4);
     for (const std::string& store : fleet.Stores()) fleet.KillNode(store);
     for (const std::string& store : fleet.Stores()) fleet.StartNode(store);
