--- a/tests/unit/net/endless_response_test.cc
+++ b/tests/unit/net/endless_response_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <exception>
+#include <string>
 
 #include "net/call.h"
 #include "support/endless_server.h"
@@ -38,9 +39,10 @@
   options.expected = {"X-Request-Id", testing::kEndlessRequestId};
   request input;
   input.headers = {options.expected};
+  const std::string address = server.Address();
   call_result result;
   boost::asio::co_spawn(
-      loop, Call(pool, server.Address(), input, options),
+      loop, Call(pool, address, input, options),
       [&result](const std::exception_ptr& failure, call_result outcome) {
         EXPECT_FALSE(failure);
         result = std::move(outcome);
