--- a/packages/store/dispatch_limits.h
+++ b/packages/store/dispatch_limits.h
@@ -22,8 +22,8 @@
 // another engine. A working engine, even a slow one, takes 30 to 200 ms for an
 // event.
 constexpr milliseconds kEventTimeout{900};
-// Maximum size of the events that one run adds to a text. The memory of an
-// engine holds texts of about a tenth of this.
+// Maximum size of the events that one run adds to a text, well above that of a
+// text that an engine has memory for.
 constexpr size_t kMaxRunBytes = 4UL * 1024 * 1024;
 // Time for which an engine gets no new runs after a failure. Each further
 // failure in a row doubles it.
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -277,7 +277,7 @@
   static void IndexGroups(const steps::step& step,
                           const steps::step_table& known,
                           tracked_step& tracked);
-  // Finds the route of a step anew if the configuration has changed.
+  // Updates the route of a step if the configuration has changed.
   void UpdateRoute(const std::string& id, tracked_step& tracked);
   bool UsesPrediction(const std::string& service) const;
   bool UsesPrediction(const tracked_step& tracked) const;
--- a/tests/integration/samples_test.cc
+++ b/tests/integration/samples_test.cc
@@ -123,7 +123,7 @@
   }
 }
 
-// Guards against a sample without a fault that is held back for minutes,
+// Guards against a sample without a fault that is not generated for minutes,
 // because engines crashed while they ran it.
 TEST_F(SamplesTest, SampleIsGeneratedAfterManyEnginesCrashedUnderIt) {
   constexpr int kCrashes = 5;
--- a/tests/unit/quarantine/crash_ledger_test.cc
+++ b/tests/unit/quarantine/crash_ledger_test.cc
@@ -51,7 +51,7 @@
   EXPECT_TRUE(changes[0].is_quarantined);
 }
 
-// Guards against batch work that is held back because endpoints crashed under
+// Guards against batch work that is quarantined because endpoints crashed under
 // it by chance, also by a process that learns of the crashes from a warning.
 TEST_F(CrashLedgerTest, BatchWorkIsNotQuarantined) {
   for (const std::string incarnation : {"a", "b", "c", "d"}) {
