--- a/packages/consensus/group_health.cc
+++ b/packages/consensus/group_health.cc
@@ -31,6 +31,21 @@
                       {"missing", Names(missing)}});
 }
 
+std::string ContactsText(const raft_state& state, time_point now) {
+  std::string text;
+  for (const member& voter : ActiveMembers(state.log).voters) {
+    const auto found = state.followers.find(voter);
+    if (found == state.followers.end()) continue;
+    const time_point last_contact =
+        std::max(found->second.confirmed_at, state.elected_at);
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - last_contact);
+    text += (text.empty() ? "" : ",") + voter.node + ":" +
+            std::to_string(age.count());
+  }
+  return text;
+}
+
 bool IsCandidate(const raft_state& state) {
   return state.role == raft_role::kPreCandidate ||
          state.role == raft_role::kCandidate;
@@ -61,6 +76,7 @@
 
 void group_health_log::BeforeTick(const raft_state& state, time_point now) {
   if (state.role == raft_role::kLeader) {
+    last_contacts_ = ContactsText(state, now);
     const std::vector<member> unreachable = MissingVoters(state, now);
     if (unreachable != unreachable_) {
       LogVoters(core::event_id::kVotersUnreachable, state, unreachable);
--- a/packages/consensus/group_health.h
+++ b/packages/consensus/group_health.h
@@ -30,9 +30,14 @@
   // Call immediately before the replica's tick at `now`.
   void BeforeTick(const raft_state& state, time_point now);
 
+  // The other voters as of the last tick of a leader, each with the time since
+  // the sending of the latest message that it replied to: "NODE:MS,NODE:MS".
+  const std::string& LastContacts() const { return last_contacts_; }
+
  private:
   void LogFailedElection(const raft_state& state, time_point now);
 
+  std::string last_contacts_;
   std::vector<member> unreachable_;  // unreachable voters as last logged
   // Failed elections are not logged before this time. The epoch: no election
   // has failed since the last contact with a leader.
--- a/packages/consensus/group_replica.cc
+++ b/packages/consensus/group_replica.cc
@@ -346,9 +346,10 @@
   const bool is_leader = raft_.role == raft_role::kLeader;
   if (is_leader == was_leader_) return;
   was_leader_ = is_leader;
-  LogEvent(
-      is_leader ? event_id::kLeaderElected : event_id::kLeadershipLost,
-      {{"node", settings_.node}, {"term", std::to_string(raft_.hard.term)}});
+  LogEvent(is_leader ? event_id::kLeaderElected : event_id::kLeadershipLost,
+           {{"node", settings_.node},
+            {"term", std::to_string(raft_.hard.term)},
+            {"last_contacts_ms", is_leader ? "" : health_.LastContacts()}});
   machine_.OnLeadership(is_leader);
   if (!is_leader) FailPendingProposals();
 }
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -171,6 +171,7 @@
     if (hint.leader == settings_.own_address) hint.leader.clear();
     OnJoinAnswer(join_, peer.node, hint, clock_.Now());
   }
+  LogAnswer(peer.node, answers.has_value(), result);
   if (!answers) {
     if (result.is_timeout) pool_.CloseIdle(peer.node);
     if (is_join) OnJoinFailure(join_, peer.node, clock_.Now());
@@ -185,6 +186,22 @@
   ScheduleFlush();
 }
 
+// Logs the first message to an instance that fails after one that succeeded.
+void group_host::LogAnswer(const std::string& node, bool is_answered,
+                           const net::call_result& result) {
+  if (is_answered) {
+    silent_.erase(node);
+    return;
+  }
+  if (!silent_.insert(node).second) return;
+  core::LogEvent(
+      core::event_id::kPeerNotAnswering,
+      {{"group", settings_.name},
+       {"to", node},
+       {"sent", result.how == net::progress::kNotSent ? "false" : "true"},
+       {"reason", result.error}});
+}
+
 awaitable<std::string> group_host::Receive(std::string payload) {
   const auto input = core::DecodeBinary<consensus::message>(payload);
   peering::consensus_messages answers;
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -18,6 +18,7 @@
 #include "core/clock.h"
 #include "group/hosted_state.h"
 #include "group/join_route.h"
+#include "net/call.h"
 #include "net/connection_pool.h"
 #include "net/event.h"
 #include "settings/node_settings.h"
@@ -129,6 +130,8 @@
   boost::asio::awaitable<void> Deliver(consensus::message output);
   boost::asio::awaitable<void> RunTickLoop();
   boost::asio::awaitable<void> RunJoinLoop();
+  void LogAnswer(const std::string& node, bool is_answered,
+                 const net::call_result& result);
   void ScheduleFlush();
   void RequestToJoin();
   peering::join_hint AnswerJoin(const consensus::message& input);
@@ -142,6 +145,7 @@
   std::vector<std::string> contacts_;
   std::map<std::string, core::time_point> applicants_;
   join_route join_;
+  std::set<std::string> silent_;  // instances whose last message failed
   consensus::group_replica replica_;
   bool is_flush_scheduled_ = false;
 };
--- a/packages/hickoryd/node_main.cc
+++ b/packages/hickoryd/node_main.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -50,6 +51,13 @@
 // and new seeds are needed only when no known instance is reachable.
 constexpr std::chrono::seconds kSettingsPeriod{2};
 
+// Interval for measuring the delay of the event loop, and the delay from which
+// on it is logged: a quarter of the time limit of a consensus message.
+constexpr milliseconds kLoopCheckPeriod{100};
+constexpr milliseconds kLoopDelayToLog{100};
+// Minimum interval between two log lines about it.
+constexpr std::chrono::seconds kLoopLogInterval{1};
+
 std::optional<settings::node_settings> Load(const std::string& file) {
   std::vector<core::finding> findings;
   auto loaded = settings::LoadNodeSettings(file, findings);
@@ -94,6 +102,7 @@
   awaitable<void> ServeMetrics(net::exchange& call) const;
   awaitable<void> RunSignalLoop();
   awaitable<void> RunSettingsWatchLoop();
+  awaitable<void> RunDelayWatchLoop() const;
   void Reload(const char* cause);
   void ScheduleLogFlush();
 
@@ -178,6 +187,7 @@
             {"seeds", std::to_string(settings_.seeds.size())}});
   asio::co_spawn(loop_, RunSignalLoop(), asio::detached);
   asio::co_spawn(loop_, RunSettingsWatchLoop(), asio::detached);
+  asio::co_spawn(loop_, RunDelayWatchLoop(), asio::detached);
   loop_.run();
   core::log_sink::Standard().Flush();
   const bool has_failed = (controller_ && controller_->HasFailed()) ||
@@ -229,6 +239,23 @@
   }
 }
 
+// Logs how late timers are, which is how long any message waits here.
+awaitable<void> node::RunDelayWatchLoop() const {
+  milliseconds longest{0};
+  core::time_point next_log{};
+  for (;;) {
+    const core::time_point due = clock_.Now() + kLoopCheckPeriod;
+    co_await net::Sleep(kLoopCheckPeriod);
+    const core::time_point now = clock_.Now();
+    const auto delay = std::chrono::duration_cast<milliseconds>(now - due);
+    longest = std::max(longest, delay);
+    if (longest < kLoopDelayToLog || now < next_log) continue;
+    LogEvent(event_id::kLoopDelayed, {{"ms", std::to_string(longest.count())}});
+    longest = milliseconds(0);
+    next_log = now + kLoopLogInterval;
+  }
+}
+
 // If the file can't be read, the current settings stay in force.
 void node::Reload(const char* cause) {
   changed_at_ = ChangedAt(file_);
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -15,6 +15,8 @@
 #include <set>
 #include <utility>
 
+#include "core/clock.h"
+#include "core/events.h"
 #include "core/reason.h"
 #include "net/address.h"
 
@@ -38,6 +40,8 @@
 // Pause after a failed accept (no free file descriptor), which avoids a busy
 // loop.
 constexpr std::chrono::milliseconds kAcceptPause{50};
+// Minimum interval between two log lines about refused connections.
+constexpr std::chrono::seconds kRefusalLogInterval{1};
 constexpr unsigned kHttp11 = 11;
 
 // One connection of a caller.
@@ -207,6 +211,7 @@
 
   bool Start();
   awaitable<void> Accept();
+  void LogRefusal();
   awaitable<void> Serve(std::shared_ptr<session> connection);
   awaitable<bool> ServeOne(session& connection);
   awaitable<bool> WaitForRequest(session& connection,
@@ -220,6 +225,8 @@
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<session>> sessions;
   size_t in_flight = 0;
+  size_t refused = 0;  // connections since the last log line about it
+  core::time_point next_refusal_log{};
   bool is_draining = false;
   bool is_closed = false;
 };
@@ -257,7 +264,10 @@
       co_await pause.async_wait(kNoThrow);
       continue;
     }
-    if (sessions.size() >= options.max_connections) continue;
+    if (sessions.size() >= options.max_connections) {
+      LogRefusal();
+      continue;
+    }
     TuneSocket(socket);
     auto connection = std::make_shared<session>(std::move(socket));
     sessions.insert(connection);
@@ -272,6 +282,19 @@
   }
 }
 
+void listener::impl::LogRefusal() {
+  ++refused;
+  const core::time_point now = std::chrono::steady_clock::now();
+  if (now < next_refusal_log) return;
+  core::LogEvent(core::event_id::kConnectionsRefused,
+                 {{"address", options.address},
+                  {"open", std::to_string(sessions.size())},
+                  {"answering", std::to_string(in_flight)},
+                  {"refused", std::to_string(refused)}});
+  refused = 0;
+  next_refusal_log = now + kRefusalLogInterval;
+}
+
 awaitable<void> listener::impl::Serve(std::shared_ptr<session> connection) {
   for (;;) {
     const bool may_continue = co_await ServeOne(*connection);
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -121,6 +121,15 @@
       fleet::ConfigVersionOf(*update) <= view_.config.version &&
       update->version.term >= view_.version.term;
   if (has_latest) confirmed_at_ = requested_at;
+  if (!has_latest) {
+    LogEvent(
+        event_id::kViewUpdateRejected,
+        {{"held", fleet::VersionText(view_.version)},
+         {"base", fleet::VersionText(update->base)},
+         {"version", fleet::VersionText(update->version)},
+         {"held_configuration", std::to_string(config_before)},
+         {"configuration", std::to_string(fleet::ConfigVersionOf(*update))}});
+  }
   if (!is_changed) return;
   if (update->has_members) {
     caller_.SetInstances(view_.members.controllers);
@@ -129,7 +138,8 @@
     LogEvent(event_id::kConfigurationInForce,
              {{"version", std::to_string(view_.config.version)},
               {"before", std::to_string(config_before)},
-              {"age_ms", age_before}});
+              {"age_ms", age_before},
+              {"request_ms", AgeText()}});
   }
   if (changed_) changed_(*update);
 }
