Read bodies of a known length in pieces of up to 64 KB

What callers saw: steps of the whole fleet are late or never run. The store that leads the tasks held a configuration for 6 s after all others had the next one; its request for a view took 3.8 s with a time limit of 1.1 s.

Cause: the HTTP library reads as much as fits into the buffer of a connection, 512 bytes at first. A busy process runs everything else that is ready between two reads, and since the next piece is there each time, the timer of the call never ends it.

Change: the buffer gets room for what is missing of the body, at most 64 KB, and gives memory above 4 KB back with the end of the message.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -23,6 +23,7 @@
 #include "core/ids.h"
 #include "core/reason.h"
 #include "net/address.h"
+#include "net/read_buffer.h"
 
 namespace hickorywood::net {
 namespace {
@@ -147,6 +148,7 @@
                                  time_point deadline) override {
     if (parser_->is_done()) co_return MoveBody(piece);
     SetDeadline(deadline);
+    ReserveForBody(buffer_, parser_->content_length_remaining());
     const auto [failure, count] =
         co_await http::async_read_some(stream_, buffer_, *parser_, kNoThrow);
     if (failure) {
@@ -175,6 +177,7 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  void ReleaseMemory() { ReleaseCapacity(buffer_); }
   void MarkReused() { is_reused_ = true; }
 
   // The idle timeout that the peer stated with its latest answer.
@@ -314,6 +317,7 @@
       item != nullptr && item->IsReusable() &&
       item->Carried() < impl_->options.requests_per_connection;
   if (!is_pooled) return;
+  item->ReleaseMemory();
   std::deque<idle_connection>& waiting = impl_->idle[item->Address()];
   if (waiting.size() >= impl_->options.idle_per_address) waiting.pop_front();
   const time_point usable_until =
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -19,6 +19,7 @@
 #include "core/events.h"
 #include "core/reason.h"
 #include "net/address.h"
+#include "net/read_buffer.h"
 
 namespace hickorywood::net {
 namespace {
@@ -344,12 +345,14 @@
                                asio::buffer(kContinue.data(), kContinue.size()),
                                kNoThrow);
   }
+  ReserveForBody(connection.buffer, parser.content_length_remaining());
   const auto [body_failure, body_bytes] = co_await http::async_read(
       connection.stream, connection.buffer, parser, kNoThrow);
   if (body_failure) {
     co_await ReplyStatus(connection, StatusOfReadError(body_failure));
     co_return false;
   }
+  ReleaseCapacity(connection.buffer);
   const bool keeps_alive = parser.get().keep_alive() && !is_draining;
   session_exchange one(connection, ConvertRequest(parser.release()),
                        keeps_alive, options);
--- a/tests/unit/net/connection_pool_test.cc
+++ b/tests/unit/net/connection_pool_test.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <string>
 
+#include "net/call.h"
 #include "net/event.h"
 #include "net/listener.h"
 #include "net/spawn.h"
@@ -100,6 +101,51 @@
   EXPECT_EQ(open_streams, 0);
 }
 
+// Sends a request with a body of `sent` bytes, which is answered with one of
+// `received` bytes. Returns how many handlers the loop ran meanwhile.
+size_t CountHandlers(size_t sent, size_t received) {
+  io_context loop;
+  listener_options options;
+  options.address = "127.0.0.1:0";
+  options.limits = [] { return caller_limits{}; };
+  listener server(loop, options, [received](exchange& call) -> awaitable<void> {
+    response answer;
+    answer.body.resize(received);
+    co_await call.Reply(std::move(answer));
+  });
+  EXPECT_TRUE(server.Start());
+  connection_pool pool(loop);
+  bool is_done = false;
+  const auto send = [&]() -> awaitable<void> {
+    request input;
+    input.method = "POST";
+    input.target = "/";
+    input.body.resize(sent);
+    call_options limits;
+    limits.deadline = In(milliseconds(10000));
+    limits.connect_deadline = limits.deadline;
+    const call_result result = co_await Call(
+        pool, "127.0.0.1:" + std::to_string(server.Port()), input, limits);
+    EXPECT_EQ(result.answer.body.size(), received);
+    is_done = true;
+  };
+  boost::asio::co_spawn(loop, send(), boost::asio::detached);
+  size_t handlers = 0;
+  while (!is_done && loop.run_one_for(std::chrono::seconds(10)) > 0) ++handlers;
+  EXPECT_TRUE(is_done);
+  return handlers;
+}
+
+// Guards against messages that are read in pieces of 512 bytes. Between two
+// pieces a busy process runs everything else that is ready, so that a view of
+// some kilobytes arrived seconds late, and no timeout ended the call.
+TEST(ConnectionPoolTest, LargeBodiesAreReadInFewTurnsOfTheLoop) {
+  constexpr size_t kBytes = 1024 * 1024;
+  constexpr size_t kMaxHandlers = 400;
+  EXPECT_LT(CountHandlers(0, kBytes), kMaxHandlers);
+  EXPECT_LT(CountHandlers(kBytes, 0), kMaxHandlers);
+}
+
 // Sends `calls` requests one after the other to a server that states its idle
 // timeout, or none if `keep_alive` is empty. Returns how many of them used a
 // connection again.
