Replace the longest idle connection of a listener at its limit

Cause: a listener that had as many connections as it may have closed each new one, also while most of them were idle. Endpoints open a connection for each heartbeat and leave it open for the 3 s of the idle timeout, so that a thousand of them use the limit of 3,000 without a request under way.

Tests: ListenerLoadTest.NewConnectionReplacesTheLongestIdleOne and ManyNewConnectionsReplaceIdleOnes; before, every new connection was refused. Change: at its limit a listener closes the connection that has been idle for longest and has no request on the way. A listener that is stopping reads no request from a connection that was accepted just before.

--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
 #include <set>
 #include <utility>
 
@@ -41,18 +42,69 @@
 // Pause after a failed accept (no free file descriptor), which avoids a busy
 // loop.
 constexpr std::chrono::milliseconds kAcceptPause{50};
+// Maximum number of idle connections that are examined to find one to close.
+constexpr int kMaxIdleChecks = 16;
 // Minimum interval between two log lines about refused connections.
 constexpr std::chrono::seconds kRefusalLogInterval{1};
 constexpr unsigned kHttp11 = 11;
 
 // One connection of a caller.
-struct session {
+struct session : std::enable_shared_from_this<session> {
   explicit session(tcp::socket socket) : stream(std::move(socket)) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  bool is_idle = true;
 };
 
+// The connections that wait for a request, the longest idle first.
+class idle_list {
+ public:
+  // Lists a connection for as long as it exists.
+  class entry {
+   public:
+    entry(idle_list& owner, session& item)
+        : owner_(owner),
+          position_(owner.sessions_.insert(owner.sessions_.end(), &item)) {}
+    ~entry() { owner_.sessions_.erase(position_); }
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+   private:
+    idle_list& owner_;
+    const std::list<session*>::iterator position_;
+  };
+
+  // Closes the longest idle connection whose caller has sent nothing. Returns
+  // it; nullptr: there is none.
+  session* CloseOldest();
+  void CloseAll();
+
+ private:
+  std::list<session*> sessions_;
+};
+
+bool HasReceived(session& connection) {
+  char byte = 0;
+  return recv(connection.stream.socket().native_handle(), &byte, 1,
+              MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+session* idle_list::CloseOldest() {
+  for (int i = 0; i < kMaxIdleChecks && !sessions_.empty(); ++i) {
+    session* const item = sessions_.front();
+    // It is listed until its coroutine ends or reads the request.
+    sessions_.splice(sessions_.end(), sessions_, sessions_.begin());
+    const bool is_idle = item->stream.socket().is_open() && !HasReceived(*item);
+    if (!is_idle) continue;
+    item->stream.close();
+    return item;
+  }
+  return nullptr;
+}
+
+void idle_list::CloseAll() {
+  for (session* const item : sessions_) item->stream.close();
+}
+
 // Completes when the caller has closed its side of the connection.
 awaitable<void> WaitForClose(session& connection) {
   tcp::socket& socket = connection.stream.socket();
@@ -212,6 +264,8 @@
 
   bool Start();
   awaitable<void> Accept();
+  void Add(tcp::socket socket);
+  bool CloseLongestIdle();
   void LogRefusal();
   awaitable<void> Serve(std::shared_ptr<session> connection);
   awaitable<bool> ServeOne(session& connection);
@@ -225,6 +279,7 @@
   const handler handle;
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<session>> sessions;
+  idle_list idle;
   size_t in_flight = 0;
   size_t refused = 0;  // connections since the last log line about it
   core::time_point next_refusal_log{};
@@ -265,24 +320,36 @@
       co_await pause.async_wait(kNoThrow);
       continue;
     }
-    if (sessions.size() >= options.max_connections) {
-      LogRefusal();
-      continue;
-    }
-    TuneSocket(socket);
-    auto connection = std::make_shared<session>(std::move(socket));
-    sessions.insert(connection);
-    asio::co_spawn(
-        loop,
-        [self = shared_from_this(), connection] {
-          return self->Serve(connection);
-        },
-        [self = shared_from_this(), connection](const std::exception_ptr&) {
-          self->sessions.erase(connection);
-        });
+    Add(std::move(socket));
   }
 }
 
+void listener::impl::Add(tcp::socket socket) {
+  if (sessions.size() >= options.max_connections && !CloseLongestIdle()) {
+    LogRefusal();
+    return;
+  }
+  TuneSocket(socket);
+  auto connection = std::make_shared<session>(std::move(socket));
+  sessions.insert(connection);
+  asio::co_spawn(
+      loop,
+      [self = shared_from_this(), connection] {
+        return self->Serve(connection);
+      },
+      [self = shared_from_this(), connection](const std::exception_ptr&) {
+        self->sessions.erase(connection);
+      });
+}
+
+// Closes the connection that has been idle for longest. Returns false if none
+// is idle.
+bool listener::impl::CloseLongestIdle() {
+  session* const closed = idle.CloseOldest();
+  if (closed != nullptr) sessions.erase(closed->shared_from_this());
+  return closed != nullptr;
+}
+
 void listener::impl::LogRefusal() {
   ++refused;
   const core::time_point now = std::chrono::steady_clock::now();
@@ -311,11 +378,11 @@
 awaitable<bool> listener::impl::WaitForRequest(session& connection,
                                                const caller_limits& limits) {
   if (connection.buffer.size() > 0) co_return true;
-  connection.is_idle = true;
+  if (is_closed) co_return false;
+  const idle_list::entry listed(idle, connection);
   connection.stream.expires_after(limits.idle_timeout);
   const auto [failure, count] = co_await connection.stream.async_read_some(
       connection.buffer.prepare(4096), kNoThrow);
-  connection.is_idle = false;
   if (failure) co_return false;
   connection.buffer.commit(count);
   co_return true;
@@ -404,9 +471,7 @@
   impl_->is_closed = true;
   error_code ignored;
   impl_->acceptor.close(ignored);
-  for (const auto& connection : impl_->sessions) {
-    if (connection->is_idle) connection->stream.close();
-  }
+  impl_->idle.CloseAll();
 }
 
 uint16_t listener::Port() const {
--- a/packages/net/listener.h
+++ b/packages/net/listener.h
@@ -59,8 +59,9 @@
   // Called when a caller was disconnected for that, with the bytes of its
   // answer that it had not accepted.
   std::function<void(size_t unread)> on_stall;
-  // Maximum number of open connections; further connections are closed when
-  // they are accepted. The process has a limited number of file descriptors.
+  // Maximum number of open connections. A further one replaces the one that has
+  // been idle for longest, or is closed when none is idle. The process has a
+  // limited number of file descriptors.
   size_t max_connections = 3000;
 };
 
