Answer the processes that wait for a view 32 in a turn

Cause: a change of the view resumed all processes that wait for it in one turn of the loop. A thousand answers take longer than the followers of the control leader wait for its next message, and than a caller waits to be accepted.

--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -52,6 +52,11 @@
 // each process takes longer than the process waits.
 constexpr milliseconds kCompleteLifetime{500};
 
+// Number of processes that get an answer in one turn of the loop, some
+// milliseconds of work. The consensus messages of the leader wait for the rest
+// of a turn; a thousand answers take longer than its followers wait for it.
+constexpr size_t kAnswersPerTurn = 32;
+
 // Index in view_publisher::answer_key.
 constexpr size_t kWantsWeights = 5;
 
@@ -138,8 +143,17 @@
     });
   }
   // Stores follow both channels, but wait only for the event of the weights.
-  if (&channel == &lists_) lists_.published.Notify();
-  weights_.published.Notify();
+  if (&channel == &lists_) Notify(lists_.published);
+  Notify(weights_.published);
+}
+
+void view_publisher::Notify(const net::event& published) {
+  asio::co_spawn(
+      loop_,
+      [event = published]() mutable -> awaitable<void> {
+        co_await event.NotifyInTurns(kAnswersPerTurn);
+      },
+      asio::detached);
 }
 
 awaitable<void> view_publisher::RunPublishLoop(update_channel& channel,
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -109,6 +109,7 @@
                         fleet::view_update& update) const;
   void RecordConfiguration();
   void Wake(update_channel& channel);
+  void Notify(const net::event& published);
 
   boost::asio::io_context& loop_;
   const core::runtime_clock& clock_;
--- a/packages/net/event.h
+++ b/packages/net/event.h
@@ -6,12 +6,15 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "core/clock.h"
@@ -30,33 +33,56 @@
         boost::asio::as_tuple(boost::asio::use_awaitable));
   }
 
-  bool HasWaiters() const { return !waiting_->empty(); }
+  bool HasWaiters() const { return !waiting_->timers.empty(); }
 
   void Notify() {
-    for (boost::asio::steady_timer* timer : *waiting_) timer->cancel();
+    for (const auto& [number, timer] : waiting_->timers) timer->cancel();
+  }
+
+  // The same for those that wait now, but resumes at most `count` of them in
+  // one turn of the loop, so that other work is done in between.
+  boost::asio::awaitable<void> NotifyInTurns(size_t count) {
+    const std::shared_ptr<waiter_list> waiting = waiting_;
+    const uint64_t last = waiting->latest;
+    auto next = waiting->timers.begin();
+    while (next != waiting->timers.end() && next->first <= last) {
+      uint64_t number = 0;
+      for (size_t i = 0; i < count && next != waiting->timers.end(); ++i) {
+        number = next->first;
+        next->second->cancel();
+        ++next;
+      }
+      co_await boost::asio::post(co_await boost::asio::this_coro::executor,
+                                 boost::asio::use_awaitable);
+      next = waiting->timers.upper_bound(number);
+    }
   }
 
  private:
-  using timer_set = std::set<boost::asio::steady_timer*>;
+  struct waiter_list {
+    // By the order in which they began to wait.
+    std::map<uint64_t, boost::asio::steady_timer*> timers;
+    uint64_t latest = 0;
+  };
 
-  // Removes the timer from the set also when its coroutine is cancelled.
+  // Removes the timer from the list also when its coroutine is cancelled.
   class registration {
    public:
-    registration(std::shared_ptr<timer_set> set,
+    registration(std::shared_ptr<waiter_list> list,
                  boost::asio::steady_timer& timer)
-        : set_(std::move(set)), timer_(&timer) {
-      set_->insert(timer_);
+        : list_(std::move(list)), number_(++list_->latest) {
+      list_->timers[number_] = &timer;
     }
-    ~registration() { set_->erase(timer_); }
+    ~registration() { list_->timers.erase(number_); }
     registration(const registration&) = delete;
     registration& operator=(const registration&) = delete;
 
    private:
-    std::shared_ptr<timer_set> set_;
-    boost::asio::steady_timer* timer_;
+    std::shared_ptr<waiter_list> list_;
+    uint64_t number_;
   };
 
-  std::shared_ptr<timer_set> waiting_ = std::make_shared<timer_set>();
+  std::shared_ptr<waiter_list> waiting_ = std::make_shared<waiter_list>();
 };
 
 // A value that is set once and that coroutines can wait for. Copies share the
