Order no tasks by a view that is known to be old

What callers saw: steps that are late by seconds after a change of the configuration.

Cause: a store that runs tasks returns an order that was made by an older configuration. The leader of the tasks sent the task again at once, by the same copy: 13,657 runs in 4.5 s ended as moved, and the leader had no processor time to receive its copy.

Change: a returned order names the configuration and the lists of the store. The leader waits for its own copy of that configuration; an engine that has left by newer lists gets no task until the leader has those lists. HK6020 tells of it.

--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -213,6 +213,8 @@
       {event_id::kRunMoved, kInfo, "rollout", "run moved to another engine"},
       {event_id::kStepRouteChanged, kInfo, "rollout",
        "services of a step set by its route"},
+      {event_id::kDispatchHeld, kWarning, "rollout",
+       "tasks wait for a newer configuration"},
       {event_id::kUsageClosed, kInfo, "duties", "usage of a window is final"},
       {event_id::kUsageReported, kInfo, "duties", "usage reported"},
       {event_id::kUsageReportFailed, kWarning, "duties",
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -106,6 +106,7 @@
   kTaskBodyRead = 6017,
   kRunMoved = 6018,
   kStepRouteChanged = 6019,
+  kDispatchHeld = 6020,
   kUsageClosed = 7001,
   kUsageReported = 7002,
   kUsageReportFailed = 7003,
--- a/packages/store/dispatcher.cc
+++ b/packages/store/dispatcher.cc
@@ -78,6 +78,7 @@
     runners_->runners.clear();
     for (auto& item : new_orders_) item.second.Notify();
     rewards_.CancelAll();
+    newer_ = {};
     service_engines_.clear();
     pools_.clear();
     steps_.clear();
@@ -116,8 +117,10 @@
     FailExpiredTasks();
     own_runs_.EndStalled();
     HandleUnreachableRunners();
-    MoveStragglers();
-    MoveByPrediction();
+    if (MayOrder(newer_, view_)) {
+      MoveStragglers();
+      MoveByPrediction();
+    }
     RemoveExpiredPrompts();
     DispatchTasks();
   }
@@ -261,7 +264,7 @@
 
 void dispatcher::DispatchTasks() {
   if (!is_leading_ || !group_.IsServing()) return;
-  if (!may_use_routes()) return;
+  if (!may_use_routes() || !MayOrder(newer_, view_)) return;
   dispatch_pass pass;
   pass.starting = CountStartingRuns();
   std::vector<std::string> predicted;
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -40,6 +40,7 @@
 #include "steps/step_order.h"
 #include "steps/task_choice.h"
 #include "store/engine_ring.h"
+#include "store/newer_views.h"
 #include "store/reward_caller.h"
 #include "store/runner_registry.h"
 #include "store/step_state.h"
@@ -313,6 +314,8 @@
       std::string payload);
   peering::envelope HandleReportsRequest(const std::string& payload);
   void ApplyReport(run_report report);
+  void RecordReturnedOrder(const run_report& report,
+                           const std::string& incarnation);
   void RecordResponseHead(run& self, uint64_t weights_version);
   // Removes a run from the maps. Its later reports are ignored.
   void RemoveRun(const run& ended);
@@ -381,6 +384,7 @@
   // changes. A change of weights clears the pools of its model.
   std::map<std::string, service_engines> service_engines_;  // by service
   std::map<pool_key, engine_pool> pools_;
+  newer_views newer_;
   core::time_point prompts_expired_at_{};
   std::map<task_key, std::shared_ptr<run>> runs_;
   std::map<uint64_t, std::shared_ptr<run>> runs_by_id_;
--- a/packages/store/dispatcher_engines.cc
+++ b/packages/store/dispatcher_engines.cc
@@ -13,6 +13,7 @@
 
 void dispatcher::OnView(const fleet::view_update& update) {
   if (!is_leading_) return;
+  RemoveKnown(newer_, view_);
   const bool has_all_weights = update.weights_part == fleet::list_part::kAll;
   ApplyWeights(has_all_weights ? view_.weights : update.weights);
   if (update.lists != fleet::list_part::kNone) ApplyEndpoints(update);
@@ -156,7 +157,9 @@
     load.slowness = slowness[i];
     load.has_prompt = false;
     load.is_excluded = false;
-    load.slots = record.avoid_until > now ? 0 : pool.slots[i];
+    const bool is_avoided =
+        record.avoid_until > now || HasLeft(newer_, load.incarnation);
+    load.slots = is_avoided ? 0 : pool.slots[i];
   }
   return pool;
 }
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -239,7 +239,20 @@
   steps::RecordEvents(engine.model, effects_[self->engine.service], span,
                       report.spanned, engine.running, clock_.Now());
   UpdatePastCrash(*self, *task);
-  if (report.is_over) EndRun(self, report.how);
+  if (report.is_over) {
+    RecordReturnedOrder(report, self->engine.incarnation);
+    EndRun(self, report.how);
+  }
+}
+
+void dispatcher::RecordReturnedOrder(const run_report& report,
+                                     const std::string& incarnation) {
+  const bool may_order = MayOrder(newer_, view_);
+  RecordReturn(newer_, report, incarnation, view_);
+  if (!may_order || MayOrder(newer_, view_)) return;
+  LogEvent(event_id::kDispatchHeld,
+           {{"configuration", std::to_string(view_.config.version)},
+            {"newer", std::to_string(newer_.config)}});
 }
 
 void dispatcher::UpdatePastCrash(run& self, const tracked_task& task) {
--- a/packages/store/remote_runner.cc
+++ b/packages/store/remote_runner.cc
@@ -147,6 +147,8 @@
   report.run = order.run;
   report.is_over = true;
   report.how = run_outcome::kMoved;
+  report.newer_config = view_.config.version;
+  report.newer_lists = view_.version;
   reports_[order.run] = std::move(report);
   if (std::exchange(has_outcomes_, true)) return;
   outcome_queued_.Notify();
