A control instance asks itself first who leads

Cause: a control instance that does not know the leader asked the seeds and the other control instances, and itself only if it knew nobody.

Test: LeaderCallerTest.LeaderFindsItselfWithoutConnections, red before. Change: the own instance is the first one to be asked; it answers without a connection, also with the name of another leader.

--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -56,17 +56,20 @@
   controllers_ = std::move(controllers);
 }
 
-// Returns the leader if it is known, otherwise the known control instances in
-// turn.
+// Returns the leader if it is known, otherwise the known instances in turn. The
+// own instance is the first of them: its answer needs no connection.
 std::string leader_caller::NextTarget() {
   if (!leader_.empty()) return leader_;
-  std::vector<std::string> targets = controllers_;
-  for (const std::string& seed : seeds_) {
-    if (std::find(targets.begin(), targets.end(), seed) == targets.end()) {
-      targets.push_back(seed);
+  std::vector<std::string> targets;
+  if (local_) targets.push_back(own_address_);
+  for (const auto* list : {&controllers_, &seeds_}) {
+    for (const std::string& address : *list) {
+      const bool is_new =
+          std::find(targets.begin(), targets.end(), address) == targets.end();
+      if (is_new) targets.push_back(address);
     }
   }
-  if (targets.empty()) return own_address_;  // empty: not a control instance
+  if (targets.empty()) return "";
   return targets[next_target_++ % targets.size()];
 }
 
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -196,6 +196,34 @@
   EXPECT_EQ(answer.outcome, call_outcome::kDone) << answer.reason;
 }
 
+// Guards against a control instance that leads and does not know it: after all
+// processes were started again it asked the seeds, which answered nobody.
+TEST(LeaderCallerTest, LeaderFindsItselfWithoutConnections) {
+  io_context loop;
+  boost::asio::ip::tcp::acceptor silent(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  net::connection_pool pool(loop);
+  leader_caller caller(
+      pool, {"127.0.0.1:" + std::to_string(silent.local_endpoint().port())});
+  caller.ServeLocally("127.0.0.1:1",
+                      [](std::string /*method*/,
+                         std::string /*payload*/) -> awaitable<envelope> {
+                        envelope answer;
+                        answer.outcome = call_outcome::kDone;
+                        co_return answer;
+                      });
+  bool is_found = false;
+  constexpr milliseconds kSearchLimit{200};
+  boost::asio::co_spawn(
+      loop, caller.FindLeader(std::chrono::steady_clock::now() + kSearchLimit),
+      [&](const std::exception_ptr& /*failure*/, bool found) {
+        is_found = found;
+        loop.stop();
+      });
+  loop.run_for(kLimit);
+  EXPECT_TRUE(is_found);
+}
+
 // Guards against processes that never find a leader that is busy with many of
 // them: each gave up after 300 ms and asked again.
 TEST(LeaderCallerTest, LeaderThatAnswersLateIsFound) {
