A busy control leader names other instances to endpoints

Cause: the control leader answers all other processes and took its tenth of the heartbeats of 9,997 endpoints as well, each on a new connection.

Control instances tell the leader their address with their requests for views.

--- a/packages/controller/control_api.cc
+++ b/packages/controller/control_api.cc
@@ -105,9 +105,10 @@
     co_return wire_.EncodeFailure(bad->status, bad->reason, std::nullopt);
   }
   if (auto* beat = std::get_if<fleet::announce_call>(&call)) {
+    const std::string endpoint = beat->input.name;
     const envelope reply = co_await heartbeats_.Forward(std::move(beat->input));
     if (reply.outcome != call_outcome::kDone) co_return FailureOf(reply);
-    co_return wire_.EncodeAcknowledgement("");
+    co_return wire_.EncodeAcknowledgement(heartbeat_address(endpoint));
   }
   if (auto* leave = std::get_if<fleet::leave_call>(&call)) {
     co_return co_await Forward(peering::kLeaveMethod,
--- a/packages/controller/control_api.h
+++ b/packages/controller/control_api.h
@@ -5,6 +5,7 @@
 // it and forwards the calls to the leader.
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <string>
 
 #include "controller/heartbeat_forwarder.h"
@@ -21,6 +22,10 @@
 
   boost::asio::awaitable<void> Serve(net::exchange& call);
 
+  // Set before Serve(): the address for the next heartbeats of an endpoint;
+  // empty: this instance.
+  std::function<std::string(const std::string& endpoint)> heartbeat_address;
+
  private:
   boost::asio::awaitable<net::response> Answer(const net::request& input);
   // Lists the quarantined requests, or releases one of them.
--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -82,6 +82,7 @@
     const settings::node_settings& settings) {
   peering::follower_options options;
   options.instance = settings.id;
+  options.heartbeat_address = settings.control_address;
   return options;
 }
 
@@ -115,6 +116,10 @@
                 [this](net::exchange& call) { return api.Serve(call); }) {
     registry.options.unresponsive_after =
         node.endpoint_heartbeat * kMaxMissedHeartbeats + kHeartbeatDelay;
+    service.SetHeartbeatAddress(node.control_address);
+    api.heartbeat_address = [this](const std::string& endpoint) {
+      return service.HeartbeatAddressFor(endpoint);
+    };
     caller.ServeLocally(
         node.peers_address, [this](std::string method, std::string payload) {
           return service.Handle(std::move(method), std::move(payload));
--- a/packages/controller/leader_contacts.cc
+++ b/packages/controller/leader_contacts.cc
@@ -43,9 +43,18 @@
   if (input.acts_on_config) {
     RecordContact(config_contacts_, input.instance, input.held_config, now);
   }
+  if (!input.heartbeat_address.empty()) {
+    RecordInstance(heartbeat_routing_, input.instance, input.heartbeat_address,
+                   now);
+  }
   NotifyOfContact();
 }
 
+std::string leader_service::HeartbeatAddressFor(const std::string& endpoint) {
+  if (!group_.IsServing()) return "";
+  return RouteHeartbeat(heartbeat_routing_, endpoint, clock_.Now());
+}
+
 void leader_service::NotifyOfContact() {
   if (is_contact_scheduled_ || !contact_.HasWaiters()) return;
   is_contact_scheduled_ = true;
--- a/packages/controller/leader_service.h
+++ b/packages/controller/leader_service.h
@@ -16,6 +16,7 @@
 #include "controller/contact_table.h"
 #include "controller/control_state.h"
 #include "controller/heartbeat_cache.h"
+#include "controller/heartbeat_routing.h"
 #include "controller/usage_reporter.h"
 #include "controller/view_publisher.h"
 #include "controller/weight_table.h"
@@ -48,6 +49,14 @@
   // Publishes changes of the replicated state.
   void OnApplied();
 
+  // Sets the address at which this instance takes heartbeats.
+  void SetHeartbeatAddress(const std::string& address) {
+    heartbeat_routing_.own_address = address;
+  }
+  // Returns the address to which an endpoint that sent a heartbeat to this
+  // instance should send the next ones; empty: to this one.
+  std::string HeartbeatAddressFor(const std::string& endpoint);
+
   // Publishes that the weights of an engine changed, or that a load began or
   // ended.
   void OnWeightsChanged();
@@ -141,6 +150,7 @@
     core::time_point last_request_at{};
   };
   std::map<std::string, store_record> stores_;  // by instance
+  heartbeat_routing heartbeat_routing_;
   bool is_founding_ = false;
   contact_table config_contacts_;  // instances that act on the configuration
   core::time_point config_applied_at_{};  // the latest one, at this instance
--- a/packages/fleet/view.h
+++ b/packages/fleet/view.h
@@ -127,6 +127,8 @@
 struct view_request {
   std::string instance;
   std::string address;  // peer address of a store; empty: not a store
+  // Address of a control instance for heartbeats; empty: not one.
+  std::string heartbeat_address;
   // Storage id of a store that is in no data group; empty: it is in one, or
   // this is not a store.
   std::string vacant_storage;
@@ -152,10 +154,10 @@
   std::vector<usage_window> usage;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    view_request, instance, address, vacant_storage, wants_weights,
-    held_weights, held, scope, held_scope, held_config, takes_config_changes,
-    acts_on_config, wait_ms, demands, service_demands, clock_ms, usage_source,
-    usage)
+    view_request, instance, address, heartbeat_address, vacant_storage,
+    wants_weights, held_weights, held, scope, held_scope, held_config,
+    takes_config_changes, acts_on_config, wait_ms, demands, service_demands,
+    clock_ms, usage_source, usage)
 
 // Which part of a list an update contains.
 enum class list_part {
--- a/packages/peering/view_follower.cc
+++ b/packages/peering/view_follower.cc
@@ -48,6 +48,7 @@
     fleet::view_request input;
     input.instance = options_.instance;
     input.address = options_.store_address;
+    input.heartbeat_address = options_.heartbeat_address;
     if (vacant_storage_) input.vacant_storage = vacant_storage_();
     input.wants_weights = wants_weights_ && wants_weights_();
     input.held_weights = view_.weights_count;
--- a/packages/peering/view_follower.h
+++ b/packages/peering/view_follower.h
@@ -18,8 +18,9 @@
 
 struct follower_options {
   std::string instance;
-  std::string store_address;    // peer address of a store; empty: not a store
-  bool acts_on_config = false;  // see fleet::view_request
+  std::string store_address;      // peer address of a store; empty: not a store
+  std::string heartbeat_address;  // of a control instance; empty: not one
+  bool acts_on_config = false;    // see fleet::view_request
   fleet::view_scope scope = fleet::view_scope::kAll;
   // How long the leader may delay a response. It also limits the time until a
   // broken connection is detected.
