Resume only the processes that wait when a notification begins; account of the incident

A notification in turns could also resume a process that began to wait meanwhile, which then found nothing to do. Found by reading.

--- a/packages/net/event.h
+++ b/packages/net/event.h
@@ -44,17 +44,17 @@
   boost::asio::awaitable<void> NotifyInTurns(size_t count) {
     const std::shared_ptr<waiter_list> waiting = waiting_;
     const uint64_t last = waiting->latest;
-    auto next = waiting->timers.begin();
-    while (next != waiting->timers.end() && next->first <= last) {
-      uint64_t number = 0;
-      for (size_t i = 0; i < count && next != waiting->timers.end(); ++i) {
-        number = next->first;
+    uint64_t resumed = 0;  // number of the last one
+    for (;;) {
+      auto next = waiting->timers.upper_bound(resumed);
+      const auto end = waiting->timers.upper_bound(last);
+      for (size_t i = 0; i < count && next != end; ++i, ++next) {
+        resumed = next->first;
         next->second->cancel();
-        ++next;
       }
+      if (next == end) co_return;
       co_await boost::asio::post(co_await boost::asio::this_coro::executor,
                                  boost::asio::use_awaitable);
-      next = waiting->timers.upper_bound(number);
     }
   }
 
