--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -134,6 +134,7 @@
       error_ = "the answer states a length above the limit";
       co_return false;
     }
+    if (length) ReserveForBody(buffer_, *length);
     const auto& message = parser_->get();
     head.status = static_cast<int>(message.result_int());
     head.headers.clear();
@@ -148,7 +149,6 @@
                                  time_point deadline) override {
     if (parser_->is_done()) co_return MoveBody(piece);
     SetDeadline(deadline);
-    ReserveForBody(buffer_, parser_->content_length_remaining());
     const auto [failure, count] =
         co_await http::async_read_some(stream_, buffer_, *parser_, kNoThrow);
     if (failure) {
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -412,7 +412,8 @@
                                asio::buffer(kContinue.data(), kContinue.size()),
                                kNoThrow);
   }
-  ReserveForBody(connection.buffer, parser.content_length_remaining());
+  const auto length = parser.content_length();
+  if (length) ReserveForBody(connection.buffer, *length);
   const auto [body_failure, body_bytes] = co_await http::async_read(
       connection.stream, connection.buffer, parser, kNoThrow);
   if (body_failure) {
--- a/packages/net/read_buffer.h
+++ b/packages/net/read_buffer.h
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
 
@@ -19,12 +18,10 @@
 // have thousands of them.
 constexpr size_t kKeptBufferBytes = 4UL * 1024;
 
-// Prepares for a body of which `remaining` bytes are missing; none: unknown.
-inline void ReserveForBody(boost::beast::flat_buffer& buffer,
-                           boost::optional<uint64_t> remaining) {
-  if (!remaining) return;
+// Prepares for a body of `length` bytes.
+inline void ReserveForBody(boost::beast::flat_buffer& buffer, uint64_t length) {
   buffer.reserve(
-      static_cast<size_t>(std::min<uint64_t>(*remaining, kMaxReadBytes)));
+      static_cast<size_t>(std::min<uint64_t>(length, kMaxReadBytes)));
 }
 
 // Releases the memory that only a large message needed.
