Read bodies without a stated length in pieces that grow

Cause: only a body with a stated length was read in large pieces; a chunked one was read 512 bytes a turn of the loop.

A stream of small events keeps its small buffer.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -155,6 +155,7 @@
       Fail(failure);
       co_return body_state::kBroken;
     }
+    GrowForBody(buffer_, count);
     co_return MoveBody(piece);
   }
 
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -413,7 +413,9 @@
                                kNoThrow);
   }
   const auto length = parser.content_length();
-  if (length) ReserveForBody(connection.buffer, *length);
+  if (length || parser.chunked()) {
+    ReserveForBody(connection.buffer, length.value_or(kKeptBufferBytes));
+  }
   const auto [body_failure, body_bytes] = co_await http::async_read(
       connection.stream, connection.buffer, parser, kNoThrow);
   if (body_failure) {
--- a/packages/net/read_buffer.h
+++ b/packages/net/read_buffer.h
@@ -24,6 +24,15 @@
       static_cast<size_t>(std::min<uint64_t>(length, kMaxReadBytes)));
 }
 
+// Doubles the buffer after a read of `count` bytes that used most of it, for a
+// body that doesn't state its length.
+inline void GrowForBody(boost::beast::flat_buffer& buffer, size_t count) {
+  const size_t capacity = buffer.capacity();
+  if (count * 2 > capacity && capacity < kMaxReadBytes) {
+    buffer.reserve(std::min(capacity * 2, kMaxReadBytes));
+  }
+}
+
 // Releases the memory that only a large message needed.
 inline void ReleaseCapacity(boost::beast::flat_buffer& buffer) {
   if (buffer.capacity() > kKeptBufferBytes) buffer.shrink_to_fit();
