Accept several connections in a turn, and none whose caller has left

After a restart of all processes the control leader led with an idle loop, and no store or entry followed it any more.

Cause: a listener accepted one connection in a turn of its loop. Its queue was full of connections whose callers had given up, so that everything that was accepted had been given up, and the next attempts kept the queue full.

Change: up to 8 connections are served from one turn on, and up to 64 accepted with those that are closed since their callers have left. Between processes, a request whose caller has closed the connection is not handled either; reports of endpoints still are, since they are of use without their sender.

--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -1,5 +1,6 @@
 #include "net/listener.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -42,6 +43,12 @@
 // Pause after a failed accept (no free file descriptor), which avoids a busy
 // loop.
 constexpr std::chrono::milliseconds kAcceptPause{50};
+// Maximum number of connections that are served from one turn of the loop on. A
+// busy process that accepts fewer than arrive during a turn has a queue full of
+// connections whose callers have given up.
+constexpr size_t kNewConnectionsPerTurn = 8;
+// The same with those that are closed at once since their callers have left.
+constexpr size_t kAcceptsPerTurn = 64;
 // Maximum number of idle connections that are examined to find one to close.
 constexpr int kMaxIdleChecks = 16;
 // Minimum interval between two log lines about refused connections.
@@ -105,17 +112,29 @@
   for (session* const item : sessions_) item->stream.close();
 }
 
+// Whether the caller has closed its side of the connection and has sent nothing
+// more before.
+bool HasClosed(session& connection) {
+  char byte = 0;
+  const ssize_t count = recv(connection.stream.socket().native_handle(), &byte,
+                             1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN);
+}
+
+// Whether the caller has closed its side of a new connection, also if its
+// request waits to be read.
+bool IsAbandoned(tcp::socket& socket) {
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0;
+}
+
 // Completes when the caller has closed its side of the connection.
 awaitable<void> WaitForClose(session& connection) {
   tcp::socket& socket = connection.stream.socket();
   const auto [failure] =
       co_await socket.async_wait(tcp::socket::wait_read, kNoThrow);
   if (failure) co_return;
-  char byte = 0;
-  const ssize_t count =
-      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool is_closed = count == 0 || (count < 0 && errno != EAGAIN);
-  if (is_closed) co_return;
+  if (HasClosed(connection)) co_return;
   // The next request has already arrived, and a close can't be detected without
   // reading that request. Waits until it is cancelled.
   asio::steady_timer never(co_await asio::this_coro::executor);
@@ -264,6 +283,7 @@
 
   bool Start();
   awaitable<void> Accept();
+  void AcceptWaiting();
   void Add(tcp::socket socket);
   bool CloseLongestIdle();
   void LogRefusal();
@@ -299,6 +319,7 @@
   if (!failure) {
     acceptor.listen(asio::socket_base::max_listen_connections, failure);
   }
+  if (!failure) acceptor.non_blocking(true, failure);
   if (failure) {
     core::SetLastReason(
         core::reason_code::kIo,
@@ -321,6 +342,22 @@
       continue;
     }
     Add(std::move(socket));
+    AcceptWaiting();
+  }
+}
+
+// Accepts further connections that have already arrived. A failure recurs in
+// the next asynchronous accept.
+void listener::impl::AcceptWaiting() {
+  size_t served = 1;
+  for (size_t i = 1; i < kAcceptsPerTurn && served < kNewConnectionsPerTurn;
+       ++i) {
+    error_code failure;
+    tcp::socket socket = acceptor.accept(failure);
+    if (failure) return;
+    if (options.skips_abandoned && IsAbandoned(socket)) continue;
+    Add(std::move(socket));
+    ++served;
   }
 }
 
@@ -423,6 +460,7 @@
     co_return false;
   }
   ReleaseCapacity(connection.buffer);
+  if (options.skips_abandoned && HasClosed(connection)) co_return false;
   const bool keeps_alive = parser.get().keep_alive() && !is_draining;
   session_exchange one(connection, ConvertRequest(parser.release()),
                        keeps_alive, options);
--- a/packages/net/listener.h
+++ b/packages/net/listener.h
@@ -63,6 +63,10 @@
   // been idle for longest, or is closed when none is idle. The process has a
   // limited number of file descriptors.
   size_t max_connections = 3000;
+  // Whether a request is ignored when its caller has closed the connection
+  // before it is handled. A busy process then does no work that nobody waits
+  // for. Not for reports, which are of use without their sender.
+  bool skips_abandoned = false;
 };
 
 class listener {
--- a/packages/peering/peer_interface.cc
+++ b/packages/peering/peer_interface.cc
@@ -23,6 +23,7 @@
     limits.idle_timeout = kPeerIdleTimeout;
     return limits;
   };
+  options.skips_abandoned = true;
   return options;
 }
 
--- a/tests/unit/net/listener_load_test.cc
+++ b/tests/unit/net/listener_load_test.cc
@@ -80,6 +80,37 @@
   EXPECT_LT(turns, kMaxTurns);
 }
 
+// Guards against a process that does not recover after an overload: its queue
+// was full of connections whose callers had given up, so that it answered these
+// only, and each later caller gave up in the queue as well.
+TEST_F(ListenerLoadTest, NewCallersAreServedBehindAbandonedConnections) {
+  constexpr size_t kAbandoned = 1000;
+  constexpr auto kMaxWait = milliseconds(500);
+  size_t handled = 0;
+  listener_options options = Options(2000);
+  options.skips_abandoned = true;
+  listener server(loop_, options, [&](exchange& call) -> asio::awaitable<void> {
+    ++handled;
+    co_await ReplyEmpty(call);
+  });
+  ASSERT_TRUE(server.Start());
+  for (size_t i = 0; i < kAbandoned; ++i) {
+    tcp::socket caller = Connect(server);
+    asio::write(caller, asio::buffer(kRequest, sizeof(kRequest) - 1));
+  }
+  tcp::socket caller = Connect(server);
+  asio::write(caller, asio::buffer(kRequest, sizeof(kRequest) - 1));
+  std::function<void()> work = [&] {
+    std::this_thread::sleep_for(milliseconds(1));
+    asio::post(loop_, work);
+  };
+  asio::post(loop_, work);
+  const auto started = std::chrono::steady_clock::now();
+  ASSERT_TRUE(RunUntil([&] { return caller.available() > 0; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - started, kMaxWait);
+  EXPECT_EQ(handled, 1U);
+}
+
 // Guards against a listener that idle connections of callers close for all
 // others.
 TEST_F(ListenerLoadTest, NewConnectionReplacesTheLongestIdleOne) {
