Plan loads without searches by name; bound the share of planning

What callers saw: the control leader answers late or is replaced while engines come and go, and steps and configurations with it.

Cause: for each model that had lost an engine, a plan ranked all engines with eight searches by name for each. With 9,417 engines and six models a plan took 110 to 150 ms, and one was made nine times a second: more than the 0.6 cores of the leader. The pause between plans assumed 1 us an engine, whatever a plan really took.

Test: WeightTableTest.PlansWithALostEngineTakeLittleLonger. Change: a plan counts assignments once and ranks by index; the pause is also ten times what the latest plan took, 1 s at most.

--- a/packages/controller/weight_load_scheduler.cc
+++ b/packages/controller/weight_load_scheduler.cc
@@ -20,9 +20,14 @@
 using core::time_point;
 
 constexpr milliseconds kPlanPeriod{200};
-// Pause between two planning rounds for each endpoint. A round visits each of
-// them in about 1 us, so that planning takes at most a tenth of the loop.
+// Minimum interval between two planning rounds for each endpoint. A round
+// visits each of them in about 1 us, so that planning takes at most a tenth of
+// the loop.
 constexpr std::chrono::microseconds kPlanPausePerEndpoint{10};
+// The same relative to the time that the latest round took: a busy machine
+// plans for longer than that.
+constexpr int kPlanPausePerPlanTime = 10;
+constexpr milliseconds kMaxPlanPause{1000};
 constexpr milliseconds kCallTimeout{700};
 // Maximum size of the answer to a report call or an order. Dozens of them are
 // received at the same time.
@@ -55,8 +60,13 @@
 // Pause before another order to an engine that did not accept one.
 constexpr milliseconds kRetryPause{700};
 
-std::chrono::microseconds PlanPause(size_t endpoints) {
-  return kPlanPausePerEndpoint * static_cast<int64_t>(endpoints);
+std::chrono::nanoseconds PlanPause(size_t endpoints,
+                                   std::chrono::nanoseconds plan_time) {
+  const std::chrono::nanoseconds by_endpoints =
+      kPlanPausePerEndpoint * static_cast<int64_t>(endpoints);
+  const std::chrono::nanoseconds by_time = kPlanPausePerPlanTime * plan_time;
+  return std::max(by_endpoints,
+                  std::min<std::chrono::nanoseconds>(by_time, kMaxPlanPause));
 }
 
 }  // namespace
@@ -114,7 +124,8 @@
     co_await wake_.WaitUntil(clock_.Now() +
                              (is_idle ? milliseconds(1000) : kPlanPeriod));
     // Ends of loads that came together are planned for together.
-    const time_point next = planned_at_ + PlanPause(registry_.endpoints.size());
+    const time_point next =
+        planned_at_ + PlanPause(registry_.endpoints.size(), plan_time_);
     if (clock_.Now() < next) {
       co_await net::Sleep(std::chrono::ceil<milliseconds>(next - clock_.Now()));
     }
@@ -127,6 +138,7 @@
     for (const fleet::service& service : state_.Config().services) {
       if (service.has_engines) PlanService(service);
     }
+    plan_time_ = clock_.Now() - planned_at_;
   }
 }
 
--- a/packages/controller/weight_load_scheduler.h
+++ b/packages/controller/weight_load_scheduler.h
@@ -85,6 +85,7 @@
   duties::act_history orders_;
   net::event wake_;
   core::time_point planned_at_{};
+  std::chrono::nanoseconds plan_time_{};     // of the latest planning round
   std::set<std::string> loads_in_progress_;  // by incarnation
   // Number of orders that each engine has accepted, by incarnation. Unknown
   // after an order whose execution no report has shown. Another order that was
--- a/packages/controller/weight_table.cc
+++ b/packages/controller/weight_table.cc
@@ -58,64 +58,9 @@
   return std::max(kMinEnginesForWork, needed);
 }
 
-size_t AssignmentsOf(const weight_table& table,
-                     const std::string& incarnation) {
-  size_t count = 0;
-  for (const auto& item : table.assigned) {
-    count += item.second.count(incarnation);
-  }
-  return count;
-}
-
-// Removes the engine with the oldest version from a chosen set.
-void RemoveMostOutdated(const weight_table& table,
-                        std::set<std::string>& chosen,
-                        const std::string& model) {
-  const auto worst =
-      std::min_element(chosen.begin(), chosen.end(),
-                       [&](const std::string& left, const std::string& right) {
-                         return VersionAt(table, left, model).value_or(0) <
-                                VersionAt(table, right, model).value_or(0);
-                       });
-  chosen.erase(worst);
-}
-
 // Index in `load_plan_input::engines`, by incarnation.
 using engine_indexes = std::unordered_map<std::string_view, size_t>;
 
-// Updates the set of engines that are assigned to a model. It adds engines that
-// have the fewest models assigned, and among these the ones with the newest
-// version. Adding one changes the rank of no other, so each is ranked once:
-// with thousands of engines, ranking all for each one takes seconds.
-void Assign(weight_table& table, const load_plan_input& input,
-            const engine_indexes& listed, const std::string& model) {
-  std::set<std::string>& chosen = table.assigned[model];
-  std::erase_if(chosen, [&](const std::string& incarnation) {
-    return listed.count(incarnation) == 0;
-  });
-  const size_t wanted = EnginesPerModel(input, input.models.at(model));
-  while (chosen.size() > wanted) RemoveMostOutdated(table, chosen, model);
-  if (chosen.size() == wanted) return;
-  using ranked_engine = std::tuple<size_t, uint64_t, std::string_view>;
-  std::vector<ranked_engine> candidates;
-  for (const plannable_engine& engine : input.engines) {
-    if (chosen.count(engine.incarnation) != 0) continue;
-    const uint64_t version =
-        VersionAt(table, engine.incarnation, model).value_or(0);
-    candidates.emplace_back(AssignmentsOf(table, engine.incarnation), ~version,
-                            engine.incarnation);
-  }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const ranked_engine& left, const ranked_engine& right) {
-                     return std::tie(std::get<0>(left), std::get<1>(left)) <
-                            std::tie(std::get<0>(right), std::get<1>(right));
-                   });
-  for (const ranked_engine& item : candidates) {
-    if (chosen.size() >= wanted) return;
-    chosen.insert(std::string(std::get<2>(item)));
-  }
-}
-
 // The loads that one model needs, the most urgent first.
 struct model_need {
   double weight = 1;
@@ -152,6 +97,87 @@
   return found == weights->versions.end() ? 0 : found->second;
 }
 
+// Number of models that are assigned to each engine, in the order of
+// `load_plan_input::engines`.
+using assignment_counts = std::vector<size_t>;
+
+assignment_counts CountAssignments(const weight_table& table,
+                                   const engine_indexes& indexes) {
+  assignment_counts counts(indexes.size());
+  for (const auto& [model, chosen] : table.assigned) {
+    for (const std::string& incarnation : chosen) {
+      const auto found = indexes.find(incarnation);
+      if (found != indexes.end()) ++counts[found->second];
+    }
+  }
+  return counts;
+}
+
+// What the choice of engines for a model depends on.
+struct assignment_input {
+  const load_plan_input& plan;
+  const engine_indexes& indexes;
+  const std::vector<const engine_weights*>& weights;
+  assignment_counts& assignments;
+};
+
+// Removes the engines with the oldest versions from a chosen set.
+void RemoveMostOutdated(std::set<std::string>& chosen, size_t count,
+                        const std::string& model,
+                        const assignment_input& input) {
+  using ranked_engine = std::pair<uint64_t, std::string>;
+  std::vector<ranked_engine> ranked;
+  for (const std::string& incarnation : chosen) {
+    const size_t index = input.indexes.at(incarnation);
+    ranked.emplace_back(VersionOf(input.weights[index], model), incarnation);
+  }
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(ranked.begin(), end, ranked.end());
+  for (auto item = ranked.begin(); item != end; ++item) {
+    --input.assignments[input.indexes.at(item->second)];
+    chosen.erase(item->second);
+  }
+}
+
+// Updates the set of engines that are assigned to a model. It adds engines that
+// have the fewest models assigned, and among these the ones with the newest
+// version. An engine that is lost is replaced in the next plan, so each plan
+// may rank all engines for each model: a rank must take no search by name.
+void Assign(weight_table& table, const assignment_input& input,
+            const std::string& model) {
+  std::set<std::string>& chosen = table.assigned[model];
+  std::erase_if(chosen, [&](const std::string& incarnation) {
+    return input.indexes.count(incarnation) == 0;
+  });
+  const size_t wanted =
+      EnginesPerModel(input.plan, input.plan.models.at(model));
+  if (chosen.size() > wanted) {
+    RemoveMostOutdated(chosen, chosen.size() - wanted, model, input);
+  }
+  if (chosen.size() == wanted) return;
+  std::vector<bool> is_chosen(input.plan.engines.size());
+  for (const std::string& incarnation : chosen) {
+    is_chosen[input.indexes.at(incarnation)] = true;
+  }
+  // Engines that are equal keep their order.
+  using ranked_engine = std::tuple<size_t, uint64_t, size_t>;
+  std::vector<ranked_engine> candidates;
+  candidates.reserve(input.plan.engines.size());
+  for (size_t i = 0; i < input.plan.engines.size(); ++i) {
+    if (is_chosen[i]) continue;
+    candidates.emplace_back(input.assignments[i],
+                            ~VersionOf(input.weights[i], model), i);
+  }
+  const size_t added = std::min(wanted - chosen.size(), candidates.size());
+  const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(added);
+  std::partial_sort(candidates.begin(), end, candidates.end());
+  for (auto item = candidates.begin(); item != end; ++item) {
+    const size_t index = std::get<2>(*item);
+    ++input.assignments[index];
+    chosen.insert(input.plan.engines[index].incarnation);
+  }
+}
+
 // Returns the loads to all assigned engines that the next step can't use, and
 // to as many of the others as half of the assigned engines need to have the
 // newest version.
@@ -315,9 +341,11 @@
   }
   const std::vector<const engine_weights*> weights =
       WeightsOfEngines(table, input);
+  assignment_counts assignments = CountAssignments(table, indexes);
+  const assignment_input chosen_by{input, indexes, weights, assignments};
   std::vector<model_need> needs;
   for (const auto& [model, terms] : input.models) {
-    Assign(table, input, indexes, model);
+    Assign(table, chosen_by, model);
     needs.push_back(
         NeedOf(table, input, weights, indexes, {model, terms.newest}));
     needs.back().weight = terms.weight;
--- a/tests/unit/controller/weight_table_test.cc
+++ b/tests/unit/controller/weight_table_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -73,6 +75,46 @@
   EXPECT_EQ(engines.size(), plan.size());
 }
 
+// Returns the shortest time of a few plans. `change` is called before each.
+std::chrono::nanoseconds ShortestPlan(weight_table& table,
+                                      load_plan_input& input,
+                                      const std::function<void()>& change) {
+  constexpr int kPlans = 5;
+  auto shortest = std::chrono::nanoseconds::max();
+  for (int i = 0; i < kPlans; ++i) {
+    change();
+    const auto started = std::chrono::steady_clock::now();
+    PlanLoads(table, input);
+    shortest = std::min<std::chrono::nanoseconds>(
+        shortest, std::chrono::steady_clock::now() - started);
+  }
+  return shortest;
+}
+
+// Guards against a leader that does nothing but plan while engines are lost one
+// after the other: it ranked all engines by name for each model in each plan.
+TEST(WeightTableTest, PlansWithALostEngineTakeLittleLonger) {
+  constexpr int kMaxRatio = 5;
+  weight_table table;
+  load_plan_input input = Engines(10000);
+  for (const char* model : {"m", "n", "o", "p", "q", "r"}) {
+    SetAll(table, input, model, 3);
+    input.models[model] = {3};
+  }
+  PlanLoads(table, input);
+  const auto usual = ShortestPlan(table, input, [] {});
+  const auto with_loss = ShortestPlan(table, input, [&] {
+    std::set<std::string> lost;
+    for (const auto& [model, chosen] : table.assigned) {
+      lost.insert(*chosen.begin());
+    }
+    std::erase_if(input.engines, [&](const plannable_engine& engine) {
+      return lost.count(engine.incarnation) != 0;
+    });
+  });
+  EXPECT_LT(with_loss, kMaxRatio * usual);
+}
+
 // One trainer, nine engines, a version every few seconds; a step accepts the
 // newest version and the previous one. Half of the engines load each version,
 // and every engine always has a version that the next step accepts.
