Send the weights of engines in parts

What callers saw: after a change of the control leader the next one lost its lead within a second as well.

Test: ViewLogTest.WeightsAreSentInParts; all were in one response before. Change: a response has about 2,048 weights, and the next one is requested at once.

--- a/packages/fleet/view_log.cc
+++ b/packages/fleet/view_log.cc
@@ -6,6 +6,11 @@
 namespace hickorywood::fleet {
 namespace {
 
+// Number of weights in one response, and with the same count. All of them, of
+// 10,000 engines with six models, take the leader longer to encode than its
+// followers wait for its next message.
+constexpr size_t kWeightsPerPart = 2048;
+
 // Number of removals that are recorded, for endpoints and for warnings each. A
 // deployment has fewer removals while a polling process misses responses, and
 // the records take a few hundred KB.
@@ -157,6 +162,8 @@
   if (update.has_members) update.members = log.members;
 }
 
+// Adds a part of the weights; the requester gets the next one with its next
+// request.
 void AddWeights(const view_log& log, const view_request& input,
                 view_update& update) {
   const bool has_base = input.held.term == log.term && input.held_weights > 0 &&
@@ -164,9 +171,23 @@
   update.weights_part = has_base ? list_part::kChanges : list_part::kAll;
   update.weights_count = log.weights_count;
   const uint64_t since = has_base ? input.held_weights : 0;
-  for (const engine_weights_entry* item : ChangedSince(log.weights, since)) {
-    update.weights.push_back(*item);
+  uint64_t last = since;
+  for (auto item = log.weights.by_change.lower_bound({since + 1, {}});
+       item != log.weights.by_change.end(); ++item) {
+    const bool is_full = update.weights.size() >= kWeightsPerPart;
+    if (is_full && item->first != last) {
+      update.weights_count = last;
+      break;
+    }
+    last = item->first;
+    update.weights.push_back(log.weights.items.at(item->second).item);
   }
+  std::sort(
+      update.weights.begin(), update.weights.end(),
+      [](const engine_weights_entry& left, const engine_weights_entry& right) {
+        return std::tie(left.incarnation, left.model) <
+               std::tie(right.incarnation, right.model);
+      });
 }
 
 bool LacksWeights(const view_log& log, const view_request& input) {
@@ -282,13 +303,19 @@
 
 bool UpdateWeights(view_log& log,
                    const std::vector<engine_weights_entry>& weights) {
-  const uint64_t next = log.weights_count + 1;
+  uint64_t next = log.weights_count + 1;
+  size_t with_next = 0;
   bool is_changed = false;
   for (const engine_weights_entry& item : weights) {
     const std::pair key(item.incarnation, item.model);
     const engine_weights_entry* const published = Find(log.weights, key);
     if (published != nullptr && SameWeights(*published, item)) continue;
+    if (with_next == kWeightsPerPart) {
+      ++next;
+      with_next = 0;
+    }
     Set(log.weights, key, item, next);
+    ++with_next;
     is_changed = true;
   }
   if (is_changed) log.weights_count = next;
--- a/tests/unit/fleet/view_log_test.cc
+++ b/tests/unit/fleet/view_log_test.cc
@@ -346,6 +346,41 @@
   EXPECT_LE(update.size(), kEndpoints * kMaxBytes);
 }
 
+// Guards against a new leader that encodes the weights of all engines for each
+// member of the data group at once, for longer than its followers wait for its
+// next message, so that it is replaced and the next one does the same.
+TEST(ViewLogTest, WeightsAreSentInParts) {
+  constexpr size_t kEngines = 3000;
+  constexpr size_t kMaxPart = 3000;
+  view_log log;
+  BeginTerm(log, 2);
+  std::vector<engine_weights_entry> weights;
+  for (size_t i = 0; i < kEngines; ++i) {
+    for (const char* model : {"m", "n", "o"}) {
+      weights.push_back({"i-" + std::to_string(i), model, 1, false});
+    }
+  }
+  ASSERT_TRUE(UpdateWeights(log, weights));
+  view held;
+  size_t responses = 0;
+  while (HasChangesFor(log, RequestOf(held))) {
+    const view_update update = MakeUpdate(log, RequestOf(held));
+    EXPECT_LE(update.weights.size(), kMaxPart);
+    ASSERT_TRUE(ApplyUpdate(held, update));
+    ++responses;
+    // A change between two parts arrives as well.
+    if (responses == 1) {
+      ASSERT_TRUE(UpdateWeights(log, {{"i-0", "m", 2, true}}));
+    }
+  }
+  EXPECT_EQ(held.weights.size(), weights.size());
+  const auto changed =
+      std::find_if(held.weights.begin(), held.weights.end(),
+                   [](const auto& item) { return item.is_loading; });
+  ASSERT_NE(changed, held.weights.end());
+  EXPECT_EQ(changed->version, 2U);
+}
+
 // A configuration sends requests to another service. Guards against an entry
 // that lacks its endpoints, or that counts as knowing that one of them leaves.
 TEST(ViewLogTest, AnotherScopeGetsCompleteLists) {
