Send complete lists to few processes at once

Cause: after a restart the leader sent complete lists (1.2 MB to each store) to all processes at once. They shared its bandwidth, were late everywhere and were requested again; they also take its memory.

Change: eight stores, or 64 entries with their short lists, are sent complete lists at a time, in the order of arrival. A slot that is held for 0.5 s is given to the next one as well, so that machines that are cut off block nobody. The question who leads is answered 32 at a time, like views.

--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -139,7 +139,7 @@
     co_await net::Sleep(kLeaderWatchPeriod);
   } while (leader_known_.HasWaiters() && !IsLeaderKnown());
   is_leader_watched_ = false;
-  leader_known_.Notify();
+  co_await leader_known_.NotifyInTurns(kAnswersPerTurn);
 }
 
 view_sources leader_service::Sources() const {
@@ -272,10 +272,11 @@
   }
   if (on_demands) on_demands(input->service_demands);
   usage_.Record(*input);
-  std::string update = co_await views_.Answer(*input);
+  view_answer update = co_await views_.Answer(*input);
   // The lease may have expired while the request waited for a change.
   if (!group_.IsServing()) co_return NotLeader();
-  envelope answer = Done(std::move(update));
+  envelope answer = Done(std::move(update.encoded));
+  answer.send_slot = std::move(update.send_slot);
   const auto now = usage_.Now();
   if (now) answer.time_ms = now->time_since_epoch().count();
   co_return answer;
--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -52,10 +52,15 @@
 // each process takes longer than the process waits.
 constexpr milliseconds kCompleteLifetime{500};
 
-// Number of processes that get an answer in one turn of the loop, some
-// milliseconds of work. The consensus messages of the leader wait for the rest
-// of a turn; a thousand answers take longer than its followers wait for it.
-constexpr size_t kAnswersPerTurn = 32;
+// Number of processes that receive complete lists at the same time. All
+// processes request them after a restart. Sent to all at once, they would share
+// the bandwidth and be late everywhere, and take the memory of the leader.
+constexpr size_t kCompleteAnswers = 8;
+// The same for lists of plain services only, a few percent of the size.
+constexpr size_t kPlainCompleteAnswers = 64;
+// Time after which the slot of a process that receives slowly is given to the
+// next one as well.
+constexpr milliseconds kCompleteAnswerTime{500};
 
 // Index in view_publisher::answer_key.
 constexpr size_t kWantsWeights = 5;
@@ -73,7 +78,12 @@
 view_publisher::view_publisher(asio::io_context& loop,
                                const core::runtime_clock& clock,
                                view_sources sources)
-    : loop_(loop), clock_(clock), sources_(std::move(sources)) {}
+    : loop_(loop), clock_(clock), sources_(std::move(sources)) {
+  complete_slots_.try_emplace(fleet::view_scope::kAll, kCompleteAnswers,
+                              kCompleteAnswerTime);
+  complete_slots_.try_emplace(fleet::view_scope::kPlain, kPlainCompleteAnswers,
+                              kCompleteAnswerTime);
+}
 
 void view_publisher::Start() {
   asio::co_spawn(loop_,
@@ -207,7 +217,13 @@
          fleet::HasChangesFor(log_, input);
 }
 
-awaitable<std::string> view_publisher::Answer(fleet::view_request input) {
+bool view_publisher::NeedsSlot(const fleet::view_request& input) const {
+  // The few members of the data group are not delayed: all tasks depend on
+  // them.
+  return !input.wants_weights && !fleet::HasBase(log_, input);
+}
+
+awaitable<view_answer> view_publisher::Answer(fleet::view_request input) {
   const milliseconds wait = std::min(milliseconds(input.wait_ms), kMaxWait);
   const time_point until = clock_.Now() + wait;
   const follower_count follower(lists_.followers);
@@ -225,7 +241,12 @@
          interruptions == interruptions_) {
     co_await published.WaitUntil(until);
   }
-  co_return EncodedUpdate(std::move(input));
+  view_answer answer;
+  if (NeedsSlot(input)) {
+    answer.send_slot = co_await complete_slots_.at(input.scope).Acquire();
+  }
+  answer.encoded = EncodedUpdate(std::move(input));
+  co_return answer;
 }
 
 void view_publisher::AddConfiguration(const fleet::view_request& input,
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -21,9 +21,15 @@
 #include "fleet/view.h"
 #include "fleet/view_log.h"
 #include "net/event.h"
+#include "net/slot_queue.h"
 
 namespace hickorywood::controller {
 
+// Number of processes that get an answer in one turn of the loop, some
+// milliseconds of work. The consensus messages of the leader wait for the rest
+// of a turn; a thousand answers take longer than its followers wait for it.
+constexpr size_t kAnswersPerTurn = 32;
+
 // The sources of the current view.
 struct view_sources {
   // Record the changes since the last call, or since the term began. Return
@@ -41,6 +47,12 @@
   uint64_t plain = 0;
 };
 
+struct view_answer {
+  std::string encoded;  // a fleet::view_update
+  // To be held until the answer has been sent; empty: a small answer.
+  std::shared_ptr<net::slot_queue::slot> send_slot;
+};
+
 // How long changes are collected when `followers` processes receive them, which
 // then visit all `endpoints`.
 core::milliseconds GatherTime(size_t followers, size_t endpoints);
@@ -79,8 +91,8 @@
   void Interrupt();
 
   // Returns the encoded update for a process, once there are changes for it or
-  // its wait time has passed.
-  boost::asio::awaitable<std::string> Answer(fleet::view_request input);
+  // its wait time has passed. Complete lists also wait for a slot.
+  boost::asio::awaitable<view_answer> Answer(fleet::view_request input);
 
  private:
   // One kind of changes, and the processes that wait for them.
@@ -102,6 +114,9 @@
   bool UpdateLists();
   bool UpdateWeights();
   bool HasChangesFor(const fleet::view_request& input) const;
+  // Whether the answer is one of the large ones that many processes may request
+  // at once.
+  bool NeedsSlot(const fleet::view_request& input) const;
   const std::string& EncodedUpdate(fleet::view_request input);
   const std::string& EncodedCompleteUpdate(const fleet::view_request& input);
   std::string MakeUpdate(const fleet::view_request& input) const;
@@ -136,6 +151,7 @@
   };
   using complete_key = std::tuple<fleet::view_scope, uint64_t, bool>;
   std::map<complete_key, complete_answer> complete_answers_;
+  std::map<fleet::view_scope, net::slot_queue> complete_slots_;
 };
 
 }  // namespace hickorywood::controller
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -6,6 +6,7 @@
 // it during a change of the leader.
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "core/json.h"
 #include "fleet/configuration.h"
 #include "fleet/request_warning.h"
+#include "net/slot_queue.h"
 #include "steps/step.h"
 
 namespace hickorywood::peering {
@@ -88,6 +90,8 @@
   // With a view: the time of day by which usage is counted, Unix ms. 0: the
   // leader does not know it yet.
   int64_t time_ms = 0;
+  // Held until the reply has been sent; not a part of the message. Empty: none.
+  std::shared_ptr<net::slot_queue::slot> send_slot;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(envelope, outcome, leader,
                                                 reason, payload, time_ms)
--- a/packages/peering/peer_interface.cc
+++ b/packages/peering/peer_interface.cc
@@ -39,6 +39,7 @@
   const std::string method(
       path.starts_with(kPrefix) ? path.substr(kPrefix.size()) : "");
   net::response answer;
+  envelope reply;
   answer.headers = {{"Content-Type", "application/msgpack"}};
   const std::string_view id =
       net::Find(call.Request().headers, core::kCallIdHeader);
@@ -50,8 +51,9 @@
   } else if (method == kConsensusMethod) {
     answer.body = co_await consensus(call.Request().body);
   } else {
-    const envelope reply = co_await handle(method, call.Request().body);
+    reply = co_await handle(method, call.Request().body);
     answer.body = core::EncodeBinary(reply);
+    reply.payload.clear();
   }
   co_await call.Reply(std::move(answer));
 }
--- a/tests/unit/controller/view_publisher_test.cc
+++ b/tests/unit/controller/view_publisher_test.cc
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <deque>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "core/binary.h"
 
@@ -47,9 +50,9 @@
     }
     boost::asio::co_spawn(loop, publisher.Answer(input),
                           [this, &answer](const std::exception_ptr& /*none*/,
-                                          const std::string& update) {
-                            answer =
-                                core::DecodeBinary<fleet::view_update>(update);
+                                          const view_answer& update) {
+                            answer = core::DecodeBinary<fleet::view_update>(
+                                update.encoded);
                             fleet::ApplyUpdate(held, *answer);
                           });
   }
@@ -145,6 +148,55 @@
   EXPECT_EQ(held.endpoints.size(), static_cast<size_t>(kProcesses));
 }
 
+// Guards against a leader that sends complete lists to all stores at once after
+// a restart: they shared its bandwidth, all were late, and each was requested
+// again.
+TEST_F(ViewPublisherTest, CompleteListsAreSentToFewProcessesAtOnce) {
+  constexpr size_t kProcesses = 150;
+  constexpr size_t kMaxAtOnce = 16;
+  publisher.PublishEndpoints();
+  fleet::view_request input;
+  input.wait_ms = 5000;
+  std::deque<view_answer> being_sent;
+  size_t answered = 0;
+  for (size_t i = 0; i < kProcesses; ++i) {
+    boost::asio::co_spawn(
+        loop, publisher.Answer(input),
+        [&](const std::exception_ptr& /*none*/, view_answer answer) {
+          being_sent.push_back(std::move(answer));
+          ++answered;
+        });
+  }
+  for (loop.poll(); !being_sent.empty(); loop.poll()) {
+    EXPECT_LE(being_sent.size(), kMaxAtOnce);
+    being_sent.pop_front();
+  }
+  EXPECT_EQ(answered, kProcesses);
+}
+
+// Guards against tasks that wait until all stores have complete lists: the
+// members of the data group get them at once.
+TEST_F(ViewPublisherTest, MembersOfTheDataGroupDoNotWaitForOthers) {
+  constexpr size_t kProcesses = 150;
+  publisher.PublishEndpoints();
+  fleet::view_request input;
+  input.wait_ms = 5000;
+  std::vector<view_answer> being_sent;
+  for (size_t i = 0; i < kProcesses; ++i) {
+    boost::asio::co_spawn(
+        loop, publisher.Answer(input),
+        [&](const std::exception_ptr& /*none*/, view_answer answer) {
+          being_sent.push_back(std::move(answer));
+        });
+  }
+  loop.poll();
+  ASSERT_LT(being_sent.size(), kProcesses);
+  std::optional<fleet::view_update> member;
+  RequestUpdate(member, true, true);
+  loop.poll();
+  EXPECT_TRUE(member);
+}
+
 // Guards against a process that starts after the departure of an endpoint was
 // acknowledged, and sends requests to it by an older list.
 TEST_F(ViewPublisherTest, SharedListsHaveAcknowledgedDepartures) {
