Log how many views the control leader sends

The logs could not tell a leader that publishes too often from one that is asked too often. HK3015 says each 10 s how many publications and answers there were, how many of them complete, and to how many processes.

--- a/packages/controller/view_publisher.cc
+++ b/packages/controller/view_publisher.cc
@@ -7,12 +7,15 @@
 #include <utility>
 
 #include "core/binary.h"
+#include "core/events.h"
 
 namespace hickorywood::controller {
 namespace {
 
 namespace asio = boost::asio;
 using asio::awaitable;
+using core::event_id;
+using core::LogEvent;
 using core::milliseconds;
 using core::time_point;
 
@@ -65,6 +68,9 @@
 // next one as well.
 constexpr milliseconds kCompleteAnswerTime{500};
 
+// Interval of the log lines about what was sent.
+constexpr milliseconds kReportPeriod{10000};
+
 // Index in view_publisher::answer_key.
 constexpr size_t kWantsWeights = 5;
 
@@ -90,6 +96,7 @@
 }
 
 void view_publisher::Start() {
+  asio::co_spawn(loop_, RunReportLoop(), asio::detached);
   asio::co_spawn(
       loop_,
       RunPublishLoop(
@@ -102,6 +109,20 @@
                  asio::detached);
 }
 
+awaitable<void> view_publisher::RunReportLoop() {
+  for (;;) {
+    co_await net::Sleep(kReportPeriod);
+    if (sent_.answers == 0) continue;
+    LogEvent(event_id::kViewsSent,
+             {{"publications", std::to_string(sent_.publications)},
+              {"answers", std::to_string(sent_.answers)},
+              {"complete", std::to_string(sent_.complete)},
+              {"bytes", std::to_string(sent_.bytes)},
+              {"followers", std::to_string(sources_.followers())}});
+    sent_ = {};
+  }
+}
+
 void view_publisher::BeginTerm(uint64_t term, time_point complete_at,
                                const fleet::view& followed) {
   fleet::BeginTerm(log_, term);
@@ -208,6 +229,7 @@
     channel.has_changes = false;
     channel.level = urgency::kLow;
     if (!publish()) continue;
+    if (&channel == &lists_) ++sent_.publications;
     channel.published_at = clock_.Now();
     Wake(channel);
   }
@@ -273,6 +295,9 @@
     answer.send_slot = co_await complete_slots_.at(input.scope).Acquire();
   }
   answer.encoded = EncodedUpdate(std::move(input));
+  ++sent_.answers;
+  sent_.bytes += answer.encoded.size();
+  if (answer.send_slot) ++sent_.complete;
   co_return answer;
 }
 
--- a/packages/controller/view_publisher.h
+++ b/packages/controller/view_publisher.h
@@ -133,6 +133,7 @@
                         fleet::view_update& update) const;
   void RecordConfiguration();
   void Wake(update_channel& channel);
+  boost::asio::awaitable<void> RunReportLoop();
   void Notify(const net::event& published);
 
   boost::asio::io_context& loop_;
@@ -161,6 +162,14 @@
     std::string update;
     core::time_point made_at{};
   };
+  // What was sent since the last report in the log.
+  struct sent_views {
+    size_t publications = 0;
+    size_t answers = 0;
+    size_t complete = 0;
+    size_t bytes = 0;
+  };
+  sent_views sent_;
   using complete_key = std::tuple<fleet::view_scope, uint64_t, bool>;
   std::map<complete_key, complete_answer> complete_answers_;
   std::map<fleet::view_scope, net::slot_queue> complete_slots_;
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -148,6 +148,7 @@
        "in force at every instance in contact"},
       {event_id::kViewUpdateRejected, kWarning, "configuration",
        "update of the view rejected"},
+      {event_id::kViewsSent, kInfo, "configuration", "views sent"},
       {event_id::kEndpointJoined, kInfo, "membership", "endpoint joined"},
       {event_id::kEndpointLeft, kInfo, "membership", "endpoint leaving"},
       {event_id::kEndpointLeaseExpired, kWarning, "membership",
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -60,6 +60,7 @@
   kConfigurationPending = 3012,
   kConfigurationConfirmed = 3013,
   kViewUpdateRejected = 3014,
+  kViewsSent = 3015,
   kEndpointJoined = 4001,
   kEndpointLeft = 4002,
   kEndpointLeaseExpired = 4003,
