Plans with a lost engine: engines by the work in the test

The test passed on the code before its change, found by running it there: without work a model has a share of all engines, which shrinks with each lost one, so that none had to be chosen.

--- a/tests/unit/controller/weight_table_test.cc
+++ b/tests/unit/controller/weight_table_test.cc
@@ -100,7 +100,9 @@
   for (const char* model : {"m", "n", "o", "p", "q", "r"}) {
     SetAll(table, input, model, 3);
     input.models[model] = {3};
+    input.models[model].peak_tasks = 600;
   }
+  for (plannable_engine& engine : input.engines) engine.slots = 6;
   PlanLoads(table, input);
   const auto usual = ShortestPlan(table, input, [] {});
   const auto with_loss = ShortestPlan(table, input, [&] {
