The control leader announces itself to the seeds

Control was idle.

Cause: all processes ask the seeds who leads. A seed that was cut off is removed from the voters, and others never were voters; none of them knows the leader after a restart, and the removed one stands for election in vain and names nobody.

Change: each 0.3 s the leader tells the seeds that are not in its group that it leads, and in which term. They name it, also if they are in the group by an older log. The announcement is a hint: a lease is still asked for.

--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -184,6 +184,7 @@
       group.SetContacts(Contacts());
     });
     group.SetContacts(settings.seeds);
+    group.SetAnnounced(settings.seeds);
   }
 
   // Control instances that can admit this one to the group: the seeds and those
@@ -203,10 +204,18 @@
           return group.Receive(std::move(payload));
         },
         [this](std::string method, std::string payload) {
-          return service.Handle(std::move(method), std::move(payload));
+          return HandleCall(std::move(method), std::move(payload));
         });
   }
 
+  awaitable<peering::envelope> HandleCall(std::string method,
+                                          std::string payload) {
+    if (method == peering::kLeaderAnnouncementMethod) {
+      co_return group::HandleAnnouncement(group, payload);
+    }
+    co_return co_await service.Handle(std::move(method), std::move(payload));
+  }
+
   awaitable<void> Stop() {
     LogEvent(event_id::kProcessStopping, {{"instance", settings.id}});
     group.TransferLeadership();
@@ -274,6 +283,7 @@
   impl_->settings.seeds = settings.seeds;
   impl_->caller.SetSeeds(settings.seeds);
   impl_->group.SetContacts(impl_->Contacts());
+  impl_->group.SetAnnounced(settings.seeds);
 }
 
 void controller::BeginStop() {
--- a/packages/controller/leader_service.cc
+++ b/packages/controller/leader_service.cc
@@ -120,8 +120,9 @@
 }
 
 bool leader_service::IsLeaderKnown() const {
-  const bool is_other = group_.Leader() != group_.OwnAddress();
-  return group_.IsServing() || (is_other && !group_.Leader().empty());
+  const std::string& leader = group_.KnownLeader();
+  const bool is_other = leader != group_.OwnAddress();
+  return group_.IsServing() || (is_other && !leader.empty());
 }
 
 awaitable<void> leader_service::AwaitLeader() {
--- a/packages/group/group_host.cc
+++ b/packages/group/group_host.cc
@@ -25,6 +25,8 @@
 // heartbeat.
 constexpr milliseconds kTickPeriod{50};
 constexpr milliseconds kJoinPeriod{200};
+// An instance that asks who leads gives up after 0.3 s and asks the next one.
+constexpr milliseconds kAnnouncePeriod{300};
 // Timeouts of a round trip that includes the disk sync of an append. A part of
 // a snapshot is larger and gets more time.
 constexpr milliseconds kAppendTimeout{400};
@@ -75,6 +77,7 @@
   if (!replica_.Load()) return false;
   asio::co_spawn(loop_, RunTickLoop(), asio::detached);
   asio::co_spawn(loop_, RunJoinLoop(), asio::detached);
+  asio::co_spawn(loop_, RunAnnounceLoop(), asio::detached);
   return true;
 }
 
@@ -120,6 +123,30 @@
   }
 }
 
+awaitable<void> group_host::RunAnnounceLoop() {
+  for (;;) {
+    co_await net::Sleep(kAnnouncePeriod);
+    if (!IsServing()) continue;
+    const std::vector<std::string> members = Members();
+    for (const std::string& address : announced_) {
+      const bool is_member =
+          std::find(members.begin(), members.end(), address) != members.end();
+      if (is_member || address == settings_.own_address) continue;
+      asio::co_spawn(loop_, Announce(address), asio::detached);
+    }
+  }
+}
+
+awaitable<void> group_host::Announce(std::string address) {
+  peering::join_hint hint;
+  hint.leader = settings_.own_address;
+  hint.term = replica_.Raft().hard.term;
+  // Repeated, so the result is of no interest.
+  co_await peering::CallPeer(
+      pool_, std::move(address), peering::kLeaderAnnouncementMethod,
+      core::EncodeBinary(hint), clock_.Now() + kAnnouncePeriod);
+}
+
 void group_host::RequestToJoin() {
   std::set<std::string> known(contacts_.begin(), contacts_.end());
   for (const std::string& node : Members()) known.insert(node);
@@ -223,6 +250,15 @@
   co_return core::EncodeBinary(answers);
 }
 
+bool group_host::IsOutdated() const {
+  return !IsInGroup() || join_.term > replica_.Raft().hard.term;
+}
+
+void group_host::OnLeaderAnnounced(const peering::join_hint& hint) {
+  if (hint.leader == settings_.own_address || hint.term < join_.term) return;
+  OnJoinAnswer(join_, hint.leader, hint, clock_.Now());
+}
+
 peering::join_hint group_host::AnswerJoin(const consensus::message& input) {
   const core::time_point now = clock_.Now();
   const milliseconds lifetime = ApplicantLifetime(applicants_.size());
@@ -232,7 +268,7 @@
   applicants_[input.from.node] = now;
   const consensus::raft_state& raft = replica_.Raft();
   peering::join_hint hint;
-  if (!IsInGroup()) {
+  if (IsOutdated()) {
     hint.leader = join_.leader;
     hint.term = join_.term;
     return hint;
--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -95,9 +95,18 @@
   core::boot_time_point LedSince() const { return replica_.Raft().led_since; }
   // Peer address of the latest known leader; empty: none.
   const std::string& Leader() const { return replica_.Raft().leader.node; }
-  // The same for an instance that is not in the group: what the instances that
-  // it asked to join named.
-  const std::string& JoinLeader() const { return join_.leader; }
+  // The same as far as this instance can know. One that is not in the group, or
+  // that was removed from it without notice, was told by others.
+  const std::string& KnownLeader() const {
+    return IsOutdated() ? join_.leader : Leader();
+  }
+  // Records which instance leads in `hint.term`.
+  void OnLeaderAnnounced(const peering::join_hint& hint);
+  // Sets the instances that others ask who leads. The leader announces itself
+  // to those that are not in the group.
+  void SetAnnounced(std::vector<std::string> addresses) {
+    announced_ = std::move(addresses);
+  }
   const std::string& OwnAddress() const { return settings_.own_address; }
   std::vector<std::string> Members() const;
   std::vector<std::string> Voters() const;
@@ -134,6 +143,11 @@
                  const net::call_result& result);
   void ScheduleFlush();
   void RequestToJoin();
+  // Whether this replica is in no group, or knows of a later leader than its
+  // group does.
+  bool IsOutdated() const;
+  boost::asio::awaitable<void> RunAnnounceLoop();
+  boost::asio::awaitable<void> Announce(std::string address);
   peering::join_hint AnswerJoin(const consensus::message& input);
 
   boost::asio::io_context& loop_;
@@ -143,6 +157,7 @@
   consensus::file_storage storage_;
   hosted_state& state_;
   std::vector<std::string> contacts_;
+  std::vector<std::string> announced_;  // see SetAnnounced()
   std::map<std::string, core::time_point> applicants_;
   join_route join_;
   std::set<std::string> silent_;  // instances whose last message failed
--- a/packages/group/leader_calls.cc
+++ b/packages/group/leader_calls.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/binary.h"
 #include "core/reason.h"
 
 namespace hickorywood::group {
@@ -22,12 +23,18 @@
 envelope NotLeader(const group_host& host) {
   envelope answer;
   answer.outcome = call_outcome::kNotLeader;
-  const std::string& leader =
-      host.IsInGroup() ? host.Leader() : host.JoinLeader();
+  const std::string& leader = host.KnownLeader();
   if (leader != host.OwnAddress()) answer.leader = leader;
   return answer;
 }
 
+envelope HandleAnnouncement(group_host& host, const std::string& payload) {
+  const auto hint = core::DecodeBinary<peering::join_hint>(payload);
+  if (!hint) return Malformed();
+  host.OnLeaderAnnounced(*hint);
+  return Done();
+}
+
 boost::asio::awaitable<envelope> CommitCall(group_host& host, std::string name,
                                             std::string payload) {
   envelope answer;
--- a/packages/group/leader_calls.h
+++ b/packages/group/leader_calls.h
@@ -19,6 +19,10 @@
 // This instance does not lead; contains the address of the leader, if known.
 peering::envelope NotLeader(const group_host& host);
 
+// Handles kLeaderAnnouncementMethod.
+peering::envelope HandleAnnouncement(group_host& host,
+                                     const std::string& payload);
+
 // Commits a command and replies with the outcome. When the command was proposed
 // but its commit was not observed, the outcome is unknown: a new leader may
 // still commit it. The command is rejected while too few instances have the
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -30,6 +30,9 @@
 constexpr char kConsensusMethod[] = "consensus";
 // Answered at once by the leader of either group.
 constexpr char kLeaderMethod[] = "leader";
+// The control leader tells an instance that is not in the group that it leads;
+// a join_hint.
+constexpr char kLeaderAnnouncementMethod[] = "leader_announcement";
 constexpr char kViewMethod[] = "view";
 constexpr char kHeartbeatsMethod[] = "heartbeats";
 constexpr char kLeaveMethod[] = "leave";
