--- a/packages/group/group_host.h
+++ b/packages/group/group_host.h
@@ -95,8 +95,8 @@
   core::boot_time_point LedSince() const { return replica_.Raft().led_since; }
   // Peer address of the latest known leader; empty: none.
   const std::string& Leader() const { return replica_.Raft().leader.node; }
-  // The same as far as this instance can know. One that is not in the group, or
-  // that was removed from it without notice, was told by others.
+  // The same, or the announced leader if this replica is not in the group or
+  // was removed from it while it was out of contact.
   const std::string& KnownLeader() const {
     return IsOutdated() ? join_.leader : Leader();
   }
