Hold a large body of a request once

Cause: a request was copied for each attempt, and once more into the message that is written.

Change: the body of a request is an immutable text that copies share, and it is written from there.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -94,7 +94,8 @@
   size_t Carried() const { return carried_.size(); }
 
   awaitable<bool> Write(const request& output, time_point deadline) override {
-    http::request<http::string_body> message;
+    // Refers to the body without copying it.
+    http::request<http::span_body<const char>> message;
     message.version(kHttp11);
     message.method_string(output.method);
     message.target(output.target);
@@ -102,7 +103,8 @@
       message.insert(item.name, item.value);
     }
     if (!Has(output.headers, "Host")) message.set(http::field::host, address_);
-    message.body() = output.body;
+    const std::string& body = output.body;
+    message.body() = {body.data(), body.size()};
     const bool has_body = !output.body.empty() || output.method == "POST" ||
                           output.method == "PUT" || output.method == "PATCH";
     if (has_body) message.content_length(output.body.size());
--- a/packages/net/message.h
+++ b/packages/net/message.h
@@ -3,9 +3,12 @@
 
 // HTTP requests and responses as plain data.
 
+#include <cstddef>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace hickorywood::net {
@@ -17,11 +20,39 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(header, name, value)
 using header_list = std::vector<header>;
 
+// An immutable text whose copies share its memory: a large body is held once,
+// also while a request is sent to several endpoints.
+class shared_text {
+ public:
+  shared_text() = default;
+  // Implicit, so that it is used like the text itself.
+  shared_text(std::string text)  // NOLINT(google-explicit-constructor)
+      : text_(std::make_shared<const std::string>(std::move(text))) {}
+  shared_text(const char* text)  // NOLINT(google-explicit-constructor)
+      : shared_text(std::string(text)) {}
+
+  const std::string& Text() const {
+    static const std::string kEmpty;
+    return text_ ? *text_ : kEmpty;
+  }
+  operator const std::string&() const {  // NOLINT(google-explicit-constructor)
+    return Text();
+  }
+  size_t size() const { return Text().size(); }
+  bool empty() const { return Text().empty(); }
+  friend bool operator==(const shared_text& left, std::string_view right) {
+    return left.Text() == right;
+  }
+
+ private:
+  std::shared_ptr<const std::string> text_;
+};
+
 struct request {
   std::string method = "POST";
   std::string target;  // path with the query
   header_list headers;
-  std::string body;
+  shared_text body;
 };
 
 struct response {
--- a/packages/quarantine/request_digest.cc
+++ b/packages/quarantine/request_digest.cc
@@ -69,7 +69,7 @@
 
 request_identity IdentityOf(const net::request& input) {
   return {net::Find(input.headers, "Host"), input.method, input.target,
-          input.body};
+          input.body.Text()};
 }
 
 std::string DigestPrefixOf(std::string_view key,
