Bound the memory of requests from their first byte

What callers saw: clients with trailers without end, or with many bodies of legal size, ended a process: out of memory.

Cause: the buffer of a connection had no maximum, so trailers and chunk extensions, which neither the header limit nor the body limit counts, grew without one. A body was accounted for only after it was read whole, on entries only, and there only with one setting.

Change: one budget of a process for all its listeners, two fifths of memory_mb. A request is charged before its bytes are received and until it is answered, answers while they are written. When memory is short, those yield first that don't advance, then the largest that are still being read; small requests have a reserve. A refusal (503, Retry-After) means that the request has not run. Framing is bounded by the header limit and 8 bytes a byte of the body. A body above 1 MiB gets its final capacity at once. Connections fit into a fifth of the memory; a further one replaces one that is idle or stalled, which also ends that eight stalled clients keep metrics from everyone. After a refusal the connection is read for up to 1 s, since closing it with unread bytes resets it before the caller has read why.

Why it suffices: nothing is received that was not granted, and what was granted is released with the exchange.

--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -32,6 +32,9 @@
 
 // An endpoint is unresponsive after this many missed heartbeats, plus a second
 // for delays.
+// Time after which the memory of some calls is free again: most take less.
+constexpr milliseconds kMemoryRetryAfter{500};
+constexpr int kUnavailable = 503;
 constexpr int kMaxMissedHeartbeats = 3;
 constexpr std::chrono::seconds kHeartbeatDelay{1};
 // Endpoints often open a new connection for each heartbeat. With a longer
@@ -90,7 +93,8 @@
 
 struct controller::impl {
   impl(asio::io_context& io, const core::runtime_clock& runtime,
-       const settings::node_settings& node, const fleet::protocol& wire)
+       const settings::node_settings& node, const fleet::protocol& wire,
+       std::shared_ptr<net::request_memory> memory)
       : loop(io),
         clock(runtime),
         settings(node),
@@ -110,9 +114,9 @@
         follower(runtime, caller, FollowerOptions(node)),
         heartbeats(io, runtime, caller),
         api(wire, caller, heartbeats),
-        peers(io, peering::PeerListenerOptions(node.peers_address),
+        peers(io, peering::PeerListenerOptions(node.peers_address, memory),
               [this](net::exchange& call) { return ServePeer(call); }),
-        control(io, ControlListenerOptions(node.control_address),
+        control(io, ControlListenerOptions(node.control_address, wire, memory),
                 [this](net::exchange& call) { return api.Serve(call); }) {
     registry.options.unresponsive_after =
         node.endpoint_heartbeat * kMaxMissedHeartbeats + kHeartbeatDelay;
@@ -128,9 +132,15 @@
   }
 
   static net::listener_options ControlListenerOptions(
-      const std::string& address) {
+      const std::string& address, const fleet::protocol& wire,
+      std::shared_ptr<net::request_memory> memory) {
     net::listener_options options;
     options.address = address;
+    options.memory = std::move(memory);
+    options.on_memory_shortage = [&wire] {
+      return wire.EncodeFailure(kUnavailable, "the memory for calls is in use",
+                                kMemoryRetryAfter);
+    };
     options.limits = [] {
       net::caller_limits limits;
       limits.idle_timeout = kControlIdleTimeout;
@@ -255,8 +265,10 @@
 
 controller::controller(asio::io_context& loop, const core::runtime_clock& clock,
                        const settings::node_settings& settings,
-                       const fleet::protocol& wire)
-    : impl_(std::make_unique<impl>(loop, clock, settings, wire)) {}
+                       const fleet::protocol& wire,
+                       std::shared_ptr<net::request_memory> memory)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire,
+                                   std::move(memory))) {}
 
 controller::~controller() = default;
 
--- a/packages/controller/controller.h
+++ b/packages/controller/controller.h
@@ -9,15 +9,18 @@
 
 #include "core/clock.h"
 #include "fleet/protocol.h"
+#include "net/request_memory.h"
 #include "settings/node_settings.h"
 
 namespace hickorywood::controller {
 
 class controller {
  public:
+  // `memory` is that of all listeners of the process.
   controller(boost::asio::io_context& loop, const core::runtime_clock& clock,
              const settings::node_settings& settings,
-             const fleet::protocol& wire);
+             const fleet::protocol& wire,
+             std::shared_ptr<net::request_memory> memory);
   ~controller();
   controller(const controller&) = delete;
   controller& operator=(const controller&) = delete;
--- a/packages/core/events.cc
+++ b/packages/core/events.cc
@@ -104,6 +104,8 @@
       {event_id::kLoopDelayed, kWarning, "process", "event loop delayed"},
       {event_id::kConnectionsRefused, kWarning, "process",
        "connections refused"},
+      {event_id::kRequestsNotRead, kWarning, "process",
+       "requests not read for lack of memory"},
       {event_id::kLogTailCut, kWarning, "storage",
        "incomplete record at the end of the log removed"},
       {event_id::kLogCorrupt, kError, "storage", "log is corrupt"},
--- a/packages/core/events.h
+++ b/packages/core/events.h
@@ -31,6 +31,7 @@
   kSlowReaderClosed = 1013,
   kLoopDelayed = 1014,
   kConnectionsRefused = 1015,
+  kRequestsNotRead = 1016,
   kLogTailCut = 2001,
   kLogCorrupt = 2002,
   kStorageFailed = 2003,
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -9,8 +9,6 @@
 #include "core/events.h"
 #include "core/ids.h"
 #include "duties/usage_counter.h"
-#include "entry/accounted_exchange.h"
-#include "entry/held_memory.h"
 #include "entry/place_client.h"
 #include "entry/relay.h"
 #include "entry/step_gateway.h"
@@ -38,10 +36,6 @@
 // Time after which the memory of some answers is free again: most callers read
 // an answer at once.
 constexpr milliseconds kMemoryRetryAfter{500};
-// Time without progress after which a slow reader is disconnected while the
-// memory held for callers is above its bound.
-constexpr milliseconds kBoundedStallTimeout{5000};
-constexpr int64_t kBytesPerMegabyte = 1024 * 1024;
 // A caller that is refused because this entry is out of contact should try
 // another entry, which usually has contact.
 constexpr milliseconds kOutOfContactRetryAfter{100};
@@ -63,11 +57,13 @@
 
 struct entry_instance::impl {
   impl(asio::io_context& io, const core::runtime_clock& runtime,
-       const settings::node_settings& node, const fleet::protocol& protocol)
+       const settings::node_settings& node, const fleet::protocol& protocol,
+       std::shared_ptr<net::request_memory> process_memory)
       : loop(io),
         clock(runtime),
         settings(node),
         wire(protocol),
+        memory(std::move(process_memory)),
         pool(io),
         caller(pool, node.seeds),
         follower(runtime, caller, FollowerOptions(node)),
@@ -89,9 +85,6 @@
         readiness(io, ReadinessOptions(), [this](net::exchange& call) {
           return AnswerReadiness(call);
         }) {
-    if (node.bounds_held_memory) {
-      held.limit = node.memory_mb * kBytesPerMegabyte;
-    }
     lease.instance = node.id;
     lease.limits.apply = node.apply_limit;
     lease.limits.revocation = node.revocation_limit;
@@ -137,15 +130,18 @@
     net::listener_options options;
     options.address = settings.callers_address;
     options.limits = [this] { return Limits(); };
-    if (settings.bounds_held_memory) {
-      options.stall_timeout = [this]() -> milliseconds {
-        return IsAboveBound(held) ? kBoundedStallTimeout : milliseconds(0);
-      };
-    }
+    options.memory = memory;
+    options.customer = [this](const net::request& head) {
+      return CustomerOf(head);
+    };
+    options.on_memory_shortage = [this] {
+      return wire.EncodeFailure(
+          kUnavailable, "the memory for callers is in use", kMemoryRetryAfter);
+    };
     options.on_stall = [this](size_t unread) {
       LogEvent(event_id::kSlowReaderClosed,
                {{"bytes", std::to_string(unread)},
-                {"held", std::to_string(held.total)}});
+                {"held", std::to_string(memory->budget.total)}});
     };
     return options;
   }
@@ -154,6 +150,7 @@
     net::listener_options options;
     options.address = settings.readiness_address;
     options.limits = [] { return net::caller_limits{}; };
+    options.memory = memory;
     return options;
   }
 
@@ -177,6 +174,15 @@
     return limits;
   }
 
+  // The customer that the memory of a request is charged to, before it is known
+  // whether the request is granted.
+  std::string CustomerOf(const net::request& head) const {
+    const fleet::configuration& config = follower.View().config;
+    if (!config.needs_keys) return "";
+    const auto holder = access::FindHolder(keys, wire.CallerKey(head));
+    return holder ? config.customers[*holder].name : "";
+  }
+
   // An entry that may serve no routes or accept no keys would refuse nearly
   // every request, so the callers should use other entries.
   bool IsReady() {
@@ -287,29 +293,28 @@
     // Results that are ready are delivered, and steps are ended.
     const bool is_new_work = !is_step;
     const auto size = static_cast<int64_t>(input.body.size());
-    if (is_new_work && !MayAccept(held, customer, size)) {
+    const bool is_bounded = settings.bounds_held_memory && is_new_work;
+    if (is_bounded && !MayBegin(memory->budget, customer, size)) {
       LogEvent(event_id::kMemoryBoundReached,
                {{"customer", customer},
-                {"held", std::to_string(held.total)},
-                {"limit", std::to_string(held.limit)}});
+                {"held", std::to_string(memory->budget.total)},
+                {"limit", std::to_string(memory->budget.memory)}});
       co_await call.Reply(Refuse(input, kUnavailable,
                                  "the memory for callers is in use",
                                  kMemoryRetryAfter));
       co_return;
     }
-    accounted_exchange accounted(call, held, customer);
     if (is_step) {
-      co_await gateway.Serve(accounted, std::move(step), std::move(customer));
+      co_await gateway.Serve(call, std::move(step), std::move(customer));
       co_return;
     }
     if (route->kind == fleet::route_kind::kRollout) {
       steps::accepted_route accepted{route->path_prefix, route->max_attempts,
                                      route->task_lifetime_ms};
-      co_await gateway.Open(accounted, std::move(accepted),
-                            std::move(customer));
+      co_await gateway.Open(call, std::move(accepted), std::move(customer));
       co_return;
     }
-    co_await plain.Serve(accounted, *route, std::move(access.customer));
+    co_await plain.Serve(call, *route, std::move(access.customer));
   }
 
   awaitable<void> Stop() {
@@ -338,7 +343,7 @@
   const core::runtime_clock& clock;
   const settings::node_settings settings;
   const fleet::protocol& wire;
-  held_memory held;
+  const std::shared_ptr<net::request_memory> memory;
   net::connection_pool pool;
   peering::leader_caller caller;
   peering::view_follower follower;
@@ -363,8 +368,10 @@
 entry_instance::entry_instance(asio::io_context& loop,
                                const core::runtime_clock& clock,
                                const settings::node_settings& settings,
-                               const fleet::protocol& wire)
-    : impl_(std::make_unique<impl>(loop, clock, settings, wire)) {}
+                               const fleet::protocol& wire,
+                               std::shared_ptr<net::request_memory> memory)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire,
+                                   std::move(memory))) {}
 
 entry_instance::~entry_instance() = default;
 
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -9,16 +9,19 @@
 
 #include "core/clock.h"
 #include "fleet/protocol.h"
+#include "net/request_memory.h"
 #include "settings/node_settings.h"
 
 namespace hickorywood::entry {
 
 class entry_instance {
  public:
+  // `memory` is that of all listeners of the process.
   entry_instance(boost::asio::io_context& loop,
                  const core::runtime_clock& clock,
                  const settings::node_settings& settings,
-                 const fleet::protocol& wire);
+                 const fleet::protocol& wire,
+                 std::shared_ptr<net::request_memory> memory);
   ~entry_instance();
   entry_instance(const entry_instance&) = delete;
   entry_instance& operator=(const entry_instance&) = delete;
--- a/packages/hickoryd/node_main.cc
+++ b/packages/hickoryd/node_main.cc
@@ -26,6 +26,7 @@
 #include "net/event.h"
 #include "net/listener.h"
 #include "net/message.h"
+#include "net/request_memory.h"
 #include "platform/protocol.h"
 #include "settings/node_settings.h"
 #include "store/store_instance.h"
@@ -41,6 +42,7 @@
 
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
+constexpr int64_t kBytesPerMegabyte = 1024 * 1024;
 constexpr char kMetricsPath[] = "/metrics";
 // Limit of concurrent connections from metrics collectors.
 constexpr size_t kMetricsConnections = 8;
@@ -92,6 +94,8 @@
       : file_(std::move(settings_file)),
         settings_(std::move(settings)),
         wire_(platform::MakeProtocol()),
+        memory_(
+            net::MakeRequestMemory(settings_.memory_mb * kBytesPerMegabyte)),
         changed_at_(ChangedAt(file_)) {}
 
   int Run();
@@ -110,6 +114,7 @@
   const settings::node_settings settings_;
   const core::runtime_clock clock_;
   const std::unique_ptr<fleet::protocol> wire_;
+  const std::shared_ptr<net::request_memory> memory_;
   int64_t changed_at_;
   asio::io_context loop_{1};
   std::unique_ptr<entry::entry_instance> entry_;
@@ -123,16 +128,16 @@
 bool node::StartRole() {
   if (settings_.role == settings::node_role::kEntry) {
     entry_ = std::make_unique<entry::entry_instance>(loop_, clock_, settings_,
-                                                     *wire_);
+                                                     *wire_, memory_);
     return entry_->Start();
   }
   if (settings_.role == settings::node_role::kStore) {
     store_ = std::make_unique<store::store_instance>(loop_, clock_, settings_,
-                                                     *wire_);
+                                                     *wire_, memory_);
     return store_->Start();
   }
-  controller_ = std::make_unique<controller::controller>(loop_, clock_,
-                                                         settings_, *wire_);
+  controller_ = std::make_unique<controller::controller>(
+      loop_, clock_, settings_, *wire_, memory_);
   return controller_->Start();
 }
 
@@ -148,6 +153,7 @@
   options.address = settings_.metrics_address;
   options.limits = [] { return net::caller_limits{}; };
   options.max_connections = kMetricsConnections;
+  options.memory = memory_;
   metrics_listener_ = std::make_unique<net::listener>(
       loop_, options,
       [this](net::exchange& call) { return ServeMetrics(call); });
--- a/packages/net/listener.h
+++ b/packages/net/listener.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "net/message.h"
+#include "net/request_memory.h"
 
 namespace hickorywood::net {
 
@@ -33,6 +34,8 @@
   virtual ~exchange() = default;
 
   virtual const request& Request() const = 0;
+  // The IP address of the caller; empty if it has disconnected.
+  virtual std::string RemoteAddress() const = 0;
 
   virtual boost::asio::awaitable<void> Reply(response answer) = 0;
 
@@ -60,9 +63,26 @@
   // answer that it had not accepted.
   std::function<void(size_t unread)> on_stall;
   // Maximum number of open connections. A further one replaces the one that has
-  // been idle for longest, or is closed when none is idle. The process has a
-  // limited number of file descriptors.
+  // been idle for longest, or else the one whose transfer has been stalled for
+  // longest, or is closed when there is none. The process has a limited number
+  // of file descriptors.
   size_t max_connections = 3000;
+  // Memory for requests and answers, shared with the other listeners of the
+  // process. Empty: not bounded.
+  std::shared_ptr<request_memory> memory;
+  // Whether the callers are instances of this service, whose requests yield
+  // their memory last.
+  bool is_internal = false;
+  // Returns the customer of a request from its head; empty: not called.
+  std::function<std::string(const request& head)> customer;
+  // Returns the response to a request that was not read for lack of memory.
+  // Empty: status 503.
+  std::function<response()> on_memory_shortage;
+  // The same for a body above its limit. Empty: status 413.
+  std::function<response()> on_too_large;
+  // Bytes of a connection that the system receives before they are read. They
+  // count towards the memory of the process.
+  int receive_buffer_bytes = 64 * 1024;
   // Whether a request is ignored when its caller has closed the connection
   // before it is handled. A busy process then does no work that nobody waits
   // for. Not for reports, which are of use without their sender.
--- /dev/null
+++ b/packages/net/request_reader.cc
@@ -0,0 +1,154 @@
+#include "net/request_reader.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "net/read_buffer.h"
+
+namespace hickorywood::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using boost::system::error_code;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+// Bytes of chunk headers that a body may have for each of its own bytes, beside
+// the header limit. A chunk of one byte has five.
+constexpr uint64_t kFramingPerBodyByte = 8;
+// Memory of the parser and of the coroutines of a request.
+constexpr size_t kRequestBytes = 4UL * 1024;
+
+}  // namespace
+
+request_reader::request_reader(boost::beast::tcp_stream& stream,
+                               boost::beast::flat_buffer& buffer,
+                               memory_charge& charge,
+                               const request_limits& limits)
+    : stream_(stream), buffer_(buffer), charge_(charge), limits_(limits) {
+  parser_.header_limit(limits.header_bytes);
+  parser_.body_limit(limits.body_bytes);
+  parser_.get().body().limit = limits.body_bytes;
+  buffer_.max_size(std::max<size_t>(2UL * limits.header_bytes, kMaxReadBytes));
+}
+
+int64_t request_reader::HeldBytes(size_t more) const {
+  return static_cast<int64_t>(
+      kRequestBytes + head_bytes_ + parser_.get().body().bytes.size() +
+      std::max(buffer_.capacity(), buffer_.size() + more));
+}
+
+awaitable<error_code> request_reader::Receive(size_t size) {
+  const size_t room = buffer_.max_size() - buffer_.size();
+  if (room == 0) co_return http::error::buffer_overflow;
+  size = std::min(size, room);
+  if (!charge_.Grow(HeldBytes(size))) co_return asio::error::no_buffer_space;
+  const auto [failure, count] =
+      co_await stream_.async_read_some(buffer_.prepare(size), kNoThrow);
+  // The charge may have had to yield while the bytes arrived.
+  if (charge_.IsEnding()) co_return asio::error::no_buffer_space;
+  if (failure) co_return failure;
+  buffer_.commit(count);
+  last_read_ = count;
+  charge_.Set(HeldBytes(0));
+  charge_.Advance(static_cast<int64_t>(count));
+  co_return error_code();
+}
+
+awaitable<error_code> request_reader::ReadHead() {
+  parser_.eager(false);
+  for (;;) {
+    error_code failure;
+    const size_t used = parser_.put(buffer_.data(), failure);
+    buffer_.consume(used);
+    head_bytes_ += used;
+    if (parser_.is_header_done()) co_return error_code();
+    if (failure && failure != http::error::need_more) co_return failure;
+    const bool is_empty = buffer_.size() == 0 || failure;
+    if (!is_empty) continue;
+    // A long head gets its final buffer at once, because growing in steps
+    // fragments the memory of many connections.
+    const size_t room = limits_.header_bytes -
+                        std::min<size_t>(limits_.header_bytes, buffer_.size());
+    const error_code problem =
+        co_await Receive(std::max(room, kKeptBufferBytes));
+    if (problem) co_return problem;
+  }
+}
+
+// Most of a body of a known length arrives in few reads. The reads of any other
+// body grow with what has arrived.
+size_t request_reader::NextReadSize() const {
+  if (const auto left = parser_.content_length_remaining()) {
+    return static_cast<size_t>(
+        std::min<uint64_t>(std::max<uint64_t>(*left, 1), kMaxReadBytes));
+  }
+  return std::clamp(2 * last_read_, kKeptBufferBytes, kMaxReadBytes);
+}
+
+// Trailers and chunk extensions count towards no other limit.
+error_code request_reader::CheckFraming(bool is_incomplete) const {
+  if (!parser_.chunked()) return {};
+  // What the parser leaves in the buffer is an incomplete line or trailer
+  // section.
+  const bool is_too_long =
+      is_incomplete && buffer_.size() > limits_.header_bytes;
+  const uint64_t body = parser_.get().body().bytes.size();
+  const bool is_too_much =
+      body_bytes_ - body > limits_.header_bytes + kFramingPerBodyByte * body;
+  if (is_too_long || is_too_much) return http::error::header_limit;
+  return {};
+}
+
+error_code request_reader::Parse() {
+  error_code failure;
+  const size_t used = parser_.put(buffer_.data(), failure);
+  buffer_.consume(used);
+  body_bytes_ += used;
+  const bool is_incomplete = failure == http::error::need_more;
+  if (failure && !is_incomplete) return failure;
+  return CheckFraming(is_incomplete);
+}
+
+awaitable<error_code> request_reader::ReadBody() {
+  parser_.eager(true);
+  if (!parser_.is_done() && buffer_.size() > 0) {
+    if (const error_code failure = Parse()) co_return failure;
+  }
+  while (!parser_.is_done()) {
+    const error_code problem = co_await Receive(NextReadSize());
+    if (problem) co_return problem;
+    if (const error_code failure = Parse()) co_return failure;
+  }
+  ReleaseCapacity(buffer_);
+  const int64_t headers = static_cast<int64_t>(
+      sizeof(header) * static_cast<size_t>(std::distance(parser_.get().begin(),
+                                                         parser_.get().end())));
+  const bool is_available = charge_.Grow(HeldBytes(0) + headers);
+  if (!is_available) co_return asio::error::no_buffer_space;
+  charge_.Set(HeldBytes(0) + headers);
+  co_return error_code();
+}
+
+request request_reader::Head() const {
+  const http::request<request_body>& input = parser_.get();
+  request converted;
+  converted.method = std::string(input.method_string());
+  converted.target = std::string(input.target());
+  for (const auto& field : input) {
+    converted.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return converted;
+}
+
+request request_reader::Release() {
+  request converted = Head();
+  converted.body = shared_text(std::move(parser_.get().body().bytes));
+  return converted;
+}
+
+}  // namespace hickorywood::net
--- a/packages/peering/peer_interface.cc
+++ b/packages/peering/peer_interface.cc
@@ -12,11 +12,17 @@
 
 // Clients close idle connections earlier than this.
 constexpr std::chrono::seconds kPeerIdleTimeout{30};
+// Messages between regions are large, and their round trips long.
+constexpr int kReceiveBufferBytes = 256 * 1024;
 
 }  // namespace
 
-net::listener_options PeerListenerOptions(const std::string& address) {
+net::listener_options PeerListenerOptions(
+    const std::string& address, std::shared_ptr<net::request_memory> memory) {
   net::listener_options options;
+  options.memory = std::move(memory);
+  options.is_internal = true;
+  options.receive_buffer_bytes = kReceiveBufferBytes;
   options.address = address;
   options.limits = [] {
     net::caller_limits limits;
--- a/packages/peering/peer_interface.h
+++ b/packages/peering/peer_interface.h
@@ -5,14 +5,19 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "net/listener.h"
+#include "net/request_memory.h"
 #include "peering/messages.h"
 
 namespace hickorywood::peering {
 
-net::listener_options PeerListenerOptions(const std::string& address);
+// `memory` is that of all listeners of the process.
+net::listener_options PeerListenerOptions(
+    const std::string& address,
+    std::shared_ptr<net::request_memory> memory = nullptr);
 
 // Handles one call: consensus messages are passed to `consensus`, all other
 // methods to `handle`.
--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -140,8 +140,9 @@
        "that requests of all entries share one queue. Entries and control "
        "instances. Takes effect only while the configuration lists customers."},
       {"admission.held_memory", type::kFlag, "false", 0, 0,
-       "Whether an entry bounds the memory that it holds for callers by "
-       "`memory_mb`."},
+       "Whether an entry refuses new work of the customer that holds most "
+       "while "
+       "more than a quarter of `memory_mb` is held for callers."},
       {"steps.placement", type::kName, "auto", 0, 0,
        "How a store chooses the engine of a task: `streams` (by the number of "
        "streams on each engine), `predicted` (by the predicted end of the "
@@ -151,8 +152,10 @@
       {"losses.instances", type::kInteger, "1", 0, 10,
        "Instances with a disk that may be lost at once."},
       {"memory_mb", type::kInteger, "256", 16, 1024 * 1024,
-       "Memory that the process may use, MB. A store keeps a 64th of it for "
-       "the outputs of ended steps."},
+       "Memory that the process may use, MB. Requests and answers of all "
+       "listeners together use up to two fifths of it, and connections a "
+       "fifth. "
+       "A store keeps a 64th of it for the outputs of ended steps."},
   };
   return *kSchema;
 }
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -64,7 +64,7 @@
   int64_t memory_mb = 256;         // memory limit of the process, MB
   // Whether entries lease the places of plain services from one holder.
   bool shares_places = false;
-  // Whether memory held for callers is bounded by `memory_mb`.
+  // Whether the customer that holds most is refused while memory is short.
   bool bounds_held_memory = false;
   task_placement placement = task_placement::kAuto;
 
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -60,7 +60,8 @@
 
 struct store_instance::impl {
   impl(asio::io_context& io, const core::runtime_clock& runtime,
-       const settings::node_settings& node, const fleet::protocol& wire)
+       const settings::node_settings& node, const fleet::protocol& wire,
+       std::shared_ptr<net::request_memory> memory)
       : loop(io),
         clock(runtime),
         settings(node),
@@ -83,7 +84,7 @@
         runner(
             io, runtime, pool, wire, leader, RunnerOptions(node),
             [this] { return group.IsServing(); }, follower.View()),
-        peers(io, peering::PeerListenerOptions(node.peers_address),
+        peers(io, peering::PeerListenerOptions(node.peers_address, memory),
               [this](net::exchange& call) { return ServePeer(call); }) {
     lease.instance = node.id;
     lease.limits.apply = node.apply_limit;
@@ -203,8 +204,10 @@
 store_instance::store_instance(asio::io_context& loop,
                                const core::runtime_clock& clock,
                                const settings::node_settings& settings,
-                               const fleet::protocol& wire)
-    : impl_(std::make_unique<impl>(loop, clock, settings, wire)) {}
+                               const fleet::protocol& wire,
+                               std::shared_ptr<net::request_memory> memory)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire,
+                                   std::move(memory))) {}
 
 store_instance::~store_instance() = default;
 
--- a/packages/store/store_instance.h
+++ b/packages/store/store_instance.h
@@ -9,16 +9,19 @@
 
 #include "core/clock.h"
 #include "fleet/protocol.h"
+#include "net/request_memory.h"
 #include "settings/node_settings.h"
 
 namespace hickorywood::store {
 
 class store_instance {
  public:
+  // `memory` is that of all listeners of the process.
   store_instance(boost::asio::io_context& loop,
                  const core::runtime_clock& clock,
                  const settings::node_settings& settings,
-                 const fleet::protocol& wire);
+                 const fleet::protocol& wire,
+                 std::shared_ptr<net::request_memory> memory);
   ~store_instance();
   store_instance(const store_instance&) = delete;
   store_instance& operator=(const store_instance&) = delete;
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -113,22 +114,25 @@
 
 std::string ProgramPath() { return HICKORYD_PATH; }
 
-deployment::deployment()
+deployment::deployment(deployment_size size)
     : folder_(MakeTemporaryFolder()),
       peers_port_(PickCommonPort()),
       callers_port_(PickCommonPort()),
       control_port_(PickCommonPort()),
-      ready_port_(PickCommonPort()) {
-  for (const char* id : {"c1", "c2", "c3"}) {
-    AddNode(id, "control");
-    controls_.emplace_back(id);
+      ready_port_(PickCommonPort()),
+      metrics_port_(PickCommonPort()) {
+  for (int i = 1; i <= size.controls; ++i) {
+    controls_.push_back("c" + std::to_string(i));
+    AddNode(controls_.back(), "control");
   }
-  for (const char* id : {"s1", "s2", "s3"}) {
-    AddNode(id, "store");
-    stores_.emplace_back(id);
+  for (int i = 1; i <= size.stores; ++i) {
+    stores_.push_back("s" + std::to_string(i));
+    AddNode(stores_.back(), "store");
+  }
+  for (int i = 1; i <= size.entries; ++i) {
+    entries_.push_back("e" + std::to_string(i));
+    AddNode(entries_.back(), "entry");
   }
-  AddNode("e1", "entry");
-  AddNode("e2", "entry");
   AddNode(kSpareControl, "control");
 }
 
@@ -149,6 +153,26 @@
   item.ip = NodeAddress(static_cast<int>(nodes_.size()) - 1);
 }
 
+std::string deployment::CallersAddress(const std::string& id) const {
+  return Address(id, callers_port_);
+}
+
+std::string deployment::ReadinessAddress(const std::string& id) const {
+  return Address(id, ready_port_);
+}
+
+std::string deployment::ControlAddress(const std::string& id) const {
+  return Address(id, control_port_);
+}
+
+std::string deployment::PeersAddress(const std::string& id) const {
+  return Address(id, peers_port_);
+}
+
+std::string deployment::MetricsAddress(const std::string& id) const {
+  return Address(id, metrics_port_);
+}
+
 std::string deployment::Address(const std::string& id, int port) const {
   return nodes_.at(id).ip + ":" + std::to_string(port);
 }
@@ -163,10 +187,16 @@
       << "  peers: \"" << Address(id, peers_port_) << "\"\n"
       << "  callers: \"" << Address(id, callers_port_) << "\"\n"
       << "  readiness: \"" << Address(id, ready_port_) << "\"\n"
-      << "  control: \"" << Address(id, control_port_) << "\"\n"
-      << "seeds: [\"" << Address("c1", control_port_) << "\", \""
-      << Address("c2", control_port_) << "\", \""
-      << Address("c3", control_port_) << "\"]\n"
+      << "  control: \"" << Address(id, control_port_) << "\"\n";
+  if (serves_metrics) {
+    out << "  metrics: \"" << Address(id, metrics_port_) << "\"\n";
+  }
+  out << "seeds: [";
+  for (const std::string& control : controls_) {
+    out << (control == controls_.front() ? "" : ", ") << "\""
+        << Address(control, control_port_) << "\"";
+  }
+  out << "]\n"
       << "first_start: " << (item.was_started ? "false" : "true") << "\n"
       << "data_folder: " << folder_ << "/" << id << "\n"
       << "endpoints: {heartbeat: 10s}\n"
@@ -269,11 +299,13 @@
   for (int i = 0; i < 2; ++i) endpoints_.Start("echo");
   for (int i = 0; i < 3; ++i) endpoints_.Start("engines");
   heartbeats_ = std::thread([this] { SendHeartbeats(); });
-  return PutConfiguration(1, true) && WaitUntil([this] {
-           return IsReady("e1") && IsReady("e2") &&
-                  Plain("e1", "warm-1").status == 200 &&
-                  Plain("e2", "warm-2").status == 200;
-         });
+  if (!PutConfiguration(1, true)) return false;
+  return WaitUntil([this] {
+    return std::all_of(
+        entries_.begin(), entries_.end(), [this](const std::string& entry) {
+          return IsReady(entry) && Plain(entry, "warm-" + entry).status == 200;
+        });
+  });
 }
 
 transport::http_request deployment::MakeHeartbeat(
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -22,9 +22,16 @@
 // The path of the program under test.
 std::string ProgramPath();
 
+// Number of instances of each role.
+struct deployment_size {
+  int controls = 3;
+  int stores = 3;
+  int entries = 2;
+};
+
 class deployment {
  public:
-  deployment();
+  explicit deployment(deployment_size size = {});
   ~deployment();
   deployment(const deployment&) = delete;
   deployment& operator=(const deployment&) = delete;
@@ -63,6 +70,14 @@
   // Text that is appended to the settings of all instances that are started
   // from now on.
   std::string extra_settings;
+  // Whether all instances that are started from now on serve metrics.
+  bool serves_metrics = false;
+  // Addresses of the listeners of an instance.
+  std::string CallersAddress(const std::string& id) const;
+  std::string ReadinessAddress(const std::string& id) const;
+  std::string ControlAddress(const std::string& id) const;
+  std::string PeersAddress(const std::string& id) const;
+  std::string MetricsAddress(const std::string& id) const;
   // Customers of the next configurations, in the operator's format; null: none.
   nlohmann::json customers;
   // Further routes of the next configurations, in the operator's format.
@@ -193,9 +208,11 @@
   int callers_port_ = 0;
   int control_port_ = 0;
   int ready_port_ = 0;
+  int metrics_port_ = 0;
   std::map<std::string, node> nodes_;
   std::vector<std::string> stores_;
   std::vector<std::string> controls_;
+  std::vector<std::string> entries_;
   simulated_endpoints endpoints_;
   web web_;
   std::atomic<bool> is_stopping_{false};
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -8,6 +8,8 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 extern char**
@@ -68,6 +70,26 @@
   return exit_code_;
 }
 
+size_t PeakMemoryOf(pid_t pid) {
+  constexpr size_t kBytesPerKilobyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string name; status >> name;) {
+    size_t kilobytes = 0;
+    if (name != "VmHWM:") continue;
+    status >> kilobytes;
+    return kilobytes * kBytesPerKilobyte;
+  }
+  return 0;
+}
+
+size_t CountDescriptorsOf(pid_t pid) {
+  std::error_code ended;
+  const std::filesystem::directory_iterator open(
+      "/proc/" + std::to_string(pid) + "/fd", ended);
+  if (ended) return 0;
+  return static_cast<size_t>(std::distance(begin(open), end(open)));
+}
+
 bool WaitUntil(const std::function<bool()>& condition,
                std::chrono::milliseconds limit) {
   const auto deadline = std::chrono::steady_clock::now() + limit;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -34,6 +35,12 @@
   std::optional<int> exit_code_;
 };
 
+// Largest resident memory of a process since its start, bytes; 0 if it has
+// ended.
+size_t PeakMemoryOf(pid_t pid);
+// Number of open file descriptors of a process; 0 if it has ended.
+size_t CountDescriptorsOf(pid_t pid);
+
 // Polls `condition` until it is true. Returns false if it is still false after
 // `limit`, which is long because it only ends tests that hang.
 bool WaitUntil(
