Serve the native API with the listeners of packages/net

What callers saw: nothing reported; read in the code. Bodies of up to four times the limit were read whole, with no sum over connections, no limit for a connection that never ends its request, and no hook to add one.

Cause: the library reads a request into one buffer, and its handler is called when that is complete.

Change: http_server keeps its interface and runs a net::listener on a thread of its own, with the budget of limits.memory_mb (new; 1024 MB), half for each of the two listeners. listen.threads is still accepted and has no effect.

Evidence: MisbehavingClientsOfInstanceTest at the listeners for callers and for instances, HttpServerTest.

--- a/packages/hickoryd/instance.cc
+++ b/packages/hickoryd/instance.cc
@@ -22,6 +22,7 @@
 constexpr core::milliseconds kCheckPeriod{100};
 constexpr size_t kTrafficQueue = 200000;
 constexpr int kDrainPolls = 20;
+constexpr int64_t kBytesPerMegabyte = 1024 * 1024;
 
 std::string PortAddress(const std::string& address, uint16_t port) {
   return address.substr(0, address.find(':')) + ":" + std::to_string(port);
@@ -31,6 +32,11 @@
   return address.rfind("127.", 0) == 0;
 }
 
+// The two listeners have separate threads, and each is given half.
+int64_t ListenerMemory(const settings::instance_settings& settings) {
+  return settings.memory_mb * kBytesPerMegabyte / 2;
+}
+
 void WarnWithoutTokens(const settings::instance_settings& settings) {
   const settings::token_set& tokens = settings.tokens;
   const bool callers_open = tokens.operators.empty() ||
@@ -74,14 +80,14 @@
         callers_handler(parts, [this] { RequestDrain(); }),
         peers_handler(parts),
         callers({settings.callers_address,
-                 static_cast<int>(settings.listener_threads),
-                 static_cast<size_t>(settings.request_bytes)},
+                 static_cast<size_t>(settings.request_bytes),
+                 ListenerMemory(settings)},
                 [this](const exchange_ptr& exchange) {
                   callers_handler.Handle(exchange);
                 }),
         peers({settings.peers_address,
-               static_cast<int>(settings.listener_threads),
-               static_cast<size_t>(settings.request_bytes) * 8},
+               static_cast<size_t>(settings.request_bytes) * 8,
+               ListenerMemory(settings)},
               [this](const exchange_ptr& exchange) {
                 peers_handler.Handle(exchange);
               }),
--- a/packages/settings/instance_settings.cc
+++ b/packages/settings/instance_settings.cc
@@ -78,7 +78,6 @@
   result.zone = reader.Text("instance.zone");
   result.callers_address = reader.Text("listen.callers");
   result.peers_address = reader.Text("listen.peers");
-  result.listener_threads = reader.Integer("listen.threads");
   result.data_folder = reader.Text("data_folder");
   result.ports_file = reader.Text("ports_file");
   result.peers = ReadPeers(tree, reader, result.id);
@@ -93,6 +92,7 @@
   result.leader_lease = reader.Duration("consensus.leader_lease");
   result.snapshot_every = reader.Integer("consensus.snapshot_every");
   result.configuration_lease = reader.Duration("consensus.configuration_lease");
+  result.memory_mb = reader.Integer("limits.memory_mb");
   result.request_bytes = reader.Integer("limits.request_bytes");
   result.held_body_bytes = reader.Integer("limits.held_body_bytes");
   result.control_queue = reader.Integer("limits.control_queue");
--- a/packages/settings/instance_settings.h
+++ b/packages/settings/instance_settings.h
@@ -39,7 +39,6 @@
   std::string zone;
   std::string callers_address;
   std::string peers_address;
-  int64_t listener_threads = 0;
   std::string data_folder;  // empty: not a control instance
   std::string ports_file;
   std::vector<peer_settings> peers;  // the other instances, without this one
@@ -49,6 +48,7 @@
   milliseconds leader_lease{0};
   int64_t snapshot_every = 0;  // entries
   milliseconds configuration_lease{0};
+  int64_t memory_mb = 0;  // memory limit of the process, MB
   int64_t request_bytes = 0;
   int64_t held_body_bytes = 0;
   int64_t control_queue = 0;
--- a/packages/settings/schema.cc
+++ b/packages/settings/schema.cc
@@ -25,7 +25,7 @@
       {"listen.peers", type::kAddress, nullptr, 0, 0,
        "Address for the system's own links."},
       {"listen.threads", type::kInteger, "4", 1, 64,
-       "Traffic threads of each listener."},
+       "Accepted for existing files: each listener has one thread."},
       {"data_folder", type::kText, "", 0, 0,
        "Folder for the control state. Needed by control instances only; empty "
        "for the others."},
@@ -62,6 +62,9 @@
        60 * kMillisPerSecond,
        "How long an instance may serve its configuration revision without "
        "renewal."},
+      {"limits.memory_mb", type::kInteger, "1024", 64, 1024 * 1024,
+       "Memory that the process may use, MB. Requests and answers of each "
+       "listener use up to a fifth of it, and connections a tenth."},
       {"limits.request_bytes", type::kInteger, "8388608", 1024, kGibibyte,
        "Maximum size of a request, in bytes."},
       {"limits.held_body_bytes", type::kInteger, "268435456", 1024,
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -1,293 +1,290 @@
 #include "transport/http_server.h"
 
-#include <pistache/endpoint.h>
-#include <pistache/http.h>
-#include <pistache/http_headers.h>
-#include <pistache/peer.h>
-
 #include <atomic>
-#include <cstdio>
-#include <exception>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <future>
 #include <mutex>
-#include <unordered_map>
+#include <optional>
+#include <string_view>
+#include <thread>
 #include <utility>
 
 #include "core/ids.h"
-#include "core/reason.h"
+#include "net/event.h"
+#include "net/listener.h"
 
 namespace hickorywood::transport {
 namespace {
 
-namespace http = Pistache::Http;
-
-// Pistache measures these timeouts from the start of a request, also while its
-// handler is still running, and then answers 408 itself. They must exceed the
-// duration of any request.
-constexpr auto kConnectionTimeout = std::chrono::minutes(30);
-
-// When a body exceeds its own limit, Pistache answers 413 in the middle of the
-// body and parses the rest as the next request, so that a later request on the
-// connection receives a response that is not its own. Therefore requests up to
-// this many times the configured limit are read completely and rejected here.
-constexpr size_t kHardLimitFactor = 4;
+namespace asio = boost::asio;
+using asio::awaitable;
+
+// A request may take this long, and its connection is idle meanwhile.
+constexpr std::chrono::minutes kIdleTimeout{30};
+// Time for a request head to arrive.
+constexpr std::chrono::seconds kHeaderTimeout{10};
+constexpr char kTooLarge[] =
+    R"({"outcome":"not_run","reason":"the request is too large","retry_after_ms":0})";
+constexpr char kNoMemory[] =
+    R"({"outcome":"not_run","reason":"the memory for requests is in use","retry_after_ms":1000})";
 constexpr int kStatusTooLarge = 413;
+constexpr int kStatusUnavailable = 503;
 
-// Pistache sends only typed headers; this type allows any name.
-class any_header : public http::Header::Header {
+// Runs functions on the loop of a listener until that has stopped. Exchanges
+// may outlive their listener.
+class loop_gate {
  public:
-  any_header(std::string name, std::string value)
-      : name_(std::move(name)), value_(std::move(value)) {}
-  const char* name() const override { return name_.c_str(); }
-  void write(std::ostream& stream) const override { stream << value_; }
-#ifdef SAFE_HEADER_CAST
-  uint64_t hash() const override { return 0; }
-#endif
+  explicit loop_gate(asio::io_context& loop) : loop_(&loop) {}
+
+  void Post(std::function<void()> work) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (loop_ != nullptr) asio::post(*loop_, std::move(work));
+  }
+
+  void Close() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    loop_ = nullptr;
+  }
 
  private:
-  std::string name_;
-  std::string value_;
+  std::mutex mutex_;
+  asio::io_context* loop_;  // guarded by mutex_
 };
 
-struct shared_counters {
-  std::atomic<int64_t> in_flight{0};
+// One step of an answer.
+struct answer_part {
+  enum class kind { kReply, kBegin, kPiece, kEnd, kAbandon };
+  kind what = kind::kReply;
+  net::response head;
+  std::string piece;
 };
 
-// Stores the callbacks to run when a connection closes. Shared by a listener
-// and its exchanges, which may outlive it.
-class disconnect_registry {
+// What the exchange, on any thread, and its coroutine share.
+class exchange_state {
  public:
-  void Add(size_t peer_id, uint64_t exchange_id,
-           std::function<void()> on_disconnect) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    watched_[peer_id][exchange_id] = std::move(on_disconnect);
+  explicit exchange_state(std::shared_ptr<loop_gate> gate)
+      : gate_(std::move(gate)) {}
+
+  static void Add(const std::shared_ptr<exchange_state>& state,
+                  answer_part part) {
+    state->gate_->Post([state, part = std::move(part)]() mutable {
+      state->parts_.push_back(std::move(part));
+      state->changed_.Notify();
+    });
+  }
+
+  // Called on the loop.
+  awaitable<answer_part> Next() {
+    while (parts_.empty()) {
+      co_await changed_.WaitUntil(core::time_point::max());
+    }
+    answer_part part = std::move(parts_.front());
+    parts_.pop_front();
+    co_return part;
   }
 
-  void Remove(size_t peer_id, uint64_t exchange_id) {
+  void SetOnDisconnect(std::function<void()> on_disconnect) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const auto found = watched_.find(peer_id);
-    if (found == watched_.end()) return;
-    found->second.erase(exchange_id);
-    if (found->second.empty()) watched_.erase(found);
+    on_disconnect_ = std::move(on_disconnect);
   }
 
-  void Closed(size_t peer_id) {
-    std::unordered_map<uint64_t, std::function<void()>> calls;
+  // The coroutine has ended. `is_answered`: the caller is still connected.
+  void Finish(bool is_answered) {
+    std::function<void()> call;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
-      const auto found = watched_.find(peer_id);
-      if (found == watched_.end()) return;
-      calls = std::move(found->second);
-      watched_.erase(found);
+      call = std::exchange(on_disconnect_, nullptr);
     }
-    for (const auto& call : calls) call.second();
+    if (call && !is_answered) call();
   }
 
  private:
+  const std::shared_ptr<loop_gate> gate_;
+  std::deque<answer_part> parts_;
+  net::event changed_;
   std::mutex mutex_;
-  std::unordered_map<size_t,
-                     std::unordered_map<uint64_t, std::function<void()>>>
-      watched_;
+  std::function<void()> on_disconnect_;  // guarded by mutex_
 };
 
-class pistache_exchange : public http_exchange {
+class listener_exchange : public http_exchange {
  public:
-  pistache_exchange(http::Request request, http::ResponseWriter writer,
-                    std::shared_ptr<shared_counters> counters,
-                    std::shared_ptr<disconnect_registry> registry)
-      : request_(std::move(request)),
-        writer_(std::move(writer)),
-        method_(http::methodString(request_.method())),
-        body_(request_.body()),
-        counters_(std::move(counters)),
-        registry_(std::move(registry)) {
-    static std::atomic<uint64_t> next_id{1};
-    id_ = next_id++;
-    const auto peer = writer_.getPeer();
-    if (peer) peer_id_ = peer->getID();
-    ++counters_->in_flight;
+  listener_exchange(net::request input, std::string from,
+                    std::shared_ptr<exchange_state> state,
+                    std::shared_ptr<std::atomic<int64_t>> in_flight)
+      : request_(std::move(input)),
+        path_(net::PathOf(request_.target)),
+        from_(std::move(from)),
+        state_(std::move(state)),
+        in_flight_(std::move(in_flight)) {
+    ++*in_flight_;
   }
 
-  ~pistache_exchange() override { MarkAnswered(); }
-
-  const std::string& Method() const override { return method_; }
-  const std::string& Path() const override { return request_.resource(); }
-  const std::string& Body() const override { return body_; }
+  ~listener_exchange() override {
+    if (MarkAnswered()) Add({answer_part::kind::kAbandon, {}, {}});
+  }
 
+  const std::string& Method() const override { return request_.method; }
+  const std::string& Path() const override { return path_; }
+  const std::string& Body() const override { return request_.body; }
   std::string Query(const std::string& name) const override {
-    return request_.query().get(name).value_or("");
+    return net::QueryValue(request_.target, name);
   }
-
   std::string Header(const std::string& name) const override {
-    const auto raw = request_.headers().tryGetRaw(name);
-    return raw ? raw->value() : "";
-  }
-
-  std::string Target() const override {
-    return request_.resource() + request_.query().as_str();
+    return std::string(net::Find(request_.headers, name));
   }
-
+  std::string Target() const override { return request_.target; }
   std::vector<http_header> Headers() const override {
     std::vector<http_header> headers;
-    for (const auto& item : request_.headers().rawList()) {
-      headers.push_back({item.second.name(), item.second.value()});
+    for (const net::header& item : request_.headers) {
+      headers.push_back({item.name, item.value});
     }
     return headers;
   }
-
-  std::string RemoteAddress() const override {
-    return request_.address().host();
-  }
+  std::string RemoteAddress() const override { return from_; }
 
   void Reply(int status, const std::vector<http_header>& headers,
              const std::string& content_type,
              const std::string& body) override {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (is_answered_ || is_streaming_) return;
-    MarkAnswered();
-    AddHeaders(headers, content_type);
-    // Sending fails when the caller has closed the connection. The error is
-    // ignored because no one can receive it.
-    try {
-      writer_.send(static_cast<http::Code>(status), body);
-    } catch (const std::exception&) {
-      return;
-    }
+    if (is_streaming_ || !MarkAnswered()) return;
+    net::response head = MakeHead(status, headers, content_type);
+    head.body = body;
+    Add({answer_part::kind::kReply, std::move(head), {}});
   }
 
-  // Streams are framed here and passed to the connection as raw bytes. The
-  // stream of Pistache writes from the calling thread when it flushes, which
-  // races with the thread of the connection: a process that streamed from
-  // another thread terminated with "could not find write data".
   void BeginStream(int status, const std::vector<http_header>& headers,
                    const std::string& content_type) override {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (is_answered_ || is_streaming_) return;
     is_streaming_ = true;
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " Streamed\r\n";
-    for (const http_header& header : WithCallId(headers)) {
-      head += header.name + ": " + header.value + "\r\n";
-    }
-    head += "Content-Type: " + content_type +
-            "\r\nConnection: Keep-Alive\r\nTransfer-Encoding: chunked\r\n\r\n";
-    SendRaw(head);
+    Add({answer_part::kind::kBegin,
+         MakeHead(status, headers, content_type),
+         {}});
   }
 
   void WriteStream(const std::string& piece) override {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!is_streaming_ || is_answered_ || piece.empty()) return;
-    char size[24];
-    std::snprintf(size, sizeof(size), "%zx\r\n", piece.size());
-    SendRaw(size + piece + "\r\n");
+    Add({answer_part::kind::kPiece, {}, piece});
   }
 
   void EndStream() override {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!is_streaming_ || is_answered_) return;
-    MarkAnswered();
-    SendRaw("0\r\n\r\n");
+    if (!is_streaming_ || !MarkAnswered()) return;
+    Add({answer_part::kind::kEnd, {}, {}});
   }
 
   void OnDisconnect(std::function<void()> on_disconnect) override {
-    registry_->Add(peer_id_, id_, std::move(on_disconnect));
+    state_->SetOnDisconnect(std::move(on_disconnect));
   }
 
  private:
-  // Does nothing when the caller has closed the connection.
-  void SendRaw(const std::string& bytes) {
-    const auto peer = writer_.getPeer();
-    if (peer) peer->send(Pistache::RawBuffer(bytes, bytes.size()));
-  }
+  void Add(answer_part part) { exchange_state::Add(state_, std::move(part)); }
 
   // Adds the call id of the request. Other instances accept a response only if
   // it contains the id of their call.
-  std::vector<http_header> WithCallId(std::vector<http_header> headers) const {
-    std::string id = Header(core::kCallIdHeader);
-    if (!id.empty()) headers.push_back({core::kCallIdHeader, std::move(id)});
-    return headers;
-  }
-
-  void AddHeaders(const std::vector<http_header>& headers,
-                  const std::string& content_type) {
-    for (const http_header& header : WithCallId(headers)) {
-      writer_.headers().add(
-          std::make_shared<any_header>(header.name, header.value));
+  net::response MakeHead(int status, const std::vector<http_header>& headers,
+                         const std::string& content_type) const {
+    net::response head;
+    head.status = status;
+    for (const http_header& item : headers) {
+      head.headers.push_back({item.name, item.value});
     }
+    std::string id = Header(core::kCallIdHeader);
+    if (!id.empty()) head.headers.push_back({core::kCallIdHeader, id});
     if (!content_type.empty()) {
-      writer_.headers().add(
-          std::make_shared<any_header>("Content-Type", content_type));
+      head.headers.push_back({"Content-Type", content_type});
     }
+    return head;
   }
 
-  void MarkAnswered() {
-    if (is_answered_.exchange(true)) return;
-    --counters_->in_flight;
-    registry_->Remove(peer_id_, id_);
+  // Returns false if it was answered before.
+  bool MarkAnswered() {
+    if (is_answered_.exchange(true)) return false;
+    --*in_flight_;
+    return true;
   }
 
-  http::Request request_;
-  http::ResponseWriter writer_;
-  std::string method_;
-  std::string body_;
+  const net::request request_;
+  const std::string path_;
+  const std::string from_;
   std::mutex mutex_;  // several threads may answer
   bool is_streaming_ = false;
   std::atomic<bool> is_answered_{false};
-  std::shared_ptr<shared_counters> counters_;
-  std::shared_ptr<disconnect_registry> registry_;
-  size_t peer_id_ = 0;
-  uint64_t id_ = 0;
+  const std::shared_ptr<exchange_state> state_;
+  const std::shared_ptr<std::atomic<int64_t>> in_flight_;
 };
 
-class pistache_handler : public http::Handler {
- public:
-  HTTP_PROTOTYPE(pistache_handler)
-
-  pistache_handler(http_handler handler,
-                   std::shared_ptr<shared_counters> counters,
-                   std::shared_ptr<disconnect_registry> registry,
-                   size_t request_bytes)
-      : handler_(std::move(handler)),
-        counters_(std::move(counters)),
-        registry_(std::move(registry)),
-        request_bytes_(request_bytes) {}
-
-  void onRequest(const http::Request& request,
-                 http::ResponseWriter writer) override {
-    const auto exchange = std::make_shared<pistache_exchange>(
-        request, std::move(writer), counters_, registry_);
-    if (request.body().size() > request_bytes_) {
-      exchange->Reply(
-          kStatusTooLarge, {{"Hickory-Outcome", "not_run"}}, "application/json",
-          R"({"outcome":"not_run","reason":"the request is too large","retry_after_ms":0})");
-      return;
-    }
-    handler_(exchange);
-  }
-
-  void onDisconnection(
-      const std::shared_ptr<Pistache::Tcp::Peer>& peer) override {
-    if (peer) registry_->Closed(peer->getID());
-  }
+net::response TooLarge() {
+  return {
+      kStatusTooLarge,
+      {{"Hickory-Outcome", "not_run"}, {"Content-Type", "application/json"}},
+      kTooLarge};
+}
 
- private:
-  http_handler handler_;
-  std::shared_ptr<shared_counters> counters_;
-  std::shared_ptr<disconnect_registry> registry_;
-  const size_t request_bytes_;
-};
+net::response NoMemory() {
+  return {kStatusUnavailable,
+          {{"Hickory-Outcome", "not_run"},
+           {"Retry-After", "1"},
+           {"Content-Type", "application/json"}},
+          kNoMemory};
+}
 
 }  // namespace
 
 struct http_server::impl {
+  awaitable<void> Serve(net::exchange& call);
+
   listener_options options;
   http_handler handler;
-  std::shared_ptr<shared_counters> counters =
-      std::make_shared<shared_counters>();
-  std::shared_ptr<disconnect_registry> registry =
-      std::make_shared<disconnect_registry>();
-  std::unique_ptr<http::Endpoint> endpoint;
+  std::shared_ptr<std::atomic<int64_t>> in_flight =
+      std::make_shared<std::atomic<int64_t>>(0);
+  asio::io_context loop{1};
+  const std::shared_ptr<loop_gate> gate = std::make_shared<loop_gate>(loop);
+  std::unique_ptr<net::listener> listening;
+  std::thread thread;
   uint16_t port = 0;
 };
 
+// Sends the parts of the answer in the order in which they are given, until it
+// is complete or the caller disconnects.
+awaitable<void> http_server::impl::Serve(net::exchange& call) {
+  const auto state = std::make_shared<exchange_state>(gate);
+  struct finish_guard {
+    exchange_state& state;
+    bool is_answered = false;
+    ~finish_guard() { state.Finish(is_answered); }
+  } guard{*state};
+  handler(std::make_shared<listener_exchange>(
+      call.Request(), call.RemoteAddress(), state, in_flight));
+  for (;;) {
+    answer_part part = co_await state->Next();
+    switch (part.what) {
+      case answer_part::kind::kReply:
+        guard.is_answered = true;
+        co_await call.Reply(std::move(part.head));
+        co_return;
+      case answer_part::kind::kBegin:
+        co_await call.BeginStream(std::move(part.head));
+        break;
+      case answer_part::kind::kPiece:
+        co_await call.WriteStream(std::move(part.piece));
+        break;
+      case answer_part::kind::kEnd:
+        guard.is_answered = true;
+        co_await call.EndStream();
+        co_return;
+      case answer_part::kind::kAbandon:
+        guard.is_answered = true;
+        co_return;
+    }
+  }
+}
+
 http_server::http_server(listener_options options, http_handler handler)
     : impl_(std::make_unique<impl>()) {
   impl_->options = std::move(options);
@@ -297,42 +294,42 @@
 http_server::~http_server() { Stop(); }
 
 bool http_server::Start() {
-  try {
-    impl_->endpoint = std::make_unique<http::Endpoint>(
-        Pistache::Address(impl_->options.address));
-    auto options =
-        http::Endpoint::options()
-            .threads(impl_->options.threads)
-            .maxRequestSize(impl_->options.request_bytes * kHardLimitFactor)
-            .headerTimeout(kConnectionTimeout)
-            .bodyTimeout(kConnectionTimeout)
-            .keepaliveTimeout(kConnectionTimeout)
-            .flags(Pistache::Tcp::Options::ReuseAddr |
-                   Pistache::Tcp::Options::NoDelay);
-    impl_->endpoint->init(options);
-    impl_->endpoint->setHandler(std::make_shared<pistache_handler>(
-        impl_->handler, impl_->counters, impl_->registry,
-        impl_->options.request_bytes));
-    impl_->endpoint->serveThreaded();
-    impl_->port = static_cast<uint16_t>(impl_->endpoint->getPort());
-    return true;
-  } catch (const std::exception& error) {
-    core::SetLastReason(
-        core::reason_code::kIo,
-        "can't listen on " + impl_->options.address + ": " + error.what());
-    impl_->endpoint.reset();
+  net::listener_options options;
+  options.address = impl_->options.address;
+  options.limits = [bytes = impl_->options.request_bytes] {
+    net::caller_limits limits;
+    limits.body_bytes = bytes;
+    limits.header_timeout = kHeaderTimeout;
+    limits.idle_timeout = kIdleTimeout;
+    return limits;
+  };
+  options.memory = net::MakeRequestMemory(impl_->options.memory_bytes);
+  options.on_memory_shortage = NoMemory;
+  options.on_too_large = TooLarge;
+  impl_->listening = std::make_unique<net::listener>(
+      impl_->loop, std::move(options),
+      [this](net::exchange& call) { return impl_->Serve(call); });
+  if (!impl_->listening->Start()) {
+    impl_->listening.reset();
     return false;
   }
+  impl_->port = impl_->listening->Port();
+  impl_->thread = std::thread([this] {
+    const auto guard = asio::make_work_guard(impl_->loop);
+    impl_->loop.run();
+  });
+  return true;
 }
 
 void http_server::Stop() {
-  if (!impl_->endpoint) return;
-  impl_->endpoint->shutdown();
-  impl_->endpoint.reset();
+  impl_->gate->Close();
+  if (!impl_->thread.joinable()) return;
+  impl_->loop.stop();
+  impl_->thread.join();
 }
 
 uint16_t http_server::Port() const { return impl_->port; }
 
-int64_t http_server::InFlight() const { return impl_->counters->in_flight; }
+int64_t http_server::InFlight() const { return *impl_->in_flight; }
 
 }  // namespace hickorywood::transport
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -1,8 +1,8 @@
 #ifndef HICKORYWOOD_TRANSPORT_HTTP_SERVER_H_
 #define HICKORYWOOD_TRANSPORT_HTTP_SERVER_H_
 
-// An HTTP listener based on Pistache. Handlers receive an exchange that they
-// may answer later and from any thread. This header does not include Pistache.
+// An HTTP listener with its own thread. Handlers run on that thread and receive
+// an exchange that they may answer later and from any thread.
 
 #include <chrono>
 #include <cstdint>
@@ -50,8 +50,9 @@
 
 struct listener_options {
   std::string address;  // "IP:PORT"; port 0 selects a free port
-  int threads = 2;
   size_t request_bytes = 8 * 1024 * 1024;
+  // Memory of the process that this listener is given, bytes; 0: not bounded.
+  int64_t memory_bytes = 0;
 };
 
 class http_server {
--- a/tests/unit/transport/transport_test.cc
+++ b/tests/unit/transport/transport_test.cc
@@ -93,7 +93,7 @@
 class HttpServerTest : public ::testing::Test {
  protected:
   HttpServerTest()
-      : server_({"127.0.0.1:0", 2, 4096},
+      : server_({"127.0.0.1:0", 4096},
                 [this](std::shared_ptr<http_exchange> exchange) {
                   Handle(std::move(exchange));
                 }) {
