--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -94,7 +94,7 @@
 struct controller::impl {
   impl(asio::io_context& io, const core::runtime_clock& runtime,
        const settings::node_settings& node, const fleet::protocol& wire,
-       std::shared_ptr<net::request_memory> memory)
+       const std::shared_ptr<net::request_memory>& memory)
       : loop(io),
         clock(runtime),
         settings(node),
@@ -266,9 +266,8 @@
 controller::controller(asio::io_context& loop, const core::runtime_clock& clock,
                        const settings::node_settings& settings,
                        const fleet::protocol& wire,
-                       std::shared_ptr<net::request_memory> memory)
-    : impl_(std::make_unique<impl>(loop, clock, settings, wire,
-                                   std::move(memory))) {}
+                       const std::shared_ptr<net::request_memory>& memory)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire, memory)) {}
 
 controller::~controller() = default;
 
--- a/packages/controller/controller.h
+++ b/packages/controller/controller.h
@@ -20,7 +20,7 @@
   controller(boost::asio::io_context& loop, const core::runtime_clock& clock,
              const settings::node_settings& settings,
              const fleet::protocol& wire,
-             std::shared_ptr<net::request_memory> memory);
+             const std::shared_ptr<net::request_memory>& memory);
   ~controller();
   controller(const controller&) = delete;
   controller& operator=(const controller&) = delete;
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -541,7 +541,9 @@
   }
   error_code ignored;
   connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  if (connection->unread_bytes > 0) co_await Linger(*connection);
+  if (connection->unread_bytes > 0) {
+    co_await Linger(*connection);
+  }
   connection->stream.close();
 }
 
--- a/packages/net/message.h
+++ b/packages/net/message.h
@@ -38,8 +38,10 @@
   operator const std::string&() const {  // NOLINT(google-explicit-constructor)
     return Text();
   }
+  // NOLINTBEGIN(readability-identifier-naming): those of the standard strings
   size_t size() const { return Text().size(); }
   bool empty() const { return Text().empty(); }
+  // NOLINTEND(readability-identifier-naming)
   friend bool operator==(const shared_text& left, std::string_view right) {
     return left.Text() == right;
   }
--- a/packages/net/request_reader.h
+++ b/packages/net/request_reader.h
@@ -28,6 +28,7 @@
 // A body in one string. Above kLargeBodyBytes the string gets its final
 // capacity at once, because growing copies it and needs both copies. Pages that
 // are not written yet take no memory.
+// NOLINTBEGIN(readability-identifier-naming): names that Beast requires
 struct request_body {
   static constexpr size_t kLargeBodyBytes = 1024UL * 1024;
 
@@ -80,6 +81,7 @@
     boost::optional<uint64_t> length_;
   };
 };
+// NOLINTEND(readability-identifier-naming)
 
 class request_reader {
  public:
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -61,7 +61,7 @@
 struct store_instance::impl {
   impl(asio::io_context& io, const core::runtime_clock& runtime,
        const settings::node_settings& node, const fleet::protocol& wire,
-       std::shared_ptr<net::request_memory> memory)
+       const std::shared_ptr<net::request_memory>& memory)
       : loop(io),
         clock(runtime),
         settings(node),
@@ -201,13 +201,11 @@
   bool must_log_loaded_steps = false;
 };
 
-store_instance::store_instance(asio::io_context& loop,
-                               const core::runtime_clock& clock,
-                               const settings::node_settings& settings,
-                               const fleet::protocol& wire,
-                               std::shared_ptr<net::request_memory> memory)
-    : impl_(std::make_unique<impl>(loop, clock, settings, wire,
-                                   std::move(memory))) {}
+store_instance::store_instance(
+    asio::io_context& loop, const core::runtime_clock& clock,
+    const settings::node_settings& settings, const fleet::protocol& wire,
+    const std::shared_ptr<net::request_memory>& memory)
+    : impl_(std::make_unique<impl>(loop, clock, settings, wire, memory)) {}
 
 store_instance::~store_instance() = default;
 
--- a/packages/store/store_instance.h
+++ b/packages/store/store_instance.h
@@ -21,7 +21,7 @@
                  const core::runtime_clock& clock,
                  const settings::node_settings& settings,
                  const fleet::protocol& wire,
-                 std::shared_ptr<net::request_memory> memory);
+                 const std::shared_ptr<net::request_memory>& memory);
   ~store_instance();
   store_instance(const store_instance&) = delete;
   store_instance& operator=(const store_instance&) = delete;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -78,6 +78,8 @@
   std::string ControlAddress(const std::string& id) const;
   std::string PeersAddress(const std::string& id) const;
   std::string MetricsAddress(const std::string& id) const;
+  // Further settings of one instance; empty: none.
+  std::function<std::string(const std::string& id)> settings_of;
   // Customers of the next configurations, in the operator's format; null: none.
   nlohmann::json customers;
   // Further routes of the next configurations, in the operator's format.
