--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -303,7 +303,8 @@
   return WaitUntil([this] {
     return std::all_of(
         entries_.begin(), entries_.end(), [this](const std::string& entry) {
-          return IsReady(entry) && Plain(entry, "warm-" + entry).status == 200;
+          return IsReady(entry) &&
+                 Plain(entry, "warm-" + entry.substr(1)).status == 200;
         });
   });
 }
