Comments: the constants of the control listener after their own comment

Read again after the change: a new constant had come between a comment and what it explains, and two comments had words that readers trip over. No code changes; both files compile, the format is clean.

--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -30,11 +30,11 @@
 using core::LogEvent;
 using core::milliseconds;
 
-// An endpoint is unresponsive after this many missed heartbeats, plus a second
-// for delays.
 // Time after which the memory of some calls is free again: most take less.
 constexpr milliseconds kMemoryRetryAfter{500};
 constexpr int kUnavailable = 503;
+// An endpoint is unresponsive after this many missed heartbeats, plus a second
+// for delays.
 constexpr int kMaxMissedHeartbeats = 3;
 constexpr std::chrono::seconds kHeartbeatDelay{1};
 // Endpoints often open a new connection for each heartbeat. With a longer
--- a/packages/net/request_reader.cc
+++ b/packages/net/request_reader.cc
@@ -16,8 +16,8 @@
 using boost::system::error_code;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
-// Bytes of chunk headers that a body may have for each of its own bytes, beside
-// the header limit. A chunk of one byte has five.
+// Bytes of chunk headers that a body may have for each of its own bytes, in
+// addition to the header limit. A chunk of one byte has five.
 constexpr uint64_t kFramingPerBodyByte = 8;
 // Memory of the parser and of the coroutines of a request.
 constexpr size_t kRequestBytes = 4UL * 1024;
--- a/tests/support/client_crowd.cc
+++ b/tests/support/client_crowd.cc
@@ -48,7 +48,7 @@
   if (script.filler.empty()) return script;
   const std::string unit = script.filler;
   while (script.filler.size() < kWriteBytes) script.filler += unit;
-  // Only whole units are sent.
+  // No unit is sent in part.
   script.filler_bytes -= script.filler_bytes % unit.size();
   return script;
 }
