Parse the chunks of a response that were received together in one read

What callers saw: a response of many small chunks took a turn of the loop for each of them.

Cause: a read returned after each chunk, however many had been received.

Change: after each read, what was received is parsed without waiting. A failure recurs in the next read.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -158,6 +158,7 @@
       co_return body_state::kBroken;
     }
     GrowForBody(buffer_, count);
+    ParseReceived();
     co_return MoveBody(piece);
   }
 
@@ -205,6 +206,16 @@
     }
   }
 
+  // Parses the chunks that were received together: each read takes a turn of
+  // the loop. It doesn't wait for the rest of a chunk, because the events
+  // before it are delivered at once. A failure recurs in the next read.
+  void ParseReceived() {
+    error_code failure;
+    while (!failure && buffer_.size() > 0 && !parser_->is_done()) {
+      buffer_.consume(parser_->put(buffer_.data(), failure));
+    }
+  }
+
   body_state MoveBody(std::string& piece) {
     std::string& body = parser_->get().body();
     piece += body;
--- a/tests/unit/net/connection_pool_test.cc
+++ b/tests/unit/net/connection_pool_test.cc
@@ -8,7 +8,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <string>
+#include <string_view>
 
 #include "net/call.h"
 #include "net/event.h"
@@ -146,6 +149,42 @@
   EXPECT_LT(CountHandlers(kBytes, 0), kMaxHandlers);
 }
 
+// Guards against an event that is delivered only when the next one arrives: its
+// chunk was received together with the start of the following chunk.
+TEST(ConnectionPoolTest, EventsAreDeliveredBeforeTheNextChunkIsComplete) {
+  using boost::asio::ip::tcp;
+  io_context loop;
+  tcp::acceptor acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket peer(loop);
+  acceptor.async_accept(peer, [&peer](boost::system::error_code failure) {
+    ASSERT_FALSE(failure);
+    static constexpr std::string_view kStart =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nid: 1\r\n5\r\nid: 2\r\n5";
+    boost::asio::write(peer, boost::asio::buffer(kStart.data(), kStart.size()));
+  });
+  connection_pool pool(loop);
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::string received;
+  const auto read = [&]() -> awaitable<void> {
+    acquire_terms terms;
+    const auto open = co_await pool.Acquire(address, In(milliseconds(2000)),
+                                            std::move(terms));
+    response head;
+    co_await open->ReadHead(head, In(milliseconds(2000)));
+    while (received.size() < std::string("id: 1id: 2").size()) {
+      const body_state state =
+          co_await open->ReadSome(received, In(milliseconds(2000)));
+      if (state != body_state::kMore) break;
+    }
+  };
+  boost::asio::co_spawn(loop, read(),
+                        [&loop](const std::exception_ptr&) { loop.stop(); });
+  loop.run_for(std::chrono::seconds(20));
+  EXPECT_EQ(received, "id: 1id: 2");
+}
+
 // Sends `calls` requests one after the other to a server that states its idle
 // timeout, or none if `keep_alive` is empty. Returns how many of them used a
 // connection again.
