Bound the memory that is granted before it is released

Cause: a request that has to yield counts as released at once, but releases its memory in the next turn of the loop. In one turn, each of hundreds of requests took the memory of a slightly larger one.

Change: while others still have to release theirs, a request is granted more only up to an eighth above the limit, a small one up to a quarter. Whether a body of a stated length can be read at all is decided without that bound.

--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -576,7 +576,7 @@
   const auto needed = connection.charge->Bytes() +
                       static_cast<int64_t>(reader.StatedBytes());
   // What can't be read is rejected before it is sent.
-  if (!connection.charge->MayGrow(needed)) {
+  if (!connection.charge->MayFit(needed)) {
     co_return asio::error::no_buffer_space;
   }
   connection.stream.expires_after(kBodyTimeout);
--- a/packages/net/memory_budget.cc
+++ b/packages/net/memory_budget.cc
@@ -17,6 +17,11 @@
 constexpr int64_t kMaximumDivisor = 3;
 // Share of the limit that is added for small requests.
 constexpr int64_t kReserveDivisor = 16;
+// Share of the limit that may be granted again before those that have to yield
+// it have released it. In one turn of the loop, many requests take the memory
+// of others that release theirs in the next turn.
+constexpr int64_t kOverlapDivisor = 8;
+constexpr int64_t kSmallOverlapDivisor = 4;
 // Memory that others may hold while a request counts as the only one.
 constexpr int64_t kCalmDivisor = 16;
 
@@ -116,8 +121,18 @@
   holder.progressed_at = now;
 }
 
-reserve_decision DecideReserve(const memory_budget& budget, uint64_t number,
-                               int64_t bytes, core::time_point now) {
+// Whether a holder may grow although others have not released the memory that
+// they had to yield.
+bool MayOverlap(const memory_budget& budget, int64_t growth, bool is_small) {
+  const int64_t limit = LimitOf(budget);
+  const int64_t overlap =
+      limit / (is_small ? kSmallOverlapDivisor : kOverlapDivisor);
+  return budget.ending == 0 || budget.total + growth <= limit + overlap;
+}
+
+// Regards the memory that is released soon as available.
+reserve_decision Decide(const memory_budget& budget, uint64_t number,
+                        int64_t bytes, core::time_point now) {
   const memory_holder& self = budget.holders.at(number);
   reserve_decision decision;
   if (self.state == holder_state::kEnding) return decision;
@@ -146,6 +161,21 @@
   return decision;
 }
 
+reserve_decision DecideReserve(const memory_budget& budget, uint64_t number,
+                               int64_t bytes, core::time_point now) {
+  const int64_t growth = bytes - budget.holders.at(number).bytes;
+  const bool is_bounded = budget.memory > 0 && growth > 0;
+  if (is_bounded && !MayOverlap(budget, growth, bytes <= kSmallRequestBytes)) {
+    return {};
+  }
+  return Decide(budget, number, bytes, now);
+}
+
+bool MayFit(const memory_budget& budget, uint64_t number, int64_t bytes,
+            core::time_point now) {
+  return Decide(budget, number, bytes, now).is_granted;
+}
+
 reserve_decision Reserve(memory_budget& budget, uint64_t number, int64_t bytes,
                          core::time_point now) {
   reserve_decision decision = DecideReserve(budget, number, bytes, now);
--- a/packages/net/memory_budget.h
+++ b/packages/net/memory_budget.h
@@ -85,7 +85,11 @@
 // yield is refused.
 reserve_decision DecideReserve(const memory_budget& budget, uint64_t number,
                                int64_t bytes, core::time_point now);
-// Decides the same and records the result.
+// Whether a request of this size can be read, if those that must yield for it
+// have released their memory by then.
+bool MayFit(const memory_budget& budget, uint64_t number, int64_t bytes,
+            core::time_point now);
+// Decides the same as DecideReserve() and records the result.
 reserve_decision Reserve(memory_budget& budget, uint64_t number, int64_t bytes,
                          core::time_point now);
 
--- a/packages/net/request_memory.h
+++ b/packages/net/request_memory.h
@@ -70,9 +70,9 @@
     if (is_free) Set(bytes);
     return is_free;
   }
-  // Whether Grow() would return true now.
-  bool MayGrow(int64_t bytes) const {
-    return DecideReserve(memory_->budget, number_, bytes, Now()).is_granted;
+  // Whether it may grow to `bytes` in several steps.
+  bool MayFit(int64_t bytes) const {
+    return net::MayFit(memory_->budget, number_, bytes, Now());
   }
   // How long it has been stalled; nothing: it isn't.
   std::optional<core::milliseconds> StalledFor() const {
--- a/tests/unit/net/memory_budget_test.cc
+++ b/tests/unit/net/memory_budget_test.cc
@@ -119,6 +119,20 @@
   EXPECT_FALSE(MustYield(moving));
 }
 
+// Guards against memory that is granted many times before it is released: in
+// one turn of the loop, each of many requests takes that of a larger one.
+TEST_F(MemoryBudgetTest, LittleIsGrantedBeforeItIsReleased) {
+  for (int64_t i = 0; i < 1000; ++i) {
+    const uint64_t number = Add(holder_state::kReading, 0);
+    Reserve(budget_, number, kMegabyte - i, now_);
+  }
+  const int64_t limit = LimitOf(budget_);
+  EXPECT_LE(budget_.total, limit + limit / 8 + kMegabyte);
+  // A request that fits once the others have released theirs is not refused.
+  const uint64_t next = Add(holder_state::kReading, 0);
+  EXPECT_TRUE(MayFit(budget_, next, kMegabyte / 2, now_));
+}
+
 // Guards against bodies that stay by sending a few bytes now and then.
 TEST_F(MemoryBudgetTest, FewBytesAreNoProgress) {
   const uint64_t slow = Add(holder_state::kReading, 60 * kMegabyte);
