Bound the number of values of a message before it is decoded

What callers saw: nothing reported. One body of legal size that consists of empty lists takes 20 to 50 times its size once it is decoded.

Cause: the size of a body was bounded, the memory of its decoded form was not.

--- a/packages/core/binary.cc
+++ b/packages/core/binary.cc
@@ -1,9 +1,12 @@
 #include "core/binary.h"
 
+#include <array>
 #include <boost/endian/conversion.hpp>
 #include <cstring>
 #include <utility>
 
+#include "core/value_count.h"
+
 namespace hickorywood::core {
 namespace {
 
@@ -220,8 +223,52 @@
   std::string_view rest_;
 };
 
+// Returns the size of the value at the start of `bytes`, which are not empty,
+// without the values that it contains: those follow. Returns nothing for an
+// extension type or a value whose length is cut off.
+std::optional<size_t> SizeOfFirst(std::string_view bytes) {
+  const auto type = static_cast<uint8_t>(bytes[0]);
+  if (type >= kShortText && type < kNil) {
+    return 1 + (size_t{type} & kShortTextMask);
+  }
+  if (type <= kTrue || type >= kMinNegativeInteger) return 1;
+  // Floating-point numbers, then unsigned and signed integers.
+  static constexpr std::array<size_t, 10> kNumberBytes = {4, 8, 1, 2, 4,
+                                                          8, 1, 2, 4, 8};
+  if (type >= kFloat32 && type <= kSigned64) {
+    return 1 + kNumberBytes.at(type - size_t{kFloat32});
+  }
+  if (type >= kArray16) {
+    const bool is_short = type == kArray16 || type == kMap16;
+    return 1 + (is_short ? sizeof(uint16_t) : sizeof(uint32_t));
+  }
+  // Binary data and texts, with a length of 1, 2 or 4 bytes.
+  const bool is_text = type >= kText8;
+  if (!is_text && type > kBinary32) return std::nullopt;
+  const size_t size = size_t{1} << (type - (is_text ? kText8 : kBinary8));
+  if (bytes.size() <= size) return std::nullopt;
+  size_t length = 0;
+  for (const char byte : bytes.substr(1, size)) {
+    length = (length << 8U) | static_cast<uint8_t>(byte);
+  }
+  return 1 + size + length;
+}
+
 }  // namespace
 
+bool HasTooManyValues(std::string_view bytes) {
+  if (bytes.size() <= kUncountedBytes) return false;
+  size_t values = 0;
+  while (!bytes.empty() && values <= kMaxValues) {
+    const std::optional<size_t> size = SizeOfFirst(bytes);
+    // Decoding ends here, too.
+    if (!size || *size > bytes.size()) return false;
+    bytes.remove_prefix(*size);
+    ++values;
+  }
+  return values > kMaxValues;
+}
+
 std::optional<json> ParseMessagePack(std::string_view bytes) {
   message_pack_reader reader(bytes);
   json value;
--- a/packages/core/binary.h
+++ b/packages/core/binary.h
@@ -22,6 +22,9 @@
 // with 0.3 cores read its log (4 s for 82 MB).
 std::optional<nlohmann::json> ParseMessagePack(std::string_view bytes);
 
+// Whether `bytes` have more values than kMaxValues. They may be malformed.
+bool HasTooManyValues(std::string_view bytes);
+
 // Decodes `bytes` into T. Returns an empty optional with reason kInvalid if the
 // input is malformed or a field has the wrong type. Missing fields keep their
 // defaults.
--- a/packages/peering/peer_interface.cc
+++ b/packages/peering/peer_interface.cc
@@ -14,6 +14,7 @@
 constexpr std::chrono::seconds kPeerIdleTimeout{30};
 // Messages between regions are large, and their round trips long.
 constexpr int kReceiveBufferBytes = 256 * 1024;
+constexpr int kTooLarge = 413;
 
 }  // namespace
 
@@ -54,6 +55,8 @@
   }
   if (method.empty()) {
     answer.status = 404;
+  } else if (core::HasTooManyValues(call.Request().body.Text())) {
+    answer.status = kTooLarge;
   } else if (method == kConsensusMethod) {
     answer.body = co_await consensus(call.Request().body);
   } else {
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -106,6 +106,37 @@
   return kind == "HeadsShortOfTheEnd" || kind == "ManyFields";
 }
 
+// A whole body of `open`, many times `unit` and `end`, of nearly the size of
+// the limit.
+client_script ScriptOfBody(const std::string& path, const std::string& open,
+                           const std::string& unit, const std::string& end) {
+  const size_t room = kBodyLimit - open.size() - end.size();
+  const size_t filler_bytes = room - room % unit.size();
+  const size_t length = open.size() + filler_bytes + end.size();
+  return {"ManyValues",
+          "POST " + path +
+              " HTTP/1.1\r\nHost: h\r\nX-Request-Id: m1\r\n"
+              "Content-Length: " +
+              std::to_string(length) + "\r\n\r\n" + open,
+          unit, filler_bytes, end};
+}
+
+// Bodies of the format that a listener decodes, of values that take many times
+// their text.
+client_script ManyValuesFor(const std::string& listener) {
+  const std::string many_arrays = "[],";
+  if (listener == "Callers") {
+    return ScriptOfBody("/s/large", R"({"requests":[)", many_arrays, "[]]}");
+  }
+  if (listener == "Control") {
+    return ScriptOfBody("/v1/config/put", R"({"version":2,"routes":[)",
+                        many_arrays, "[]]}");
+  }
+  // An array of 30 million empty arrays.
+  const std::string array_of_many("\xdd\x01\xc9\xc3\x80", 5);
+  return ScriptOfBody("/peer/v1/consensus", array_of_many, "\x90", "");
+}
+
 // The listener that a crowd connects to, and an ordinary request to it.
 struct listener_case {
   std::string node;
@@ -210,6 +241,20 @@
                        is_heads ? kMemoryMbOfHeads : kMemoryMb);
 }
 
+class ManyValuesTest : public ::testing::TestWithParam<std::string> {};
+
+// Guards against a body of legal size whose decoded form takes many times its
+// memory.
+TEST_P(ManyValuesTest, ProcessLivesAndServes) {
+  ExpectToLiveAndServe(Listeners().at(GetParam()), ManyValuesFor(GetParam()),
+                       kClients, kMemoryMb);
+}
+
+INSTANTIATE_TEST_SUITE_P(Listeners, ManyValuesTest,
+                         ::testing::Values("Callers", "Control", "ControlPeers",
+                                           "StorePeers"),
+                         [](const auto& info) { return info.param; });
+
 INSTANTIATE_TEST_SUITE_P(
     Listeners, MisbehavingClientsTest,
     ::testing::Combine(
