Send large submissions in parts and decode them task by task

What callers saw: one submission of the legal 32 MiB was accepted, but an entry took 150 MB (smallest machine: 88) and stores up to 375 MB (130); a machine of that size ends by it.

Cause: the whole submission was held as text, as a JSON tree, as tasks, as a second tree and as a message at the entry; a store held the message, the log entry, a message for each follower, and its trees.

Change: an entry decodes a body above 256 KiB while it is parsed, task by task, rejects one that needs more than a third of its memory (413), and releases the text. Above 1 MiB the tasks are sent in parts of 512 KiB, each a log entry, and a last command opens the step with them; an incomplete submission is removed after 30 s. A store leader refuses further tasks while those of all steps take two fifths of its memory (503, not run, with Retry-After).

--- a/packages/core/reason.cc
+++ b/packages/core/reason.cc
@@ -27,6 +27,8 @@
       return "corrupt";
     case reason_code::kIo:
       return "io";
+    case reason_code::kTooLarge:
+      return "too_large";
     case reason_code::kDenied:
       return "denied";
   }
--- a/packages/core/reason.h
+++ b/packages/core/reason.h
@@ -20,6 +20,7 @@
   kCorrupt,  // stored bytes differ from the bytes written
   kIo,
   kDenied,
+  kTooLarge,  // takes more memory than there is for it
 };
 
 struct reason {
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -79,7 +79,7 @@
         places_caller(pool, node.seeds),
         places(io, runtime, places_caller, node.id, node.zone),
         stores_caller(pool, {}),
-        gateway(runtime, protocol, stores_caller),
+        gateway(runtime, protocol, stores_caller, node.DecodeBudget()),
         callers(io, CallerOptions(),
                 [this](net::exchange& call) { return Serve(call); }),
         readiness(io, ReadinessOptions(), [this](net::exchange& call) {
--- a/packages/entry/step_gateway.cc
+++ b/packages/entry/step_gateway.cc
@@ -1,10 +1,13 @@
 #include "entry/step_gateway.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 #include "core/binary.h"
 #include "core/events.h"
+#include "core/ids.h"
 #include "peering/failure_answer.h"
 
 namespace hickorywood::entry {
@@ -21,6 +24,11 @@
 // of the leader and one retry.
 constexpr milliseconds kOpenTimeout{3000};
 constexpr milliseconds kOpenAttemptTimeout{1200};
+// The same of a submission that is sent in parts, each of which is committed.
+constexpr milliseconds kOpenInPartsTimeout{20000};
+// Bodies above this size are sent in parts.
+constexpr size_t kMaxMessageBytes = 1024UL * 1024;
+constexpr size_t kPartBytes = 512UL * 1024;
 constexpr milliseconds kEndTimeout{1800};
 constexpr milliseconds kEndAttemptTimeout{800};
 // The leader delays its answer to a read until results arrive, for at most the
@@ -31,13 +39,17 @@
 constexpr milliseconds kMaxWait{5000};
 constexpr milliseconds kRetryAfter{300};
 constexpr uint64_t kMaxPageBytes = 900 * 1000;
+constexpr int kTooLarge = 413;
 
 }  // namespace
 
 step_gateway::step_gateway(const core::runtime_clock& clock,
                            const fleet::protocol& wire,
-                           peering::leader_caller& caller)
-    : clock_(clock), wire_(wire), caller_(caller) {}
+                           peering::leader_caller& caller, size_t decode_memory)
+    : clock_(clock),
+      wire_(wire),
+      caller_(caller),
+      decode_memory_(decode_memory) {}
 
 net::response step_gateway::FailureOf(const envelope& answer) const {
   return peering::EncodeFailure(wire_, answer, kRetryAfter);
@@ -46,18 +58,28 @@
 awaitable<void> step_gateway::Open(net::exchange& call,
                                    steps::accepted_route route,
                                    std::string customer) {
-  auto submission = wire_.DecodeSubmission(call.Request());
+  auto submission = wire_.DecodeSubmission(call.Request(), decode_memory_);
   if (!submission) {
-    const std::string reason = core::LastReason().text;
-    co_await call.Reply(wire_.EncodeFailure(400, reason, std::nullopt));
+    const core::reason why = core::LastReason();
+    const bool is_too_large = why.code == core::reason_code::kTooLarge;
+    co_await call.Reply(wire_.EncodeFailure(is_too_large ? kTooLarge : 400,
+                                            why.text, std::nullopt));
     co_return;
   }
+  const bool is_large = call.Request().body.size() > kMaxMessageBytes;
+  if (is_large) call.ReleaseBody();
   submission->route = std::move(route);
   submission->customer = std::move(customer);
   const core::time_point started = clock_.Now();
-  const envelope answer = co_await caller_.Call(
-      peering::kOpenStepMethod, core::EncodeBinary(*submission),
-      started + kOpenTimeout, kOpenAttemptTimeout);
+  const size_t tasks = submission->tasks.size();
+  envelope answer;
+  if (is_large) {
+    answer = co_await SendInParts(*submission);
+  } else {
+    answer = co_await caller_.Call(peering::kOpenStepMethod,
+                                   core::EncodeBinary(*submission),
+                                   started + kOpenTimeout, kOpenAttemptTimeout);
+  }
   const bool is_accepted = answer.outcome == call_outcome::kDone;
   const auto took =
       std::chrono::duration_cast<milliseconds>(clock_.Now() - started);
@@ -65,7 +87,7 @@
            {{"step", submission->id},
             {"customer", submission->customer},
             {"prefix", submission->route.prefix},
-            {"tasks", std::to_string(submission->tasks.size())},
+            {"tasks", std::to_string(tasks)},
             {"number", std::to_string(submission->number)},
             {"reason", answer.reason},
             {"ms", std::to_string(took.count())}});
@@ -77,6 +99,59 @@
   co_await call.Reply(std::move(reply));
 }
 
+awaitable<bool> step_gateway::SendPart(steps::staged_part& part,
+                                       core::time_point deadline,
+                                       envelope& failure) {
+  failure = co_await caller_.Call(peering::kStageTasksMethod,
+                                  core::EncodeBinary(part), deadline,
+                                  kOpenAttemptTimeout);
+  if (failure.outcome != call_outcome::kDone) {
+    // No task of the submission runs.
+    if (failure.outcome == call_outcome::kUnknown) {
+      failure.outcome = call_outcome::kUnavailable;
+    }
+    co_return false;
+  }
+  part.offset += part.bytes.size();
+  part.bytes.clear();
+  co_return true;
+}
+
+awaitable<envelope> step_gateway::SendInParts(steps::submission& input) {
+  const core::time_point deadline = clock_.Now() + kOpenInPartsTimeout;
+  steps::staged_part part;
+  part.submission = core::RandomId();
+  envelope answer;
+  for (steps::task& item : input.tasks) {
+    const steps::encoded_task encoded = steps::EncodeTask(std::move(item));
+    item = steps::task();
+    const std::array<std::string_view, 3> pieces = {encoded.head, encoded.body,
+                                                    encoded.reward_body};
+    for (std::string_view piece : pieces) {
+      while (!piece.empty()) {
+        const size_t room = kPartBytes - part.bytes.size();
+        part.bytes += piece.substr(0, room);
+        piece.remove_prefix(std::min(room, piece.size()));
+        if (part.bytes.size() < kPartBytes) continue;
+        const bool is_stored = co_await SendPart(part, deadline, answer);
+        if (!is_stored) co_return answer;
+      }
+    }
+  }
+  if (!part.bytes.empty()) {
+    const bool is_stored = co_await SendPart(part, deadline, answer);
+    if (!is_stored) co_return answer;
+  }
+  input.tasks.clear();
+  steps::staged_submission opening;
+  opening.input = input;
+  opening.staged = part.submission;
+  opening.bytes = part.offset;
+  co_return co_await caller_.Call(peering::kOpenStagedStepMethod,
+                                  core::EncodeBinary(opening), deadline,
+                                  kOpenAttemptTimeout);
+}
+
 awaitable<void> step_gateway::Serve(net::exchange& call, fleet::step_call input,
                                     std::string customer) {
   net::response answer;
--- a/packages/fleet/protocol.h
+++ b/packages/fleet/protocol.h
@@ -198,10 +198,10 @@
       std::optional<std::chrono::milliseconds> retry_after) const = 0;
 
   virtual step_call DecodeStepCall(const net::request& input) const = 0;
-  // Returns nothing and sets the last reason (kInvalid) if `input` can't be
-  // decoded.
+  // Returns nothing and sets the last reason if `input` can't be decoded
+  // (kInvalid), or not with `memory` bytes beside its body (kTooLarge).
   virtual std::optional<steps::submission> DecodeSubmission(
-      const net::request& input) const = 0;
+      const net::request& input, size_t memory) const = 0;
   virtual net::response EncodeResults(const steps::result_page& page) const = 0;
   virtual net::response EncodeTaskBody(const std::string& body) const = 0;
 
--- a/packages/net/listener.cc
+++ b/packages/net/listener.cc
@@ -177,6 +177,7 @@
   }
 
   const request& Request() const override { return request_; }
+  void ReleaseBody() override { request_.body = shared_text(); }
   std::string RemoteAddress() const override {
     error_code failure;
     const auto caller = connection_.stream.socket().remote_endpoint(failure);
@@ -573,8 +574,8 @@
   if (options.customer) {
     connection.charge->Assign(options.customer(reader.Head()));
   }
-  const auto needed = connection.charge->Bytes() +
-                      static_cast<int64_t>(reader.StatedBytes());
+  const auto needed =
+      connection.charge->Bytes() + static_cast<int64_t>(reader.StatedBytes());
   // What can't be read is rejected before it is sent.
   if (!connection.charge->MayFit(needed)) {
     co_return asio::error::no_buffer_space;
--- a/packages/net/listener.h
+++ b/packages/net/listener.h
@@ -34,6 +34,9 @@
   virtual ~exchange() = default;
 
   virtual const request& Request() const = 0;
+  // Releases the body of the request after it was decoded. Its memory stays
+  // charged, for what was decoded.
+  virtual void ReleaseBody() = 0;
   // The IP address of the caller; empty if it has disconnected.
   virtual std::string RemoteAddress() const = 0;
 
--- a/packages/peering/failure_answer.cc
+++ b/packages/peering/failure_answer.cc
@@ -1,6 +1,12 @@
 #include "peering/failure_answer.h"
 
 namespace hickorywood::peering {
+namespace {
+
+// Steps take seconds until some of their memory is free again.
+constexpr std::chrono::milliseconds kMemoryRetryAfter{1000};
+
+}  // namespace
 
 net::response EncodeFailure(const fleet::protocol& wire, const envelope& answer,
                             std::chrono::milliseconds retry_after) {
@@ -17,6 +23,8 @@
       return wire.EncodeFailure(
           504, "the outcome of the call is unknown: " + answer.reason,
           std::nullopt);
+    case call_outcome::kNoMemory:
+      return wire.EncodeFailure(503, answer.reason, kMemoryRetryAfter);
     case call_outcome::kDone:
     case call_outcome::kNotLeader:
     case call_outcome::kUnavailable:
--- a/packages/peering/leader_caller.cc
+++ b/packages/peering/leader_caller.cc
@@ -95,6 +95,7 @@
     case call_outcome::kNotFound:
     case call_outcome::kConflict:
     case call_outcome::kPending:
+    case call_outcome::kNoMemory:
       leader_ = target;
       return;
   }
--- a/packages/peering/messages.h
+++ b/packages/peering/messages.h
@@ -51,6 +51,10 @@
 constexpr char kScalingMethod[] = "scaling";
 constexpr char kUsageMethod[] = "usage";
 constexpr char kOpenStepMethod[] = "open_step";
+// The same for a submission that is too large for one message: its tasks in
+// parts, then the rest. The payloads are those of the commands.
+constexpr char kStageTasksMethod[] = "stage_tasks";
+constexpr char kOpenStagedStepMethod[] = "open_staged_step";
 constexpr char kReadResultsMethod[] = "read_results";
 constexpr char kReadTaskMethod[] = "read_task";
 constexpr char kEndStepMethod[] = "end_step";
@@ -73,6 +77,7 @@
   kNotFound,
   kConflict,  // would leave too few instances; not executed
   kPending,   // executed, but not in force everywhere yet; may be repeated
+  kNoMemory,  // not executed; may succeed once other work has ended
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(call_outcome,
                              {{call_outcome::kUnavailable, "unavailable"},
@@ -82,7 +87,8 @@
                               {call_outcome::kRefused, "refused"},
                               {call_outcome::kNotFound, "not_found"},
                               {call_outcome::kConflict, "conflict"},
-                              {call_outcome::kPending, "pending"}})
+                              {call_outcome::kPending, "pending"},
+                              {call_outcome::kNoMemory, "no_memory"}})
 
 // The reply to each call.
 struct envelope {
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -78,6 +78,16 @@
     return static_cast<size_t>(memory_mb) * 1024 * 1024 / kMemoryDivisor;
   }
 
+  // Memory that the tasks of all steps may take on a store.
+  size_t TaskBudget() const {
+    return static_cast<size_t>(memory_mb) * 1024 * 1024 * 2 / 5;
+  }
+
+  // Memory that decoding one submission may take on an entry, beside its body.
+  size_t DecodeBudget() const {
+    return static_cast<size_t>(memory_mb) * 1024 * 1024 / 3;
+  }
+
   // Number of replicas of a data group: a majority remains after the tolerated
   // losses.
   size_t DataVoters() const {
--- a/packages/steps/step.cc
+++ b/packages/steps/step.cc
@@ -36,6 +36,20 @@
   if (tree.contains("path")) output.request = tree.get<task_request>();
 }
 
+size_t MemoryOf(const task& input) {
+  size_t bytes = sizeof(task) + input.id.capacity() + input.group.capacity();
+  if (!input.request) return bytes;
+  const task_request& request = *input.request;
+  const reward_request& reward = request.reward;
+  bytes += request.path.capacity() + request.body.capacity() +
+           reward.id.capacity() + reward.host.capacity() +
+           reward.path.capacity() + reward.body.capacity();
+  for (const net::header& item : request.headers) {
+    bytes += sizeof(item) + item.name.capacity() + item.value.capacity();
+  }
+  return bytes;
+}
+
 bool OpenStep(step_table& table, submission input, int64_t now_ms,
               uint64_t index) {
   const std::string id = input.id;
--- a/packages/steps/step.h
+++ b/packages/steps/step.h
@@ -54,6 +54,9 @@
 void from_json(const nlohmann::json& tree, task& output);
 // NOLINTEND(readability-identifier-naming)
 
+// Estimated memory of a task, bytes.
+size_t MemoryOf(const task& input);
+
 // The route that accepted a step. Its limits apply when the route has ended.
 struct accepted_route {
   std::string prefix;  // empty: unknown
--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -36,6 +36,12 @@
 // instance some 50 ms.
 constexpr uint64_t kMaxDiskPageBytes = 150 * 1000;
 constexpr milliseconds kMaxWait{5000};
+// Time for which the memory of all tasks is not summed up again.
+constexpr milliseconds kTaskBytesLifetime{500};
+
+envelope NoMemory() {
+  return {call_outcome::kNoMemory, "", "the memory for steps is in use", ""};
+}
 
 envelope NoSuch(const std::string& what) {
   return {call_outcome::kNotFound, "", "no such " + what, ""};
@@ -86,6 +92,12 @@
   if (method == peering::kOpenStepMethod) {
     co_return co_await OpenStep(std::move(payload));
   }
+  if (method == peering::kStageTasksMethod) {
+    co_return co_await StageTasks(std::move(payload));
+  }
+  if (method == peering::kOpenStagedStepMethod) {
+    co_return co_await OpenStagedStep(std::move(payload));
+  }
   if (method == peering::kReadResultsMethod) {
     co_return co_await ReadResults(std::move(payload));
   }
@@ -112,18 +124,60 @@
   return is_visible ? step : nullptr;
 }
 
+std::optional<envelope> step_service::FindOpened(
+    const steps::submission& input) const {
+  const steps::step* opened = state_.Find(input.id);
+  if (opened == nullptr) return std::nullopt;
+  if (steps::MayAccess(*opened, input.customer)) return Done();
+  return envelope{call_outcome::kConflict, "",
+                  "another customer's step has this id", ""};
+}
+
+bool step_service::HasMemoryFor(size_t bytes) {
+  const time_point now = clock_.Now();
+  if (now >= task_bytes_until_) {
+    task_bytes_until_ = now + kTaskBytesLifetime;
+    task_bytes_ = state_.TaskBytes();
+  }
+  if (task_bytes_ + bytes > options_.task_budget) return false;
+  task_bytes_ += bytes;
+  return true;
+}
+
 awaitable<envelope> step_service::OpenStep(std::string payload) {
-  const auto input = core::DecodeBinary<steps::submission>(payload);
-  if (!input) co_return Malformed();
-  const steps::step* opened = state_.Find(input->id);
-  if (opened != nullptr) {
-    if (steps::MayAccess(*opened, input->customer)) co_return Done();
-    co_return envelope{call_outcome::kConflict, "",
-                       "another customer's step has this id", ""};
+  {
+    const auto input = core::DecodeBinary<steps::submission>(payload);
+    if (!input) co_return Malformed();
+    if (const auto opened = FindOpened(*input)) co_return *opened;
   }
+  if (!HasMemoryFor(payload.size())) co_return NoMemory();
   co_return co_await CommitCall(kOpenStepCommand, std::move(payload));
 }
 
+awaitable<envelope> step_service::StageTasks(std::string payload) {
+  if (!HasMemoryFor(payload.size())) co_return NoMemory();
+  co_return co_await CommitCall(kStageTasksCommand, std::move(payload));
+}
+
+awaitable<envelope> step_service::OpenStagedStep(std::string payload) {
+  const auto input = core::DecodeBinary<steps::staged_submission>(payload);
+  if (!input) co_return Malformed();
+  if (const auto opened = FindOpened(input->input)) co_return *opened;
+  const step_state::staged_tasks* staged = state_.FindStaged(input->staged);
+  if (staged == nullptr || !steps::IsComplete(staged->stream, input->bytes)) {
+    co_return envelope{call_outcome::kUnavailable, "",
+                       "parts of the submission are missing", ""};
+  }
+  envelope answer =
+      co_await CommitCall(kOpenStagedStepCommand, std::move(payload));
+  // The tasks may have been removed before the command was applied.
+  const bool is_opened = state_.Find(input->input.id) != nullptr;
+  if (answer.outcome == call_outcome::kDone && !is_opened) {
+    answer.outcome = call_outcome::kUnavailable;
+  }
+  co_return answer;
+}
+
 awaitable<envelope> step_service::ReadResults(std::string payload) {
   const auto input = core::DecodeBinary<peering::read_results_request>(payload);
   if (!input) co_return Malformed();
@@ -287,7 +341,7 @@
                   [&command](const auto& item) {
                     return item.second.opened_ms < command.ended_before_ms;
                   });
-  if (!has_old) co_return;
+  if (!has_old && !state_.HasStaged()) co_return;
   co_await group_.Commit(kRemoveStepsCommand, core::EncodeBinary(command));
 }
 
--- a/packages/store/step_service.h
+++ b/packages/store/step_service.h
@@ -8,6 +8,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -26,6 +28,8 @@
   std::chrono::milliseconds open_step_retention{600000};
   // Minimum number of stores that must remain when a store is retired.
   size_t min_stores = 3;
+  // Memory that the tasks of all steps may take, bytes.
+  size_t task_budget = 64UL * 1024 * 1024;
 };
 
 class step_service {
@@ -48,7 +52,14 @@
   // other customers don't learn that it exists.
   const steps::step* FindStep(const std::string& id,
                               const std::string& customer) const;
+  // Returns the reply to a submission whose step exists already.
+  std::optional<peering::envelope> FindOpened(
+      const steps::submission& input) const;
+  // Whether the tasks of all steps leave memory for `bytes` of further ones.
+  bool HasMemoryFor(size_t bytes);
   answer OpenStep(std::string payload);
+  answer StageTasks(std::string payload);
+  answer OpenStagedStep(std::string payload);
   bool ReadOutputs(const std::string& step, steps::result_page& page);
   answer ReadResults(std::string payload);
   answer ReadTask(std::string payload);
@@ -67,6 +78,8 @@
   group::group_host& group_;
   const step_state& state_;
   const step_service_options options_;
+  size_t task_bytes_ = 0;  // of all steps, at least
+  core::time_point task_bytes_until_{};
   net::event changed_;
 };
 
--- a/packages/store/step_state.cc
+++ b/packages/store/step_state.cc
@@ -1,6 +1,7 @@
 #include "store/step_state.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "core/binary.h"
@@ -8,6 +9,10 @@
 namespace hickorywood::store {
 namespace {
 
+// Time after its latest part for which an incomplete submission is kept. The
+// parts are sent one after the other.
+constexpr std::chrono::milliseconds kStagedLifetime{30000};
+
 // The following functions ignore a payload that can't be decoded.
 
 void OpenStep(step_state::content& state, const group::hosted_command& input) {
@@ -18,6 +23,44 @@
   }
 }
 
+// Removes the tasks of submissions whose sender has stopped.
+void RemoveOldStaged(step_state::content& state, int64_t now_ms) {
+  std::erase_if(state.staged, [now_ms](const auto& item) {
+    return now_ms - item.second.last_part_ms > kStagedLifetime.count();
+  });
+}
+
+// A repeated part is ignored.
+void StageTasks(step_state::content& state,
+                const group::hosted_command& input) {
+  RemoveOldStaged(state, input.now_ms);
+  const auto part = core::DecodeBinary<steps::staged_part>(input.payload);
+  if (!part) return;
+  const auto found = state.staged.find(part->submission);
+  const bool is_first = found == state.staged.end();
+  const uint64_t received = is_first ? 0 : found->second.stream.received;
+  if (part->offset != received) return;
+  step_state::staged_tasks& staged = state.staged[part->submission];
+  if (is_first) staged.index = input.index;
+  staged.last_part_ms = input.now_ms;
+  steps::AppendBytes(staged.stream, part->bytes);
+}
+
+void OpenStagedStep(step_state::content& state,
+                    const group::hosted_command& input) {
+  auto opening = core::DecodeBinary<steps::staged_submission>(input.payload);
+  if (!opening) return;
+  const auto found = state.staged.find(opening->staged);
+  if (found == state.staged.end()) return;
+  step_state::staged_tasks staged = std::move(found->second);
+  state.staged.erase(found);
+  if (!steps::IsComplete(staged.stream, opening->bytes)) return;
+  opening->input.tasks = std::move(staged.stream.tasks);
+  // The log is kept from the first part on.
+  steps::OpenStep(state.steps, std::move(opening->input), input.now_ms,
+                  staged.index);
+}
+
 void AddResults(step_state::content& state,
                 const group::hosted_command& command) {
   auto input = core::DecodeBinary<add_results_command>(command.payload);
@@ -59,6 +102,10 @@
 void step_state::Apply(const group::hosted_command& input) {
   if (input.name == kOpenStepCommand) {
     OpenStep(content_, input);
+  } else if (input.name == kStageTasksCommand) {
+    StageTasks(content_, input);
+  } else if (input.name == kOpenStagedStepCommand) {
+    OpenStagedStep(content_, input);
   } else if (input.name == kAddResultsCommand) {
     AddResults(content_, input);
   } else if (input.name == kAddProgressCommand) {
@@ -68,6 +115,7 @@
     steps::EvictOldOutputs(content_.steps, output_budget_);
   } else if (input.name == kRemoveStepsCommand) {
     RemoveSteps(content_, input.payload);
+    RemoveOldStaged(content_, input.now_ms);
   } else if (input.name == kRetireCommand) {
     Retire(content_, input.payload);
   }
@@ -93,6 +141,9 @@
     const uint64_t before = step.opened_index == 0 ? 0 : step.opened_index - 1;
     index = std::min(index, before);
   }
+  for (const auto& [id, staged] : content_.staged) {
+    index = std::min(index, staged.index - 1);
+  }
   return {index, core::EncodeBinary(saved)};
 }
 
@@ -101,4 +152,23 @@
   return found == content_.steps.end() ? nullptr : &found->second;
 }
 
+size_t step_state::TaskBytes() const {
+  size_t bytes = 0;
+  const auto add = [&bytes](const std::vector<steps::task>& tasks) {
+    for (const steps::task& item : tasks) bytes += steps::MemoryOf(item);
+  };
+  for (const auto& [id, step] : content_.steps) add(step.input.tasks);
+  for (const auto& [id, staged] : content_.staged) {
+    add(staged.stream.tasks);
+    bytes += staged.stream.pending.capacity();
+  }
+  return bytes;
+}
+
+const step_state::staged_tasks* step_state::FindStaged(
+    const std::string& id) const {
+  const auto found = content_.staged.find(id);
+  return found == content_.staged.end() ? nullptr : &found->second;
+}
+
 }  // namespace hickorywood::store
--- a/packages/store/step_state.h
+++ b/packages/store/step_state.h
@@ -5,6 +5,7 @@
 // and the stores that are being retired.
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,10 +13,15 @@
 #include "core/json.h"
 #include "group/hosted_state.h"
 #include "steps/step.h"
+#include "steps/task_stream.h"
 
 namespace hickorywood::store {
 
 constexpr char kOpenStepCommand[] = "open_step";
+// A part of the tasks of a later kOpenStagedStepCommand; a steps::staged_part.
+constexpr char kStageTasksCommand[] = "stage_tasks";
+// A steps::staged_submission.
+constexpr char kOpenStagedStepCommand[] = "open_staged_step";
 constexpr char kAddResultsCommand[] = "add_results";
 constexpr char kAddProgressCommand[] = "add_progress";
 constexpr char kEndStepCommand[] = "end_step";
@@ -88,9 +94,23 @@
   // Peer addresses of the stores that are being retired.
   const std::set<std::string>& Retired() const { return content_.retired; }
 
+  // The tasks of a submission that is being sent in parts.
+  struct staged_tasks {
+    steps::task_stream stream;
+    uint64_t index = 0;        // of the log entry with the first part
+    int64_t last_part_ms = 0;  // wall clock of the leader
+  };
+  // Memory of all tasks whose requests are stored, bytes.
+  size_t TaskBytes() const;
+  // Returns nullptr if there are no such tasks.
+  const staged_tasks* FindStaged(const std::string& id) const;
+  bool HasStaged() const { return !content_.staged.empty(); }
+
   struct content {
     steps::step_table steps;
     std::set<std::string> retired;
+    // By the id of the stream. Like the steps, it is rebuilt from the log.
+    std::map<std::string, staged_tasks> staged;
   };
 
  private:
--- a/packages/store/store_instance.cc
+++ b/packages/store/store_instance.cc
@@ -53,6 +53,7 @@
   step_service_options options;
   options.step_retention = settings.step_retention;
   options.min_stores = settings.DataVoters();
+  options.task_budget = settings.TaskBudget();
   return options;
 }
 
--- a/tests/unit/platform/foreign_writer_test.cc
+++ b/tests/unit/platform/foreign_writer_test.cc
@@ -13,6 +13,9 @@
 namespace hickorywood::platform {
 namespace {
 
+// Enough to decode any submission of these tests.
+constexpr size_t kMemory = 64UL * 1024 * 1024;
+
 net::request Post(const std::string& target, const std::string& body) {
   net::request input;
   input.method = "POST";
@@ -189,7 +192,7 @@
     }
     net::request submitted = Post(item.target, body);
     submitted.headers = {{"Host", "h"}, {"X-Request-Id", "s"}};
-    if (const auto step = wire->DecodeSubmission(submitted)) {
+    if (const auto step = wire->DecodeSubmission(submitted, kMemory)) {
       RC_ASSERT(step->tasks.size() <= body.size());
     }
     net::response report;
--- a/tests/unit/platform/protocol_test.cc
+++ b/tests/unit/platform/protocol_test.cc
@@ -11,6 +11,9 @@
 namespace hickorywood::platform {
 namespace {
 
+// Enough to decode any submission of these tests.
+constexpr size_t kMemory = 64UL * 1024 * 1024;
+
 using std::chrono::milliseconds;
 
 net::request Post(const std::string& target, const std::string& body) {
@@ -194,7 +197,7 @@
     "X-Length-Hint":"120"},"body":"q83vEjRWeJA=","tokens":940,
     "group":"g1"}]})");
   input.headers = {{"Host", "h"}, {"x-request-id", "lot-1"}};
-  const auto step = wire_->DecodeSubmission(input);
+  const auto step = wire_->DecodeSubmission(input, kMemory);
   ASSERT_TRUE(step);
   EXPECT_EQ(step->id, "lot-1");
   EXPECT_EQ(step->host, "h");
@@ -230,7 +233,7 @@
     "path":"/s/3/91","scorer":{"id":"r1","host":"h2","path":"/r/5",
     "body":"3q2+7w=="}},{"id":"t2","path":"/s/3/92"}]})");
   input.headers = {{"Host", "h"}, {"X-Request-Id", "lot-1"}};
-  const auto step = wire_->DecodeSubmission(input);
+  const auto step = wire_->DecodeSubmission(input, kMemory);
   ASSERT_TRUE(step);
   ASSERT_TRUE(step->tasks[0].request->HasReward());
   EXPECT_FALSE(step->tasks[1].request->HasReward());
@@ -256,7 +259,7 @@
                        {{{"id", "t"}, {"path", "/p"}, {"scorer", reward}}})}})
                  .dump());
     input.headers = {{"X-Request-Id", "lot-1"}};
-    return wire_->DecodeSubmission(input).has_value();
+    return wire_->DecodeSubmission(input, kMemory).has_value();
   };
   EXPECT_TRUE(decode(good));
   EXPECT_FALSE(decode(7));
@@ -282,7 +285,7 @@
   const auto decode = [this](const std::string& body) {
     net::request input = Post("/s/1", body);
     input.headers = {{"X-Request-Id", "lot-1"}};
-    return wire_->DecodeSubmission(input).has_value();
+    return wire_->DecodeSubmission(input, kMemory).has_value();
   };
   EXPECT_TRUE(decode(R"({"requests":[]})"));
   EXPECT_FALSE(decode(R"({"requests":5})"));
@@ -290,7 +293,64 @@
   EXPECT_FALSE(decode(R"({"requests":[{"id":"t","path":"/p","body":"*"}]})"));
   EXPECT_FALSE(
       decode(R"({"requests":[{"id":"t","path":"/p","headers":{"a":1}}]})"));
-  EXPECT_FALSE(wire_->DecodeSubmission(Post("/s/1", R"({"requests":[]})")));
+  EXPECT_FALSE(
+      wire_->DecodeSubmission(Post("/s/1", R"({"requests":[]})"), kMemory));
+}
+
+// Guards against a large submission whose tasks differ from those of a small
+// one: they are decoded while the body is parsed.
+TEST_F(ProtocolTest, LargeSubmissionsAreDecodedLikeSmallOnes) {
+  const auto decode = [this](const std::string& tasks, size_t memory) {
+    net::request input =
+        Post("/s/1", R"({"model":"m","requests":[)" + tasks + R"(],"step":3})");
+    input.headers = {{"X-Request-Id", "lot-1"}};
+    return wire_->DecodeSubmission(input, memory);
+  };
+  const std::string task =
+      R"({"id":"t","path":"/p","headers":{"a":"b"},"group":"g","tokens":5,)"
+      R"("body":"aGVsbG8=","scorer":{"id":"r","host":"h","path":"/s"}})";
+  std::string tasks = task;
+  constexpr size_t kTasks = 4000;
+  for (size_t i = 1; i < kTasks; ++i) tasks += "," + task;
+  const auto small = decode(task, kMemory);
+  const auto large = decode(tasks, kMemory);
+  ASSERT_TRUE(small && large);
+  ASSERT_EQ(large->tasks.size(), kTasks);
+  EXPECT_EQ(large->number, 3);
+  EXPECT_EQ(large->model, "m");
+  const nlohmann::json expected = small->tasks.front();
+  EXPECT_EQ(nlohmann::json(large->tasks.front()), expected);
+  EXPECT_EQ(nlohmann::json(large->tasks.back()), expected);
+  EXPECT_FALSE(decode(tasks + "," + R"({"id":"x"})", kMemory));
+  EXPECT_FALSE(decode(tasks + ",5", kMemory));
+  EXPECT_FALSE(decode(tasks + "]", kMemory));
+}
+
+// Guards against a submission of legal size whose decoded form takes more
+// memory than the machine has.
+TEST_F(ProtocolTest, SubmissionsAreDecodedWithinTheirMemory) {
+  const auto is_too_large = [this](const std::string& body) {
+    net::request input = Post("/s/1", body);
+    input.headers = {{"X-Request-Id", "lot-1"}};
+    const bool is_decoded = wire_->DecodeSubmission(input, kMemory).has_value();
+    return !is_decoded &&
+           core::LastReason().code == core::reason_code::kTooLarge;
+  };
+  const auto repeat = [](const std::string& unit, size_t count) {
+    std::string text;
+    for (size_t i = 0; i < count; ++i) text += unit;
+    return text;
+  };
+  constexpr size_t kMany = 200000;
+  const std::string task = R"({"id":"t","path":"/"})";
+  EXPECT_TRUE(
+      is_too_large(R"({"requests":[)" + repeat(task + ",", kMany) + task + "]}"));
+  EXPECT_TRUE(is_too_large(R"({"requests":[)" + repeat("1,", kMany) + "1]}"));
+  EXPECT_TRUE(
+      is_too_large(R"({"requests":[{"x":[)" + repeat("[],", kMany) + "[]]}]}"));
+  EXPECT_TRUE(is_too_large(repeat("[", kMany * 2)));
+  EXPECT_TRUE(is_too_large(R"({"requests":[],"x":")" +
+                           std::string(kMemory / 4, 'x') + R"("})"));
 }
 
 TEST_F(ProtocolTest, StepCalls) {
@@ -450,7 +510,7 @@
         "/v1/retire/s/start"}) {
     wire->DecodeControlCall(Post(target, body));
   }
-  wire->DecodeSubmission(Post("/s/1", body));
+  wire->DecodeSubmission(Post("/s/1", body), kMemory);
   net::response report;
   report.body = body;
   wire->DecodeReport(report);
--- a/tests/unit/store/step_state_test.cc
+++ b/tests/unit/store/step_state_test.cc
@@ -51,6 +51,78 @@
   return Command(index, kRemoveStepsCommand, core::EncodeBinary(input));
 }
 
+group::hosted_command Part(uint64_t index, const std::string& submission,
+                           uint64_t offset, std::string bytes) {
+  const steps::staged_part part{submission, offset, std::move(bytes)};
+  return Command(index, kStageTasksCommand, core::EncodeBinary(part));
+}
+
+group::hosted_command OpenStaged(uint64_t index, const std::string& id,
+                                 const std::string& submission,
+                                 uint64_t bytes) {
+  steps::staged_submission opening;
+  opening.input.id = id;
+  opening.staged = submission;
+  opening.bytes = bytes;
+  return Command(index, kOpenStagedStepCommand, core::EncodeBinary(opening));
+}
+
+std::string StreamOfOneTask() {
+  steps::task item;
+  item.id = "t";
+  item.request.emplace().body = "body";
+  const steps::encoded_task encoded = steps::EncodeTask(std::move(item));
+  return encoded.head + encoded.body + encoded.reward_body;
+}
+
+// Guards against a step that lacks tasks, or has them twice, when parts of its
+// submission are repeated or lost.
+TEST(StepStateTest, StagedTasksOpenAStepOnce) {
+  const std::string bytes = StreamOfOneTask();
+  const std::string first = bytes.substr(0, 5);
+  const std::string rest = bytes.substr(5);
+  step_state state(kOutputBudgetBytes);
+  state.Apply(Part(1, "s", 0, first));
+  state.Apply(Part(2, "s", 0, first));
+  state.Apply(OpenStaged(3, "early", "s", bytes.size()));
+  EXPECT_EQ(state.Find("early"), nullptr);
+  state.Apply(Part(4, "s", 0, first));
+  state.Apply(Part(5, "s", 9, rest));
+  state.Apply(Part(6, "s", 5, rest));
+  EXPECT_GT(state.TaskBytes(), 0U);
+  state.Apply(OpenStaged(7, "a", "s", bytes.size()));
+  state.Apply(OpenStaged(8, "b", "s", bytes.size()));
+  ASSERT_NE(state.Find("a"), nullptr);
+  ASSERT_EQ(state.Find("a")->input.tasks.size(), 1U);
+  EXPECT_EQ(state.Find("a")->input.tasks[0].request->body, "body");
+  EXPECT_EQ(state.Find("b"), nullptr);
+  EXPECT_FALSE(state.HasStaged());
+}
+
+// Guards against a restart that loses the tasks of a step whose parts are older
+// than the command that opened it.
+TEST(StepStateTest, LogIsKeptFromTheFirstPartOn) {
+  const std::string bytes = StreamOfOneTask();
+  step_state state(kOutputBudgetBytes);
+  state.Apply(Open(1, "x"));
+  state.Apply(End(2, "x"));
+  state.Apply(Part(3, "s", 0, bytes));
+  state.Apply(RemoveOld(4, 3000));
+  EXPECT_EQ(state.Save(4).index, 2U);
+  state.Apply(OpenStaged(5, "a", "s", bytes.size()));
+  EXPECT_EQ(state.Save(5).index, 2U);
+}
+
+// Guards against the memory of submissions whose sender has stopped.
+TEST(StepStateTest, AbandonedPartsAreRemoved) {
+  step_state state(kOutputBudgetBytes);
+  state.Apply(Part(1, "s", 0, "abc"));
+  state.Apply(RemoveOld(30, 0));
+  EXPECT_TRUE(state.HasStaged());
+  state.Apply(RemoveOld(32, 0));
+  EXPECT_FALSE(state.HasStaged());
+}
+
 // Guards against a task that gets all of its attempts again from a new leader,
 // and against failures that outlive their task.
 TEST(StepStateTest, FailedAttemptsAreKeptUntilTheResult) {
