Bound calls to a control instance by its memory

What callers saw: nothing reported; measured. One configuration of the legal 32 MiB was acknowledged, and control instances took up to 526 MB (machines have 256): a machine ends by it.

Cause: the text stands in the tree, the log, the messages to each follower and the state, up to 16 times.

Change: the listener for control accepts bodies up to a 32nd of the memory (8 MiB of 256 MB); larger ones are refused before they are read (413).

Evidence: LargestRequestTest.AcceptedConfigurationStaysWithinTheMemory, new.

--- a/packages/controller/controller.cc
+++ b/packages/controller/controller.cc
@@ -1,5 +1,6 @@
 #include "controller/controller.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -116,7 +117,7 @@
         api(wire, caller, heartbeats),
         peers(io, peering::PeerListenerOptions(node.peers_address, memory),
               [this](net::exchange& call) { return ServePeer(call); }),
-        control(io, ControlListenerOptions(node.control_address, wire, memory),
+        control(io, ControlListenerOptions(node, wire, memory),
                 [this](net::exchange& call) { return api.Serve(call); }) {
     registry.options.unresponsive_after =
         node.endpoint_heartbeat * kMaxMissedHeartbeats + kHeartbeatDelay;
@@ -132,18 +133,20 @@
   }
 
   static net::listener_options ControlListenerOptions(
-      const std::string& address, const fleet::protocol& wire,
+      const settings::node_settings& node, const fleet::protocol& wire,
       std::shared_ptr<net::request_memory> memory) {
     net::listener_options options;
-    options.address = address;
+    options.address = node.control_address;
     options.memory = std::move(memory);
     options.on_memory_shortage = [&wire] {
       return wire.EncodeFailure(kUnavailable, "the memory for calls is in use",
                                 kMemoryRetryAfter);
     };
-    options.limits = [] {
+    const uint64_t body_bytes = node.ControlBodyLimit();
+    options.limits = [body_bytes] {
       net::caller_limits limits;
       limits.idle_timeout = kControlIdleTimeout;
+      limits.body_bytes = std::min(limits.body_bytes, body_bytes);
       return limits;
     };
     return options;
--- a/packages/settings/node_settings.h
+++ b/packages/settings/node_settings.h
@@ -83,6 +83,14 @@
     return static_cast<size_t>(memory_mb) * 1024 * 1024 * 2 / 5;
   }
 
+  // Maximum size of a call to a control instance. Its leader needs up to 16
+  // times the size of a configuration while that is decoded, stored and sent to
+  // the other instances.
+  uint64_t ControlBodyLimit() const {
+    constexpr uint64_t kMemoryDivisor = 32;
+    return static_cast<uint64_t>(memory_mb) * 1024 * 1024 / kMemoryDivisor;
+  }
+
   // Memory that decoding one submission may take on an entry, beside its body.
   size_t DecodeBudget() const {
     return static_cast<size_t>(memory_mb) * 1024 * 1024 / 3;
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -418,5 +418,18 @@
   for (const char* id : {"c1", "c2", "c3"}) ExpectWithinMemory(id);
 }
 
+// Guards against a control instance that ends by the largest configuration that
+// it accepts: a 32nd of its memory.
+TEST_F(LargestRequestTest, AcceptedConfigurationStaysWithinTheMemory) {
+  ASSERT_TRUE(system_.Start());
+  constexpr size_t kAcceptedBytes = 256 * kBytesPerMegabyte / 32 - 64UL * 1024;
+  nlohmann::json configuration = system_.Configuration(2, true);
+  configuration["comment"] = std::string(kAcceptedBytes, 'b');
+  EXPECT_TRUE(WaitUntil([&] {
+    return system_.PutConfigurationAt("c1", configuration).status == 200;
+  }));
+  for (const char* id : {"c1", "c2", "c3"}) ExpectWithinMemory(id);
+}
+
 }  // namespace
 }  // namespace hickorywood::testing
