--- a/packages/entry/step_gateway.cc
+++ b/packages/entry/step_gateway.cc
@@ -60,7 +60,7 @@
                                    std::string customer) {
   auto submission = wire_.DecodeSubmission(call.Request(), decode_memory_);
   if (!submission) {
-    const core::reason why = core::LastReason();
+    const core::reason& why = core::LastReason();
     const bool is_too_large = why.code == core::reason_code::kTooLarge;
     co_await call.Reply(wire_.EncodeFailure(is_too_large ? kTooLarge : 400,
                                             why.text, std::nullopt));
