--- a/packages/settings/node_settings.cc
+++ b/packages/settings/node_settings.cc
@@ -154,8 +154,10 @@
       {"memory_mb", type::kInteger, "256", 16, 1024 * 1024,
        "Memory that the process may use, MB. Requests and answers of all "
        "listeners together use up to two fifths of it, and connections a "
-       "fifth. "
-       "A store keeps a 64th of it for the outputs of ended steps."},
+       "fifth. A control instance accepts calls of up to a 32nd of it. An "
+       "entry decodes a submission in up to a third of it. A store keeps the "
+       "tasks of steps in up to two fifths of it, and the outputs of ended "
+       "steps in a 64th."},
   };
   return *kSchema;
 }
--- a/tests/unit/platform/protocol_test.cc
+++ b/tests/unit/platform/protocol_test.cc
@@ -343,8 +343,8 @@
   };
   constexpr size_t kMany = 200000;
   const std::string task = R"({"id":"t","path":"/"})";
-  EXPECT_TRUE(
-      is_too_large(R"({"requests":[)" + repeat(task + ",", kMany) + task + "]}"));
+  EXPECT_TRUE(is_too_large(R"({"requests":[)" + repeat(task + ",", kMany) +
+                           task + "]}"));
   EXPECT_TRUE(is_too_large(R"({"requests":[)" + repeat("1,", kMany) + "1]}"));
   EXPECT_TRUE(
       is_too_large(R"({"requests":[{"x":[)" + repeat("[],", kMany) + "[]]}]}"));
