Leave memory of the data leader to whole submissions

What callers saw: nothing; a gap of the change that sends large submissions in parts: parts of submissions that are never completed could take all memory for tasks for 30 s, and ordinary submissions were refused meanwhile.

--- a/packages/store/step_service.cc
+++ b/packages/store/step_service.cc
@@ -37,7 +37,7 @@
 constexpr uint64_t kMaxDiskPageBytes = 150 * 1000;
 constexpr milliseconds kMaxWait{5000};
 // Time for which the memory of all tasks is not summed up again.
-constexpr milliseconds kTaskBytesLifetime{500};
+constexpr milliseconds kTaskMemoryLifetime{500};
 
 envelope NoMemory() {
   return {call_outcome::kNoMemory, "", "the memory for steps is in use", ""};
@@ -72,7 +72,8 @@
       clock_(clock),
       group_(group),
       state_(state),
-      options_(options) {}
+      options_(options),
+      task_memory_{0, options.task_budget} {}
 
 void step_service::Start() {
   asio::co_spawn(loop_, RunMaintenanceLoop(), asio::detached);
@@ -133,15 +134,15 @@
                   "another customer's step has this id", ""};
 }
 
-bool step_service::HasMemoryFor(size_t bytes) {
+bool step_service::HasMemoryFor(size_t bytes, task_source source) {
   const time_point now = clock_.Now();
-  if (now >= task_bytes_until_) {
-    task_bytes_until_ = now + kTaskBytesLifetime;
-    task_bytes_ = state_.TaskBytes();
+  if (now >= task_memory_until_) {
+    task_memory_until_ = now + kTaskMemoryLifetime;
+    task_memory_.used = state_.TaskBytes();
   }
-  if (task_bytes_ + bytes > options_.task_budget) return false;
-  task_bytes_ += bytes;
-  return true;
+  const bool may_store = MayStore(task_memory_, bytes, source);
+  if (may_store) task_memory_.used += bytes;
+  return may_store;
 }
 
 awaitable<envelope> step_service::OpenStep(std::string payload) {
@@ -150,12 +151,14 @@
     if (!input) co_return Malformed();
     if (const auto opened = FindOpened(*input)) co_return *opened;
   }
-  if (!HasMemoryFor(payload.size())) co_return NoMemory();
+  if (!HasMemoryFor(payload.size(), task_source::kSubmission)) {
+    co_return NoMemory();
+  }
   co_return co_await CommitCall(kOpenStepCommand, std::move(payload));
 }
 
 awaitable<envelope> step_service::StageTasks(std::string payload) {
-  if (!HasMemoryFor(payload.size())) co_return NoMemory();
+  if (!HasMemoryFor(payload.size(), task_source::kPart)) co_return NoMemory();
   co_return co_await CommitCall(kStageTasksCommand, std::move(payload));
 }
 
--- a/packages/store/step_service.h
+++ b/packages/store/step_service.h
@@ -17,6 +17,7 @@
 #include "net/event.h"
 #include "peering/messages.h"
 #include "store/step_state.h"
+#include "store/task_memory.h"
 
 namespace hickorywood::store {
 
@@ -56,7 +57,7 @@
   std::optional<peering::envelope> FindOpened(
       const steps::submission& input) const;
   // Whether the tasks of all steps leave memory for `bytes` of further ones.
-  bool HasMemoryFor(size_t bytes);
+  bool HasMemoryFor(size_t bytes, task_source source);
   answer OpenStep(std::string payload);
   answer StageTasks(std::string payload);
   answer OpenStagedStep(std::string payload);
@@ -78,8 +79,8 @@
   group::group_host& group_;
   const step_state& state_;
   const step_service_options options_;
-  size_t task_bytes_ = 0;  // of all steps, at least
-  core::time_point task_bytes_until_{};
+  task_memory task_memory_;
+  core::time_point task_memory_until_{};  // when its use is summed up again
   net::event changed_;
 };
 
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -407,6 +407,27 @@
   for (const char* id : {"e1", "s1", "s2", "s3"}) ExpectWithinMemory(id);
 }
 
+// Guards against stores that end by many submissions of legal size at once, and
+// then accept none of ordinary size.
+TEST_F(LargestRequestTest, ManySubmissionsStayWithinTheMemory) {
+  ASSERT_TRUE(system_.Start());
+  const std::string task =
+      R"({"id":"large-t","path":"/s/run","headers":{},"tokens":10,)"
+      R"("group":"g","body":")" +
+      std::string(64UL * 1024, 'b') + R"("})";
+  const std::string open =
+      R"({"step":0,"model":"m","min_version":1,"requests":[)";
+  {
+    const client_crowd crowd(
+        system_.CallersAddress("e1"),
+        ScriptOfBody("/s/large", open, task + ",", task + "]}"), kClients);
+    crowd.WaitUntilQuiet();
+    EXPECT_TRUE(system_.Submit("e1", "ordinary", 1));
+    EXPECT_EQ(system_.WaitForResults("e1", "ordinary", 1).size(), 1U);
+  }
+  for (const char* id : {"e1", "s1", "s2", "s3"}) ExpectWithinMemory(id);
+}
+
 // Guards against a configuration of legal size that ends a control instance.
 TEST_F(LargestRequestTest, ConfigurationIsInForce) {
   ASSERT_TRUE(system_.Start());
