--- a/tests/unit/steps/task_stream_test.cc
+++ b/tests/unit/steps/task_stream_test.cc
@@ -60,7 +60,8 @@
 TEST(TaskStreamTest, IncompleteStreamsAreNoSubmission) {
   const std::string bytes = StreamOf({TaskOf("a", "body")});
   task_stream stream;
-  AppendBytes(stream, std::string_view(bytes).substr(0, bytes.size() - 1));
+  const std::string_view all = bytes;
+  AppendBytes(stream, all.substr(0, all.size() - 1));
   EXPECT_FALSE(IsComplete(stream, bytes.size()));
   EXPECT_FALSE(IsComplete(stream, bytes.size() - 1));
   EXPECT_TRUE(stream.tasks.empty());
