Reject responses whose status is not from 100 to 599

What callers saw: an endpoint in trouble sent "HTTP/1.1 000 <unknown-status>", and the caller got it as an answer, with the signature. So it did with 001 to 099 and with 600 to 999 on safe, unsafe and stream routes, and with 101, which nobody had asked for, without its body. The native API passed on 600 to 999 and 101.

Cause: no reader asked whether a status exists. The pool took any three digits and knew only 1xx as special; the request sender takes any status below 500 as final, so 000 also ended the attempts of a request that another endpoint could answer, was preferred to the valid response of a slower endpoint, and (read, not run) cleared the request of earlier crashes. Relay and native API have no check of their own.

Change: net/response_rules decides, without network, whether the lines of a head are a valid response. The pool asks it with the lines as they are received, the client of the native API with the lines that libcurl passes on. An invalid response fails the attempt as one that may have run, with the reason, and its connection is closed: an idempotent request goes to another endpoint, any other is answered 502. All other readers (streams, tasks, rewards, orders, reports, the provider, other instances, hickoryctl) read through these two.

Handled before: 000 to 099 at the native API (libcurl), status 000 as the text of a task or a generation (only 200 is one).

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -24,6 +25,7 @@
 #include "core/reason.h"
 #include "net/address.h"
 #include "net/read_buffer.h"
+#include "net/response_rules.h"
 
 namespace hickorywood::net {
 namespace {
@@ -38,7 +40,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttp11 = 11;
-constexpr unsigned kSwitchingProtocols = 101;
 constexpr uint32_t kMaxAnswerHeaderBytes = 64 * 1024;
 // Maximum length that an answer may state. The parser allocates a body of that
 // length before the first byte of it arrives.
@@ -124,13 +125,9 @@
         error_ = "the peer sends interim responses without end";
         co_return false;
       }
-      parser_.emplace();
-      parser_->header_limit(kMaxAnswerHeaderBytes);
-      parser_->body_limit(boost::none);
-      const auto [failure, count] = co_await http::async_read_header(
-          stream_, buffer_, *parser_, kNoThrow);
-      if (failure) co_return Fail(failure);
-    } while (IsInterim(parser_->get().result_int()));
+      const bool is_valid = co_await ReadAnyHead();
+      if (!is_valid) co_return false;
+    } while (IsInterim(head_));
     const auto length = parser_->content_length();
     if (length && *length > kMaxStatedBytes) {
       error_ = "the answer states a length above the limit";
@@ -138,7 +135,7 @@
     }
     if (length) ReserveForBody(buffer_, *length);
     const auto& message = parser_->get();
-    head.status = static_cast<int>(message.result_int());
+    head.status = head_.status;
     head.headers.clear();
     for (const auto& field : message) {
       head.headers.push_back(
@@ -192,9 +189,71 @@
   }
 
  private:
-  // An interim response is followed by the final one (RFC 9110, section 15.2).
-  static bool IsInterim(unsigned status) {
-    return status / 100 == 1 && status != kSwitchingProtocols;
+  std::string_view Received() const {
+    const auto bytes = buffer_.data();
+    return {static_cast<const char*>(bytes.data()), bytes.size()};
+  }
+
+  // Receives some bytes and returns their number. At the end of the connection
+  // it returns 0 if that completes the response.
+  awaitable<std::optional<size_t>> Receive() {
+    const size_t size = beast::read_size(buffer_, kMaxReadBytes);
+    if (size == 0) {
+      Fail(http::error::buffer_overflow);
+      co_return std::nullopt;
+    }
+    auto [failure, count] =
+        co_await stream_.async_read_some(buffer_.prepare(size), kNoThrow);
+    buffer_.commit(count);
+    if (failure == asio::error::eof) {
+      failure = http::error::end_of_stream;
+      if (parser_->got_some()) parser_->put_eof(failure);
+    }
+    if (failure) {
+      Fail(failure);
+      co_return std::nullopt;
+    }
+    co_return count;
+  }
+
+  // Reads the head of a final or an interim response.
+  awaitable<bool> ReadAnyHead() {
+    parser_.emplace();
+    parser_->header_limit(kMaxAnswerHeaderBytes);
+    parser_->body_limit(boost::none);
+    head_ = {};
+    size_t checked = 0;  // bytes of the buffer whose lines were added to head_
+    for (;;) {
+      if (!AddReceivedLines(checked)) {
+        error_ = core::LastReason().text;
+        co_return false;
+      }
+      error_code failure;
+      const size_t used =
+          buffer_.size() > 0 ? parser_->put(buffer_.data(), failure) : 0;
+      buffer_.consume(used);
+      checked -= std::min(checked, used);
+      if (parser_->is_header_done()) co_return true;
+      if (failure && failure != http::error::need_more) {
+        co_return Fail(failure);
+      }
+      const auto count = co_await Receive();
+      if (!count) co_return false;
+    }
+  }
+
+  // Adds the complete lines after the first `checked` bytes of the buffer.
+  // Returns false if the response is not valid.
+  bool AddReceivedLines(size_t& checked) {
+    std::string_view rest = Received().substr(checked);
+    while (!head_.is_complete) {
+      const size_t end = rest.find('\n');
+      if (end == std::string_view::npos) break;
+      if (!AddHeadLine(head_, rest.substr(0, end + 1))) return false;
+      checked += end + 1;
+      rest.remove_prefix(end + 1);
+    }
+    return true;
   }
 
   // A read without a deadline starts no timer, because a stream has many reads.
@@ -232,6 +291,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMaxBufferedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
+  response_head head_;  // of the response that was read last
   std::string error_;
   std::vector<uint64_t> carried_;  // hashes of the request ids
   bool is_identified_ = false;
--- /dev/null
+++ b/packages/net/response_rules.h
@@ -0,0 +1,29 @@
+#ifndef HICKORYWOOD_NET_RESPONSE_RULES_H_
+#define HICKORYWOOD_NET_RESPONSE_RULES_H_
+
+// Decides whether a response is valid (RFC 9110, RFC 9112). Each client asks
+// with the lines of a response as it received them. A response that is not
+// valid must not be used, and its connection must be closed.
+
+#include <string_view>
+
+namespace hickorywood::net {
+
+// The head of a final or an interim response.
+struct response_head {
+  int status = 0;  // 0: the status line was not added yet
+  // The empty line was added.
+  bool is_complete = false;
+};
+
+// Adds the next line of a head, with its line end. Returns false and sets the
+// last reason if the response is not valid.
+bool AddHeadLine(response_head& head, std::string_view line);
+
+// Whether a complete head is followed by the head of another response to the
+// same request (RFC 9110, section 15.2).
+bool IsInterim(const response_head& head);
+
+}  // namespace hickorywood::net
+
+#endif  // HICKORYWOOD_NET_RESPONSE_RULES_H_
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -11,6 +11,9 @@
 #include <mutex>
 #include <utility>
 
+#include "core/reason.h"
+#include "net/response_rules.h"
+
 namespace hickorywood::transport {
 namespace {
 
@@ -50,7 +53,9 @@
   curl_slist* headers = nullptr;
   bool is_status_reported = false;
   size_t header_bytes = 0;
+  net::response_head head;  // of the latest response, also if it is interim
   bool is_too_long = false;
+  std::string problem;  // why the response is not valid
 
   ~transfer() {
     if (easy != nullptr) curl_easy_cleanup(easy);
@@ -60,10 +65,15 @@
 
 void ReportStatus(transfer& item) {
   if (item.is_status_reported || !item.request.on_status) return;
-  long status = 0;
-  curl_easy_getinfo(item.easy, CURLINFO_RESPONSE_CODE, &status);
   item.is_status_reported = true;
-  item.request.on_status(static_cast<int>(status));
+  item.request.on_status(item.response.status);
+}
+
+// Ends a transfer: any other return value of a callback than the number of its
+// bytes aborts the transfer and closes its connection.
+size_t Reject(transfer& item) {
+  item.problem = core::LastReason().text;
+  return 0;
 }
 
 size_t OnBody(char* data, size_t size, size_t count, void* context) {
@@ -101,26 +111,24 @@
   return true;
 }
 
-// The header callback also receives the lines of interim responses (RFC 9110,
-// section 15.2).
-bool IsInterim(CURL* easy) {
-  long status = 0;
-  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  return status / 100 == 1;
-}
-
+// Receives the lines of the heads of all responses to the request, and of the
+// trailers.
 size_t OnHeader(char* data, size_t size, size_t count, void* context) {
   auto& item = *static_cast<transfer*>(context);
   const std::string line(data, size * count);
   item.header_bytes += line.size();
   item.is_too_long = item.header_bytes > kMaxHeaderBytes;
   if (item.is_too_long) return 0;
-  if (line == "\r\n" && !IsInterim(item.easy)) {
-    // Any return value other than the size aborts the transfer and closes its
-    // connection.
-    return IsResponseToRequest(item) ? line.size() : 0;
+  const bool is_trailer = item.head.is_complete && !net::IsInterim(item.head);
+  if (!is_trailer) {
+    if (item.head.is_complete) item.head = {};
+    if (!net::AddHeadLine(item.head, line)) return Reject(item);
+    if (net::IsInterim(item.head)) return line.size();
+    item.response.status = item.head.status;
+    if (item.head.is_complete) {
+      return IsResponseToRequest(item) ? line.size() : 0;
+    }
   }
-  if (line.starts_with("HTTP/")) item.response.headers.clear();
   const size_t colon = line.find(':');
   if (colon == std::string::npos) return line.size();
   const size_t start = line.find_first_not_of(" \t", colon + 1);
@@ -232,9 +240,6 @@
   const std::unique_ptr<transfer> item = std::move(found->second);
   active.erase(found);
   http_response& response = item->response;
-  long status = 0;
-  curl_easy_getinfo(item->easy, CURLINFO_RESPONSE_CODE, &status);
-  response.status = static_cast<int>(status);
   response.how = DeliveryOf(item->easy, code);
   response.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
   if (code != CURLE_OK) response.error = curl_easy_strerror(code);
@@ -243,6 +248,7 @@
                          ? "the response is too long"
                          : "the response may belong to another request";
   }
+  if (!item->problem.empty()) response.error = item->problem;
   curl_multi_remove_handle(multi, item->easy);
   if (code == CURLE_OK) ReportStatus(*item);
   item->done(std::move(response));
--- /dev/null
+++ b/tests/support/response_cases.cc
@@ -0,0 +1,137 @@
+#include "support/response_cases.h"
+
+#include <utility>
+
+namespace hickorywood::testing {
+
+const char kCaseBody[] = "id: 1\ndata: case\n\n";
+
+namespace {
+
+constexpr char kIds[] = "{ids}";
+constexpr const char* kIdHeaders[] = {"X-Request-Id", "X-Call-Id"};
+constexpr char kOkLine[] = "HTTP/1.1 200 OK\r\n";
+
+std::string Length() {
+  return "Content-Length: " + std::to_string(std::string(kCaseBody).size()) +
+         "\r\n";
+}
+
+// A response with a status line, further field lines and a body.
+std::string Response(const std::string& status_line, const std::string& fields,
+                     const std::string& body) {
+  return status_line + kIds +
+         "X-Response-Stamp: signed\r\nX-Weight-Versions: 1\r\n" + fields +
+         "\r\n" + body;
+}
+
+std::string WithFields(const std::string& fields) {
+  return Response(kOkLine, fields + Length(), kCaseBody);
+}
+
+std::string WithStatusLine(const std::string& line) {
+  return Response(line, Length(), kCaseBody);
+}
+
+// The body in two chunks.
+std::string Chunks(const std::string& last_chunk) {
+  return "2\r\nid\r\n10\r\n: 1\ndata: case\n\n\r\n" + last_chunk;
+}
+
+std::string WithChunks(const std::string& fields, const std::string& chunks) {
+  return Response(kOkLine, fields + "Transfer-Encoding: chunked\r\n", chunks);
+}
+
+std::string ReplaceAll(std::string text, const std::string& from,
+                       const std::string& to) {
+  for (size_t at = text.find(from); at != std::string::npos;
+       at = text.find(from, at + to.size())) {
+    text.replace(at, from.size(), to);
+  }
+  return text;
+}
+
+}  // namespace
+
+std::vector<scripted_response> InvalidStatuses() {
+  std::vector<scripted_response> all;
+  for (const char* status : {"000", "001", "042", "099", "600", "700", "999"}) {
+    all.push_back({std::string("Status") + status,
+                   WithStatusLine(std::string("HTTP/1.1 ") + status +
+                                  " <unknown-status>\r\n")});
+  }
+  all.push_back(
+      {"SwitchingProtocols",
+       Response("HTTP/1.1 101 Switching Protocols\r\n",
+                "Connection: Upgrade\r\nUpgrade: other\r\n", kCaseBody)});
+  all.push_back(
+      {"Status000AfterAnInterimResponse",
+       "HTTP/1.1 100 Continue\r\n\r\n" + WithStatusLine("HTTP/1.1 000 x\r\n")});
+  return all;
+}
+
+std::vector<scripted_response> ValidResponses() {
+  const std::string continued = "HTTP/1.1 100 Continue\r\n\r\n";
+  std::vector<scripted_response> all = {
+      {"Ordinary", WithFields("")},
+      {"EmptyReason", WithStatusLine("HTTP/1.1 200 \r\n")},
+      {"ReasonWithHighBytesAndTab",
+       WithStatusLine("HTTP/1.1 200 \xc3\xa9\ttab\r\n")},
+      {"TokenCharactersInName", WithFields("!#$%&'*+-.^_`|~09azAZ: a\r\n")},
+      {"HighBytesAndTabInValue", WithFields("X-Name: \xc3\xa9\ta\xff\r\n")},
+      {"EmptyValue", WithFields("X-Name:\r\nX-Other: \t \r\n")},
+      {"BlanksAroundValue", WithFields("X-Name:\t a  \r\n")},
+      {"EqualLengths", WithFields(Length())},
+      {"Chunked", WithChunks("", Chunks("0\r\n\r\n"))},
+      {"ChunkExtensionAndTrailers",
+       WithChunks("Trailer: X-Sum\r\n",
+                  Chunks("0;last=\"a b\"\r\nX-Sum: 1\r\nX-Other:\r\n\r\n"))},
+      {"UpperCaseCoding", Response(kOkLine, "transfer-encoding: Chunked\r\n",
+                                   Chunks("000\r\n\r\n"))},
+      {"ContentEncoding", WithFields("Content-Encoding: identity\r\n")},
+      {"InterimResponses", continued +
+                               "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+                               WithFields("")},
+      {"InterimResponseWithoutBody",
+       "HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n" + WithFields("")},
+      {"BodyEndsWithConnection", Response(kOkLine, "", kCaseBody), true},
+      {"Http10", Response("HTTP/1.0 200 OK\r\n", "", kCaseBody), true},
+      {"Http10WithLength", WithStatusLine("HTTP/1.0 200 OK\r\n"), true},
+  };
+  return all;
+}
+
+scripted_response ResponseTo(const net::request& input,
+                             scripted_response response) {
+  std::string ids;
+  for (const char* name : kIdHeaders) {
+    if (!net::Has(input.headers, name)) continue;
+    ids += std::string(name) + ": " +
+           std::string(net::Find(input.headers, name)) + "\r\n";
+  }
+  response.bytes = ReplaceAll(std::move(response.bytes), kIds, ids);
+  return response;
+}
+
+scripted_response WithBody(scripted_response response,
+                           const std::string& body) {
+  const std::string old_body = kCaseBody;
+  if (response.bytes.ends_with(old_body)) {
+    response.bytes.resize(response.bytes.size() - old_body.size());
+    response.bytes += body;
+  }
+  response.bytes =
+      ReplaceAll(std::move(response.bytes),
+                 "Content-Length: " + std::to_string(old_body.size()),
+                 "Content-Length: " + std::to_string(body.size()));
+  return response;
+}
+
+scripted_response OrdinaryResponse(const std::string& body) {
+  return {"Ordinary",
+          Response(kOkLine,
+                   "Content-Length: " + std::to_string(body.size()) + "\r\n",
+                   body)};
+}
+
+}  // namespace hickorywood::testing
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -6,18 +6,22 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <list>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "net/call.h"
 #include "platform/protocol.h"
 #include "support/duplicate_response_server.h"
 #include "support/endless_server.h"
+#include "support/response_cases.h"
+#include "support/scripted_server.h"
 
 namespace hickorywood::entry {
 namespace {
@@ -333,5 +337,134 @@
   }
 }
 
+class RelayInvalidResponseTest
+    : public ::testing::TestWithParam<testing::scripted_response> {
+ protected:
+  static net::request Input() {
+    net::request input;
+    input.target = "/x";
+    input.headers = {{"X-Request-Id", "r"}};
+    return input;
+  }
+
+  static net::call_result SendThrough(route_kind kind,
+                                      const std::vector<std::string>& endpoints,
+                                      milliseconds objective) {
+    io_context loop;
+    test_entry entry(loop, endpoints, kCallTimeout, objective);
+    entry.SetKind(kind);
+    net::call_result got;
+    boost::asio::co_spawn(
+        loop, SendRequest(loop, entry, Input(), 2 * kCallTimeout),
+        [&](const std::exception_ptr&, net::call_result call) {
+          got = std::move(call);
+          loop.stop();
+        });
+    loop.run_for(kTestTimeout);
+    return got;
+  }
+
+  // No response takes that long.
+  static constexpr milliseconds kCallTimeout{5000};
+};
+
+// Guards against an invalid response that reaches a caller, on each kind of
+// route.
+TEST_P(RelayInvalidResponseTest, ReachesNoCaller) {
+  for (const route_kind kind : {route_kind::kStream, route_kind::kIdempotent,
+                                route_kind::kNonIdempotent}) {
+    testing::scripted_server endpoint([this](const net::request& input) {
+      return testing::ResponseTo(input, GetParam());
+    });
+    const net::call_result got =
+        SendThrough(kind, {endpoint.Address()}, kCallTimeout);
+    // A stream whose chunks are invalid is broken off.
+    const bool is_broken_off =
+        kind == route_kind::kStream && got.how == net::progress::kMaybeSent;
+    EXPECT_TRUE(got.answer.status == 502 || is_broken_off)
+        << static_cast<int>(kind) << ", " << got.answer.status;
+    EXPECT_FALSE(got.is_timeout) << static_cast<int>(kind);
+    EXPECT_EQ(endpoint.Requests(), 1) << static_cast<int>(kind);
+  }
+}
+
+// Guards against an invalid response that ends an idempotent request which
+// another endpoint can answer.
+TEST_P(RelayInvalidResponseTest, AnotherEndpointAnswersAnIdempotentRequest) {
+  std::atomic<int> requests{0};
+  const auto respond = [&requests](const net::request& input) {
+    return testing::ResponseTo(
+        input, ++requests == 1 ? GetParam() : testing::OrdinaryResponse("own"));
+  };
+  testing::scripted_server first(respond);
+  testing::scripted_server second(respond);
+  const net::call_result got =
+      SendThrough(route_kind::kIdempotent, {first.Address(), second.Address()},
+                  kCallTimeout);
+  EXPECT_EQ(got.answer.status, 200);
+  EXPECT_EQ(got.answer.body, "own");
+  EXPECT_EQ(requests, 2);
+}
+
+// Guards against an invalid response to the copy of a request that is preferred
+// to the valid response of the slower endpoint.
+TEST_P(RelayInvalidResponseTest, SlowerEndpointAnswersACopiedRequest) {
+  std::atomic<int> requests{0};
+  const auto respond = [&requests](const net::request& input) {
+    if (++requests == 2) return testing::ResponseTo(input, GetParam());
+    std::this_thread::sleep_for(2 * kHedgedWork);
+    return testing::ResponseTo(input, testing::OrdinaryResponse("own"));
+  };
+  testing::scripted_server first(respond);
+  testing::scripted_server second(respond);
+  const net::call_result got =
+      SendThrough(route_kind::kIdempotent, {first.Address(), second.Address()},
+                  kHedgedObjective);
+  EXPECT_EQ(got.answer.status, 200);
+  EXPECT_EQ(got.answer.body, "own");
+  EXPECT_EQ(requests, 2);
+}
+
+std::string NameOf(
+    const ::testing::TestParamInfo<testing::scripted_response>& info) {
+  return info.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, RelayInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatuses()),
+                         NameOf);
+
+// Guards against an entry that rejects or changes what ordinary servers send.
+TEST(RelayTest, ValidResponsesReachTheCaller) {
+  for (const testing::scripted_response& response : testing::ValidResponses()) {
+    for (const route_kind kind : {route_kind::kStream, route_kind::kIdempotent,
+                                  route_kind::kNonIdempotent}) {
+      testing::scripted_server endpoint([&response](const net::request& input) {
+        return testing::ResponseTo(input, response);
+      });
+      io_context loop;
+      test_entry entry(loop, {endpoint.Address()}, kTestTimeout, kTestTimeout);
+      entry.SetKind(kind);
+      net::request input;
+      input.target = "/x";
+      input.headers = {{"X-Request-Id", "r"}};
+      net::call_result got;
+      boost::asio::co_spawn(
+          loop, SendRequest(loop, entry, input, kTestTimeout),
+          [&](const std::exception_ptr&, net::call_result call) {
+            got = std::move(call);
+            loop.stop();
+          });
+      loop.run_for(kTestTimeout);
+      EXPECT_EQ(got.answer.status, 200) << response.name;
+      EXPECT_EQ(got.answer.body, testing::kCaseBody) << response.name;
+      const bool has_coding =
+          response.bytes.find("Content-Encoding") != std::string::npos;
+      EXPECT_EQ(net::Has(got.answer.headers, "Content-Encoding"), has_coding)
+          << response.name;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::entry
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,8 @@
 #include "net/listener.h"
 #include "peering/peer_interface.h"
 #include "support/duplicate_response_server.h"
+#include "support/response_cases.h"
+#include "support/scripted_server.h"
 
 namespace hickorywood::peering {
 namespace {
@@ -262,5 +265,44 @@
   EXPECT_EQ(answer.outcome, call_outcome::kDone) << answer.reason;
 }
 
+// Guards against an answer of another instance that is taken from an invalid
+// response, and against one whose connection is used again.
+TEST(LeaderCallerTest, InvalidResponsesAreNoAnswers) {
+  envelope done;
+  done.outcome = call_outcome::kDone;
+  done.payload = "payload";
+  const std::string body = core::EncodeBinary(done);
+  std::vector<testing::scripted_response> cases;
+  for (const auto& list : {testing::InvalidStatuses()}) {
+    for (const testing::scripted_response& response : list) {
+      cases.push_back(testing::WithBody(response, body));
+    }
+  }
+  for (const testing::scripted_response& response : cases) {
+    std::atomic<int> requests{0};
+    testing::scripted_server peer([&](const net::request& input) {
+      return testing::ResponseTo(
+          input, ++requests == 1 ? response : testing::OrdinaryResponse(body));
+    });
+    io_context loop;
+    net::connection_pool pool(loop);
+    leader_caller caller(pool, {});
+    std::vector<envelope> answers;
+    const auto call_twice = [&]() -> awaitable<void> {
+      for (int i = 0; i < 2; ++i) {
+        answers.push_back(co_await caller.AttemptCall(
+            peer.Address(), "method", "",
+            std::chrono::steady_clock::now() + kLimit));
+      }
+    };
+    boost::asio::co_spawn(loop, call_twice(), boost::asio::detached);
+    loop.run_for(kLimit);
+    ASSERT_EQ(answers.size(), 2U) << response.name;
+    EXPECT_EQ(answers[0].outcome, call_outcome::kUnknown) << response.name;
+    EXPECT_EQ(answers[1].payload, "payload") << response.name;
+    EXPECT_EQ(peer.Connections(), 2) << response.name;
+  }
+}
+
 }  // namespace
 }  // namespace hickorywood::peering
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -16,6 +16,8 @@
 #include "net/listener.h"
 #include "platform/protocol.h"
 #include "support/duplicate_response_server.h"
+#include "support/response_cases.h"
+#include "support/scripted_server.h"
 
 namespace hickorywood::store {
 namespace {
@@ -304,5 +306,35 @@
   EXPECT_EQ(results_[0], "mark");
 }
 
+class RewardCallerInvalidResponseTest
+    : public RewardCallerTest,
+      public ::testing::WithParamInterface<testing::scripted_response> {};
+
+// Guards against a score that is taken from an invalid response, and against a
+// call that ends although another endpoint can score the text.
+TEST_P(RewardCallerInvalidResponseTest, AnotherEndpointScores) {
+  testing::scripted_server endpoint([this](const net::request& input) {
+    return testing::ResponseTo(input, GetParam());
+  });
+  AddEndpoint("scorers", endpoint.Address());
+  Add(0);
+  ASSERT_TRUE(RunUntil([&] { return endpoint.Requests() > 0; }));
+  StartEndpoint([](net::exchange& call) -> awaitable<void> {
+    net::response answer = SignedResponse(call.Request(), 200, "mark");
+    co_await call.Reply(std::move(answer));
+  });
+  EXPECT_TRUE(RunUntil([this] { return !results_.empty(); }));
+  EXPECT_EQ(results_[0], "mark");
+}
+
+std::string NameOf(
+    const ::testing::TestParamInfo<testing::scripted_response>& info) {
+  return info.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, RewardCallerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatuses()),
+                         NameOf);
+
 }  // namespace
 }  // namespace hickorywood::store
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -17,6 +17,8 @@
 #include "platform/protocol.h"
 #include "support/duplicate_response_server.h"
 #include "support/endless_server.h"
+#include "support/response_cases.h"
+#include "support/scripted_server.h"
 
 namespace hickorywood::store {
 namespace {
@@ -256,5 +258,44 @@
   }
 }
 
+class TaskRunnerInvalidResponseTest
+    : public ::testing::TestWithParam<testing::scripted_response> {};
+
+// Guards against a text that is taken from an invalid response, and against an
+// outcome that only a valid response may have.
+TEST_P(TaskRunnerInvalidResponseTest, EndsTheRunAsBroken) {
+  testing::scripted_server engine([this](const net::request& input) {
+    return testing::ResponseTo(input, GetParam());
+  });
+  const auto wire = platform::MakeProtocol();
+  io_context loop;
+  core::runtime_clock clock;
+  net::connection_pool pool(loop);
+  task_runner runs(loop, clock, pool, *wire);
+  std::optional<run_outcome> outcome;
+  runs.on_report = [&](const run_report& report) {
+    if (!report.is_over) return;
+    outcome = report.how;
+    loop.stop();
+  };
+  run_order order;
+  order.run = 1;
+  order.address = engine.Address();
+  order.target = "/s/run";
+  order.headers = {{"X-Request-Id", "t"}};
+  runs.Start(std::move(order));
+  loop.run_for(milliseconds(4000));
+  EXPECT_EQ(outcome, run_outcome::kBroken);
+}
+
+std::string NameOf(
+    const ::testing::TestParamInfo<testing::scripted_response>& info) {
+  return info.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, TaskRunnerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatuses()),
+                         NameOf);
+
 }  // namespace
 }  // namespace hickorywood::store
