Reject invalid field lines in responses and trailers

What callers saw: a line of a response that begins with a blank or a tab became a part of the field before it, so that what looks like a name, " X-Name: a", was passed on within another value, and a signature reached the caller changed. The native API passed on responses with a blank, tab, control byte or separator in the name of a field, before the colon too, without that field, and ones with control bytes in values, with bare line feeds, and with such lines in interim responses and trailers.

Cause: the parser of the pool unfolds continued lines (RFC 9112, section 5.2) and shows only the result; libcurl is lenient by design, and the fields were read as any text before a colon.

Both clients take the fields from there. Trailers are checked by the same rule; the pool does so when its parser has consumed the last chunk, so it reads the body with its own loop. The native API no longer adds trailers to the fields of the head.

Handled before: at entries a blank, tab, control byte, DEL, separator or byte above 127 in a name or before the colon, control bytes in values, line feeds and interim responses with them were refused by the parser; the tests stay.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -134,34 +134,30 @@
       co_return false;
     }
     if (length) ReserveForBody(buffer_, *length);
-    const auto& message = parser_->get();
     head.status = head_.status;
-    head.headers.clear();
-    for (const auto& field : message) {
-      head.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
+    head.headers = std::move(head_.headers);
     co_return true;
   }
 
   awaitable<body_state> ReadSome(std::string& piece,
                                  time_point deadline) override {
-    if (parser_->is_done()) co_return MoveBody(piece);
+    if (is_invalid_ || parser_->is_done()) co_return MoveBody(piece);
     SetDeadline(deadline);
-    const auto [failure, count] =
-        co_await http::async_read_some(stream_, buffer_, *parser_, kNoThrow);
-    if (failure) {
-      Fail(failure);
-      co_return body_state::kBroken;
+    for (;;) {
+      const size_t unparsed = buffer_.size();
+      ParseReceived();
+      const bool has_progress =
+          is_invalid_ || parser_->is_done() || buffer_.size() < unparsed;
+      if (has_progress) co_return MoveBody(piece);
+      const auto count = co_await Receive();
+      if (!count) co_return body_state::kBroken;
+      GrowForBody(buffer_, *count);
     }
-    GrowForBody(buffer_, count);
-    ParseReceived();
-    co_return MoveBody(piece);
   }
 
   // Whether the connection can carry another request.
   bool IsReusable() {
-    if (!is_identified_ || !parser_ || !parser_->is_done() ||
+    if (!is_identified_ || is_invalid_ || !parser_ || !parser_->is_done() ||
         !parser_->get().keep_alive()) {
       return false;
     }
@@ -199,7 +195,7 @@
   awaitable<std::optional<size_t>> Receive() {
     const size_t size = beast::read_size(buffer_, kMaxReadBytes);
     if (size == 0) {
-      Fail(http::error::buffer_overflow);
+      Reject(error_code(http::error::buffer_overflow).message());
       co_return std::nullopt;
     }
     auto [failure, count] =
@@ -225,8 +221,7 @@
     size_t checked = 0;  // bytes of the buffer whose lines were added to head_
     for (;;) {
       if (!AddReceivedLines(checked)) {
-        error_ = core::LastReason().text;
-        co_return false;
+        co_return Reject(core::LastReason().text);
       }
       error_code failure;
       const size_t used =
@@ -235,7 +230,7 @@
       checked -= std::min(checked, used);
       if (parser_->is_header_done()) co_return true;
       if (failure && failure != http::error::need_more) {
-        co_return Fail(failure);
+        co_return Reject(failure.message());
       }
       const auto count = co_await Receive();
       if (!count) co_return false;
@@ -267,21 +262,46 @@
 
   // Parses the chunks that were received together: each read takes a turn of
   // the loop. It doesn't wait for the rest of a chunk, because the events
-  // before it are delivered at once. A failure recurs in the next read.
+  // before it are delivered at once.
   void ParseReceived() {
-    error_code failure;
-    while (!failure && buffer_.size() > 0 && !parser_->is_done()) {
-      buffer_.consume(parser_->put(buffer_.data(), failure));
+    while (!is_invalid_ && buffer_.size() > 0 && !parser_->is_done()) {
+      error_code failure;
+      const size_t used = parser_->put(buffer_.data(), failure);
+      if (failure == http::error::need_more) {
+        buffer_.consume(used);
+        return;
+      }
+      // The parser consumes the last chunk and the trailers at once.
+      const bool is_last_chunk = parser_->chunked() && parser_->is_done();
+      if (failure) {
+        Reject(failure.message());
+      } else if (is_last_chunk &&
+                 !IsValidLastChunk(Received().substr(0, used))) {
+        Reject(core::LastReason().text);
+      }
+      buffer_.consume(used);
     }
   }
 
+  // Bytes that precede invalid ones are returned before the failure.
   body_state MoveBody(std::string& piece) {
     std::string& body = parser_->get().body();
+    const bool is_empty = body.empty();
     piece += body;
     body.clear();
+    if (is_invalid_) {
+      return is_empty ? body_state::kBroken : body_state::kMore;
+    }
     return parser_->is_done() ? body_state::kEnd : body_state::kMore;
   }
 
+  // The connection is not used again after an invalid response.
+  bool Reject(std::string problem) {
+    error_ = std::move(problem);
+    is_invalid_ = true;
+    return false;
+  }
+
   bool Fail(error_code failure) {
     error_ = failure.message();
     return false;
@@ -293,6 +313,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   response_head head_;  // of the response that was read last
   std::string error_;
+  bool is_invalid_ = false;
   std::vector<uint64_t> carried_;  // hashes of the request ids
   bool is_identified_ = false;
   bool is_reused_ = false;
--- a/packages/net/response_rules.cc
+++ b/packages/net/response_rules.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -11,16 +11,51 @@
 namespace hickorywood::net {
 namespace {
 
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kBlanks = " \t";
 constexpr size_t kStatusDigits = 3;
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 constexpr int kSwitchingProtocols = 101;
 
+// Removes the first line, with its line end, and returns it.
+std::string_view TakeLine(std::string_view& text) {
+  const size_t end = text.find('\n');
+  const size_t size = end == std::string_view::npos ? text.size() : end + 1;
+  const std::string_view taken = text.substr(0, size);
+  text.remove_prefix(size);
+  return taken;
+}
+
 bool Reject(std::string problem) {
   core::SetLastReason(core::reason_code::kInvalid, std::move(problem));
   return false;
 }
 
+bool IsDigit(char item) { return item >= '0' && item <= '9'; }
+
+// Characters of field names (RFC 9110, section 5.6.2).
+bool IsTokenCharacter(char item) {
+  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
+  const bool is_letter =
+      (item >= 'a' && item <= 'z') || (item >= 'A' && item <= 'Z');
+  return is_letter || IsDigit(item) ||
+         kSymbols.find(item) != std::string_view::npos;
+}
+
+// Characters of field values.
+bool IsTextCharacter(char item) {
+  constexpr unsigned char kDelete = 0x7f;
+  const auto byte = static_cast<unsigned char>(item);
+  return item == '\t' || (byte >= ' ' && byte != kDelete);
+}
+
+std::string_view TrimBlanks(std::string_view text) {
+  const size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
 bool AddStatusLine(response_head& head, std::string_view line) {
   const size_t version_end = std::min(line.size(), line.find(' ') + 1);
   const std::string_view digits = line.substr(version_end, kStatusDigits);
@@ -37,14 +72,67 @@
   return true;
 }
 
+std::optional<header> ParseField(std::string_view line) {
+  // A continuation of the previous line (RFC 9112, section 5.2).
+  if (kBlanks.find(line.front()) != std::string_view::npos) {
+    return core::Fail(core::reason_code::kInvalid,
+                      "a field line begins with a blank");
+  }
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return core::Fail(core::reason_code::kInvalid, "a field line has no colon");
+  }
+  const std::string_view name = line.substr(0, colon);
+  const bool is_token =
+      !name.empty() && std::all_of(name.begin(), name.end(), IsTokenCharacter);
+  if (!is_token) {
+    return core::Fail(core::reason_code::kInvalid,
+                      "the name of a field is not a token");
+  }
+  const std::string_view value = line.substr(colon + 1);
+  if (!std::all_of(value.begin(), value.end(), IsTextCharacter)) {
+    return core::Fail(core::reason_code::kInvalid,
+                      "the value of a field contains a control character");
+  }
+  return header{std::string(name), std::string(TrimBlanks(value))};
+}
+
 }  // namespace
 
 bool AddHeadLine(response_head& head, std::string_view line) {
+  if (!line.ends_with(kLineEnd)) {
+    return Reject("a line of the head does not end with CRLF");
+  }
+  line.remove_suffix(kLineEnd.size());
   if (head.status == 0) return AddStatusLine(head, line);
-  head.is_complete = line == "\r\n" || line == "\n";
+  if (line.empty()) {
+    head.is_complete = true;
+    return true;
+  }
+  auto field = ParseField(line);
+  if (!field) return false;
+  head.headers.push_back(std::move(*field));
   return true;
 }
 
 bool IsInterim(const response_head& head) { return head.status / 100 == 1; }
 
+bool IsValidTrailer(std::string_view line) {
+  if (!line.ends_with(kLineEnd)) {
+    return Reject("a line of the trailers does not end with CRLF");
+  }
+  line.remove_suffix(kLineEnd.size());
+  return line.empty() || ParseField(line).has_value();
+}
+
+bool IsValidLastChunk(std::string_view bytes) {
+  // The line end of the chunk before, and the size.
+  if (bytes.starts_with(kLineEnd)) bytes.remove_prefix(kLineEnd.size());
+  TakeLine(bytes);
+  while (!bytes.empty()) {
+    if (!IsValidTrailer(TakeLine(bytes))) return false;
+  }
+  return true;
+}
+
 }  // namespace hickorywood::net
--- a/packages/net/response_rules.h
+++ b/packages/net/response_rules.h
@@ -7,11 +7,14 @@
 
 #include <string_view>
 
+#include "net/message.h"
+
 namespace hickorywood::net {
 
 // The head of a final or an interim response.
 struct response_head {
   int status = 0;  // 0: the status line was not added yet
+  header_list headers;
   // The empty line was added.
   bool is_complete = false;
 };
@@ -24,6 +27,15 @@
 // same request (RFC 9110, section 15.2).
 bool IsInterim(const response_head& head);
 
+// Checks a line of the trailers of a chunked body. Returns false and sets the
+// last reason if it is not valid.
+bool IsValidTrailer(std::string_view line);
+
+// Checks the trailers. `bytes` are the last chunk and the trailers, and may
+// begin with the line end of the chunk before. Returns false and sets the last
+// reason if they are not valid.
+bool IsValidLastChunk(std::string_view bytes);
+
 }  // namespace hickorywood::net
 
 #endif  // HICKORYWOOD_NET_RESPONSE_RULES_H_
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -115,30 +115,23 @@
 // trailers.
 size_t OnHeader(char* data, size_t size, size_t count, void* context) {
   auto& item = *static_cast<transfer*>(context);
-  const std::string line(data, size * count);
+  const std::string_view line(data, size * count);
   item.header_bytes += line.size();
   item.is_too_long = item.header_bytes > kMaxHeaderBytes;
   if (item.is_too_long) return 0;
-  const bool is_trailer = item.head.is_complete && !net::IsInterim(item.head);
-  if (!is_trailer) {
-    if (item.head.is_complete) item.head = {};
-    if (!net::AddHeadLine(item.head, line)) return Reject(item);
-    if (net::IsInterim(item.head)) return line.size();
-    item.response.status = item.head.status;
-    if (item.head.is_complete) {
-      return IsResponseToRequest(item) ? line.size() : 0;
+  if (item.head.is_complete) {
+    if (!net::IsInterim(item.head)) {
+      return net::IsValidTrailer(line) ? line.size() : Reject(item);
     }
+    item.head = {};
   }
-  const size_t colon = line.find(':');
-  if (colon == std::string::npos) return line.size();
-  const size_t start = line.find_first_not_of(" \t", colon + 1);
-  const size_t end = line.find_last_not_of("\r\n \t");
-  const bool has_value =
-      start != std::string::npos && end != std::string::npos && end >= start;
-  item.response.headers.push_back(
-      {line.substr(0, colon),
-       has_value ? line.substr(start, end - start + 1) : ""});
-  return line.size();
+  if (!net::AddHeadLine(item.head, line)) return Reject(item);
+  if (!item.head.is_complete || net::IsInterim(item.head)) return line.size();
+  item.response.status = item.head.status;
+  for (const net::header& field : item.head.headers) {
+    item.response.headers.push_back({field.name, field.value});
+  }
+  return IsResponseToRequest(item) ? line.size() : 0;
 }
 
 // An interrupted transfer counts as not sent only if nothing was written to its
--- a/tests/integration/invalid_response_test.cc
+++ b/tests/integration/invalid_response_test.cc
@@ -1,8 +1,9 @@
-// Endpoints that send invalid responses to a deployment of real
+// Endpoints and a provider that send invalid responses to a deployment of real
 // processes, and to instances with the native API.
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <map>
@@ -27,12 +28,20 @@
 // One response of each kind, for paths whose requests take long.
 std::vector<scripted_response> SomeResponses() {
   std::vector<scripted_response> some;
-  for (const auto& list : {InvalidStatuses()}) {
+  for (const auto& list : {InvalidStatuses(), InvalidFields()}) {
     some.insert(some.end(), list.begin(), list.end());
   }
   return some;
 }
 
+// An invalid success that a lenient parser accepts.
+scripted_response InvalidSuccess(const std::string& body) {
+  for (const scripted_response& response : InvalidFields()) {
+    if (response.name == "LineBeginsWithBlank") return WithBody(response, body);
+  }
+  return {};
+}
+
 std::string TextOf(const std::string& file) {
   std::ifstream in(file);
   std::ostringstream text;
@@ -137,6 +146,151 @@
   }
 }
 
+// Guards against a text of a task that is taken from an invalid response.
+TEST_F(InvalidResponseOfEndpointTest, IsNoTextOfATask) {
+  constexpr int kTasks = 24;
+  constexpr char kStep[] = "step";
+  scripted_server engine([](const net::request& input) {
+    return ResponseTo(input, InvalidSuccess(kCaseBody));
+  });
+  ASSERT_TRUE(Start("engines", engine.Address()));
+  ASSERT_TRUE(fleet_.Submit("e1", kStep, kTasks));
+  const json results = fleet_.WaitForResults("e1", kStep, kTasks);
+  ASSERT_EQ(results.size(), static_cast<size_t>(kTasks));
+  for (const json& result : results) {
+    const std::string id = result["id"];
+    EXPECT_EQ(result["output"], simulated_endpoints::OutputOf(id));
+  }
+  EXPECT_GT(engine.Requests(), 0);
+}
+
+// Guards against a report or the outcome of an order that is taken from an
+// invalid response of an engine.
+TEST_F(InvalidResponseOfEndpointTest, IsNeitherAReportNorTheOutcomeOfAnOrder) {
+  const auto report = [](int version) {
+    return json({{"models",
+                  json::array({{{"name", "n"}, {"version", version}}})},
+                 {"busy", false},
+                 {"seq", version - 1}})
+        .dump();
+  };
+  std::atomic<int> reports{0};
+  scripted_server engine([&](const net::request& input) {
+    if (input.target != "/v1/report") {
+      return ResponseTo(input, InvalidSuccess("{}"));
+    }
+    // Only the second report is valid, and is followed by an order.
+    return ResponseTo(input, ++reports == 2 ? OrdinaryResponse(report(1))
+                                            : InvalidSuccess(report(2)));
+  });
+  const json models = json::array({{{"name", "n"}}});
+  fleet_.extra_service = {{"name", "loaders"},
+                          {"engine", {{"slots", 8}, {"models", models}}}};
+  ASSERT_TRUE(Start("loaders", engine.Address()));
+  ASSERT_EQ(fleet_.Web()
+                    .Post(fleet_.ControlAddress(fleet_.ControlLeader()),
+                          "/v1/version-put", {{"model", "n"}, {"version", 2}})
+                    .status /
+                100,
+            2);
+  EXPECT_TRUE(WaitUntil([this] {
+    return HasAnyLogged("\"status\":\"none: a field line begins with a blank");
+  }));
+  EXPECT_FALSE(HasAnyLogged(
+      R"("endpoint":"x-1","model":"n","version":"2","done":"true")"));
+}
+
+class InvalidResponseOfProviderTest : public ::testing::Test {
+ protected:
+  // Windows of usage reports and numbers of ordered servers, in the order of
+  // their arrival.
+  std::vector<int64_t> windows_;
+  int orders_ = 0;
+  std::mutex mutex_;
+  // The first response to each kind of call is invalid.
+  scripted_server provider_{[this](const net::request& input) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const scripted_response invalid = InvalidSuccess("{}");
+    if (input.target == "/usage") {
+      windows_.push_back(json::parse(input.body.Text()).at("window_id"));
+      return ResponseTo(
+          input, windows_.size() == 1 ? invalid : OrdinaryResponse("{}"));
+    }
+    return ResponseTo(input, ++orders_ == 1 ? invalid : OrdinaryResponse("{}"));
+  }};
+  deployment fleet_;  // declared last because its thread uses the others
+};
+
+// Guards against a report of usage that counts as accepted because of an
+// invalid response, and is never sent again.
+TEST_F(InvalidResponseOfProviderTest, IsNoAcceptedReport) {
+  fleet_.customers = json::array({{{"name", "first"}, {"api_keys", {"k1"}}}});
+  fleet_.caller_key = "k1";
+  fleet_.extra_settings =
+      "usage: {window: 1s, due: 8s}\nprovider: {address: \"" +
+      provider_.Address() + "\", duties: [usage]}\n";
+  ASSERT_TRUE(fleet_.Start());
+  ASSERT_TRUE(WaitUntil([this] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return windows_.size() >= 2;
+  }));
+  const std::lock_guard<std::mutex> lock(mutex_);
+  EXPECT_EQ(windows_[0], windows_[1]);
+}
+
+// Guards against an order of servers that counts as accepted because of an
+// invalid response.
+TEST_F(InvalidResponseOfProviderTest, IsNoAcceptedOrder) {
+  constexpr char kService[] = "ordered";
+  std::atomic<int> servers{4};
+  std::atomic<int> sequence{0};
+  fleet_.extra_service = {{"name", kService},
+                          {"scaling",
+                           {{"min", 1},
+                            {"max", 8},
+                            {"startup_s", 1.0},
+                            {"spot_price", 0.2},
+                            {"zone_prices", {{"za", 1.0}}}}}};
+  fleet_.extra_settings = "provider: {address: \"" + provider_.Address() +
+                          "\", duties: [autoscale]}\n";
+  fleet_.extra_heartbeats = [&] {
+    ++sequence;
+    std::map<std::string, std::string> bodies;
+    for (int i = 0; i < servers; ++i) {
+      json body = json::parse(simulated_endpoints::Heartbeat(
+          kService, "127.0.0.9:" + std::to_string(9000 + i), 1, sequence));
+      body["zone"] = "za";
+      bodies["s" + std::to_string(i)] = body.dump();
+    }
+    return bodies;
+  };
+  ASSERT_TRUE(fleet_.Start());
+  ASSERT_TRUE(WaitUntil([&] {
+    for (const std::string& control : fleet_.Controls()) {
+      const json report = fleet_.Scaling(control);
+      if (!report.is_object() || report["services"].empty()) continue;
+      for (const json& group : report["services"][0]["groups"]) {
+        if (group["target"] == servers.load()) return true;
+      }
+    }
+    return false;
+  }));
+  servers = 3;
+  EXPECT_TRUE(WaitUntil([&] {
+    return fleet_.Leave(fleet_.Controls().front(), "s3") ||
+           fleet_.Leave(fleet_.Controls().back(), "s3");
+  }));
+  EXPECT_TRUE(WaitUntil([this] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return orders_ >= 2;
+  }));
+  const auto has_logged = [this](const std::string& control) {
+    return fleet_.HasLogged(control, "\"status\":\"no answer: a field line");
+  };
+  const std::vector<std::string>& controls = fleet_.Controls();
+  EXPECT_TRUE(std::any_of(controls.begin(), controls.end(), has_logged));
+}
+
 class InvalidResponseAtInstanceTest : public ::testing::Test {
  protected:
   InvalidResponseAtInstanceTest() : fleet_(ThreeNodes()) {}
@@ -180,6 +334,9 @@
   const std::string path = "/v1/services/bookings/x";
   ASSERT_EQ(fleet_.Web().Get(address, path).status, 200);
   std::vector<scripted_response> responses = SomeResponses();
+  for (const auto& list : {InvalidTrailers()}) {
+    responses.insert(responses.end(), list.begin(), list.end());
+  }
   for (const scripted_response& response : responses) {
     endpoint.Set(response);
     for (const bool is_idempotent : {true, false}) {
@@ -193,11 +350,17 @@
   }
 }
 
-// Guards against a generation that takes the text of an invalid response.
-TEST_F(InvalidResponseAtInstanceTest, IsNoTextOfAGeneration) {
+// Guards against a generation that takes the text of an invalid response, and
+// against an order that counts as accepted by an invalid response.
+TEST_F(InvalidResponseAtInstanceTest, IsNeitherATextNorTheOutcomeOfAnOrder) {
   std::vector<scripted_response> responses = SomeResponses();
   std::atomic<int> runs{0};
+  std::atomic<int> orders{0};
   scripted_server engine([&](const net::request& input) {
+    if (input.target == "/v1/orders") {
+      ++orders;
+      return ResponseTo(input, InvalidSuccess("{}"));
+    }
     const auto number = static_cast<size_t>(runs++);
     const json asked = json::parse(input.body.Text());
     const json chunk = {
@@ -224,6 +387,13 @@
     EXPECT_EQ(got.body.find("invalid text"), std::string::npos) << got.body;
   }
   EXPECT_GT(runs, 0);
+  ASSERT_EQ(fleet_.Web()
+                .Post(fleet_.Callers("n1"), "/v1/pools/pool-a/weights",
+                      {{"version", 2}})
+                .status,
+            200);
+  EXPECT_TRUE(WaitUntil([&] { return orders > 0; }));
+  EXPECT_TRUE(WaitUntil([&] { return HasAnyLogged("HK4006"); }));
 }
 
 }  // namespace
--- a/tests/support/response_cases.cc
+++ b/tests/support/response_cases.cc
@@ -70,6 +70,54 @@
   return all;
 }
 
+std::vector<scripted_response> InvalidFields() {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n";
+  std::vector<scripted_response> all = {
+      {"BlankInName", WithFields("X Name: a\r\n")},
+      {"TabInName", WithFields("X\tName: a\r\n")},
+      {"BlankBeforeColon", WithFields("X-Name : a\r\n")},
+      {"TabBeforeColon", WithFields("X-Name\t: a\r\n")},
+      {"ControlByteInName", WithFields("X-\x01Name: a\r\n")},
+      {"DeleteInName", WithFields("X-\x7fName: a\r\n")},
+      {"HighByteInName", WithFields("X-\xe9Name: a\r\n")},
+      {"SeparatorInName", WithFields("X(Name): a\r\n")},
+      {"CarriageReturnInName", WithFields("X-\rName: a\r\n")},
+      {"NulInName", WithFields(std::string("X-\0Name: a\r\n", 12))},
+      {"EmptyName", WithFields(": a\r\n")},
+      {"NoColon", WithFields("X-Name\r\n")},
+      {"LineBeginsWithBlank", WithFields(" X-Name: a\r\n")},
+      {"LineBeginsWithTab", WithFields("\tX-Name: a\r\n")},
+      {"FirstLineBeginsWithBlank",
+       WithStatusLine(std::string(kOkLine) + " X-Name: a\r\n")},
+      {"BlankLine", WithFields(" \r\n")},
+      {"ControlByteInValue", WithFields("X-Name: a\x01z\r\n")},
+      {"DeleteInValue", WithFields("X-Name: a\x7fz\r\n")},
+      {"CarriageReturnInValue", WithFields("X-Name: a\rz\r\n")},
+      {"LineFeedOnly", WithFields("X-Name: a\n")},
+      {"BlankInNameOfAnInterimResponse",
+       interim + "X Name: a\r\n\r\n" + WithFields("")},
+      {"ControlByteInNameOfAnInterimResponse",
+       interim + "X-\x01Name: a\r\n\r\n" + WithFields("")},
+      {"LineOfAnInterimResponseBeginsWithBlank",
+       interim + "X-Name: a\r\n b\r\n\r\n" + WithFields("")},
+  };
+  all.push_back({"LineFeedsOnly", ReplaceAll(WithFields(""), "\r\n", "\n")});
+  return all;
+}
+
+std::vector<scripted_response> InvalidTrailers() {
+  return {
+      {"BlankInNameOfTrailer",
+       WithChunks("", Chunks("0\r\nX Name: a\r\n\r\n"))},
+      {"ControlByteInNameOfTrailer",
+       WithChunks("", Chunks("0\r\nX-\x01Name: a\r\n\r\n"))},
+      {"ControlByteInTrailer",
+       WithChunks("", Chunks("0\r\nX-Name: a\x01\r\n\r\n"))},
+      {"TrailerBeginsWithBlank",
+       WithChunks("", Chunks("0\r\nX-Name: a\r\n b\r\n\r\n"))},
+  };
+}
+
 std::vector<scripted_response> ValidResponses() {
   const std::string continued = "HTTP/1.1 100 Continue\r\n\r\n";
   std::vector<scripted_response> all = {
--- a/tests/support/response_cases.h
+++ b/tests/support/response_cases.h
@@ -17,6 +17,10 @@
 
 // Status codes that are not from 100 to 599, and 101 without a request for it.
 std::vector<scripted_response> InvalidStatuses();
+// Blanks and control bytes in the names of fields, and other invalid lines.
+std::vector<scripted_response> InvalidFields();
+// Invalid lines in the trailers of a chunked body.
+std::vector<scripted_response> InvalidTrailers();
 // Responses that ordinary servers send.
 std::vector<scripted_response> ValidResponses();
 
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -433,6 +433,11 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, RelayInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(Fields, RelayInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Trailers, RelayInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidTrailers()),
+                         NameOf);
 
 // Guards against an entry that rejects or changes what ordinary servers send.
 TEST(RelayTest, ValidResponsesReachTheCaller) {
--- a/tests/unit/net/response_rules_test.cc
+++ b/tests/unit/net/response_rules_test.cc
@@ -44,10 +44,45 @@
   }
 }
 
+// Guards against a byte in the name of a field that another reader takes for
+// the end of the name, and against rejecting names that servers may send.
+TEST(ResponseRulesTest, NamesConsistOfTokenCharacters) {
+  const std::string token =
+      "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+  for (int byte = 0; byte < 256; ++byte) {
+    // A colon ends the name.
+    if (byte == ':') continue;
+    const char item = static_cast<char>(byte);
+    const bool is_valid = token.find(item) != std::string::npos;
+    for (const std::string& name :
+         {std::string(1, item), std::string("X") + item + "Y",
+          std::string("X") + item, item + std::string("X")}) {
+      response_head head;
+      head.status = 200;
+      EXPECT_EQ(AddHeadLine(head, name + ": a\r\n"), is_valid) << byte;
+    }
+  }
+}
+
+// Guards against a control byte in a value that is passed on, and against
+// rejecting tabs and bytes above 127.
+TEST(ResponseRulesTest, ValuesContainNoControlBytes) {
+  for (int byte = 0; byte < 256; ++byte) {
+    const char item = static_cast<char>(byte);
+    const bool is_valid = byte == '\t' || (byte >= ' ' && byte != 0x7f);
+    response_head head;
+    head.status = 200;
+    EXPECT_EQ(AddHeadLine(head, std::string("X: a") + item + "b\r\n"), is_valid)
+        << byte;
+  }
+}
+
 // Guards against readers that disagree on a head: each invalid one is rejected
 // by this decision alone.
 TEST(ResponseRulesTest, InvalidHeadsAreRejected) {
-  for (const auto& list : {testing::InvalidStatuses()}) {
+  for (const auto& list :
+       {testing::InvalidStatuses(), testing::InvalidFields()}) {
     for (testing::scripted_response response : list) {
       response = testing::ResponseTo({}, response);
       EXPECT_FALSE(Parse(response.bytes)) << response.name;
@@ -55,5 +90,25 @@
   }
 }
 
+TEST(ResponseRulesTest, ValidHeadsAreAccepted) {
+  for (testing::scripted_response response : testing::ValidResponses()) {
+    response = testing::ResponseTo({}, response);
+    const auto head = Parse(response.bytes);
+    ASSERT_TRUE(head) << response.name;
+    EXPECT_EQ(head->status, 200) << response.name;
+    EXPECT_EQ(Find(head->headers, "X-Response-Stamp"), "signed")
+        << response.name;
+  }
+  EXPECT_TRUE(Parse("HTTP/1.1 200\r\n\r\n"));
+}
+
+// Guards against a check of trailers that does not end at a line without an
+// end.
+TEST(ResponseRulesTest, IncompleteLastChunkIsInvalid) {
+  EXPECT_TRUE(IsValidLastChunk("\r\n0\r\nX-Name: a\r\n\r\n"));
+  EXPECT_FALSE(IsValidLastChunk("0\r\nX-Name: a"));
+  EXPECT_FALSE(IsValidLastChunk("0\r\n X-Name: a\r\n\r\n"));
+}
+
 }  // namespace
 }  // namespace hickorywood::net
--- a/tests/unit/peering/leader_caller_test.cc
+++ b/tests/unit/peering/leader_caller_test.cc
@@ -273,7 +273,8 @@
   done.payload = "payload";
   const std::string body = core::EncodeBinary(done);
   std::vector<testing::scripted_response> cases;
-  for (const auto& list : {testing::InvalidStatuses()}) {
+  for (const auto& list :
+       {testing::InvalidStatuses(), testing::InvalidFields()}) {
     for (const testing::scripted_response& response : list) {
       cases.push_back(testing::WithBody(response, body));
     }
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -335,6 +335,8 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, RewardCallerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(Fields, RewardCallerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFields()), NameOf);
 
 }  // namespace
 }  // namespace hickorywood::store
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -296,6 +296,11 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, TaskRunnerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(Fields, TaskRunnerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Trailers, TaskRunnerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidTrailers()),
+                         NameOf);
 
 }  // namespace
 }  // namespace hickorywood::store
--- a/tests/unit/transport/invalid_response_test.cc
+++ b/tests/unit/transport/invalid_response_test.cc
@@ -106,6 +106,11 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, InvalidHttpResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(Fields, InvalidHttpResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Trailers, InvalidHttpResponseTest,
+                         ::testing::ValuesIn(testing::InvalidTrailers()),
+                         NameOf);
 
 class ValidHttpResponseTest
     : public ::testing::TestWithParam<scripted_response> {};
