Accept only HTTP/1.0 and HTTP/1.1 status lines

What callers saw: the native API passed on responses that state another version (HTTP/2.0, HTTP/2, "http/1.1") or have a control byte in their reason phrase.

Cause: libcurl takes a line that begins like one of HTTP for a status line.

A missing blank before an empty reason stays accepted.

Handled before: entries refused all of them by their parser; libcurl refused the other cases. The tests stay.

--- a/packages/net/response_rules.cc
+++ b/packages/net/response_rules.cc
@@ -13,6 +13,7 @@
 
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kBlanks = " \t";
+constexpr std::string_view kVersionPrefix = "HTTP/1.";
 constexpr size_t kStatusDigits = 3;
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
@@ -43,7 +44,7 @@
          kSymbols.find(item) != std::string_view::npos;
 }
 
-// Characters of field values.
+// Characters of field values and reason phrases.
 bool IsTextCharacter(char item) {
   constexpr unsigned char kDelete = 0x7f;
   const auto byte = static_cast<unsigned char>(item);
@@ -57,8 +58,19 @@
 }
 
 bool AddStatusLine(response_head& head, std::string_view line) {
-  const size_t version_end = std::min(line.size(), line.find(' ') + 1);
-  const std::string_view digits = line.substr(version_end, kStatusDigits);
+  if (!line.starts_with(kVersionPrefix)) {
+    return Reject("the response is not HTTP/1.0 or HTTP/1.1");
+  }
+  line.remove_prefix(kVersionPrefix.size());
+  const bool is_known = line.starts_with("0 ") || line.starts_with("1 ");
+  if (!is_known) return Reject("the response is not HTTP/1.0 or HTTP/1.1");
+  line.remove_prefix(2);
+  const std::string_view digits = line.substr(0, kStatusDigits);
+  const std::string_view rest = line.substr(digits.size());
+  const bool is_number = digits.size() == kStatusDigits &&
+                         std::all_of(digits.begin(), digits.end(), IsDigit) &&
+                         (rest.empty() || rest.front() == ' ');
+  if (!is_number) return Reject("the status of the response is not a number");
   int status = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), status);
   if (status < kMinStatus || status > kMaxStatus) {
@@ -68,6 +80,9 @@
   if (status == kSwitchingProtocols) {
     return Reject("the response switches to a protocol not asked for");
   }
+  if (!std::all_of(rest.begin(), rest.end(), IsTextCharacter)) {
+    return Reject("the reason phrase contains a control character");
+  }
   head.status = status;
   return true;
 }
--- a/tests/support/response_cases.cc
+++ b/tests/support/response_cases.cc
@@ -70,6 +70,23 @@
   return all;
 }
 
+std::vector<scripted_response> InvalidStatusLines() {
+  return {
+      {"Version2", WithStatusLine("HTTP/2.0 200 OK\r\n")},
+      {"Version2WithoutMinor", WithStatusLine("HTTP/2 200 OK\r\n")},
+      {"Version09", WithStatusLine("HTTP/0.9 200 OK\r\n")},
+      {"Version12", WithStatusLine("HTTP/1.2 200 OK\r\n")},
+      {"OtherProtocol", WithStatusLine("ICY 200 OK\r\n")},
+      {"LowerCaseVersion", WithStatusLine("http/1.1 200 OK\r\n")},
+      {"TwoDigits", WithStatusLine("HTTP/1.1 20 OK\r\n")},
+      {"FourDigits", WithStatusLine("HTTP/1.1 2000 OK\r\n")},
+      {"StatusIsNoNumber", WithStatusLine("HTTP/1.1 2x0 OK\r\n")},
+      {"NoStatus", WithStatusLine("HTTP/1.1\r\n")},
+      {"ControlByteInReason", WithStatusLine("HTTP/1.1 200 O\x01K\r\n")},
+      {"NoStatusLine", WithStatusLine("")},
+  };
+}
+
 std::vector<scripted_response> InvalidFields() {
   const std::string interim = "HTTP/1.1 103 Early Hints\r\n";
   std::vector<scripted_response> all = {
--- a/tests/support/response_cases.h
+++ b/tests/support/response_cases.h
@@ -17,6 +17,8 @@
 
 // Status codes that are not from 100 to 599, and 101 without a request for it.
 std::vector<scripted_response> InvalidStatuses();
+// Other versions than HTTP/1.0 and HTTP/1.1, and malformed status lines.
+std::vector<scripted_response> InvalidStatusLines();
 // Blanks and control bytes in the names of fields, and other invalid lines.
 std::vector<scripted_response> InvalidFields();
 // Invalid lines in the trailers of a chunked body.
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -433,6 +433,9 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, RelayInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(StatusLines, RelayInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatusLines()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, RelayInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, RelayInvalidResponseTest,
--- a/tests/unit/net/invalid_response_test.cc
+++ b/tests/unit/net/invalid_response_test.cc
@@ -92,6 +92,9 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, InvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(StatusLines, InvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatusLines()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, InvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, InvalidResponseTest,
--- a/tests/unit/net/response_rules_test.cc
+++ b/tests/unit/net/response_rules_test.cc
@@ -75,6 +75,10 @@
     head.status = 200;
     EXPECT_EQ(AddHeadLine(head, std::string("X: a") + item + "b\r\n"), is_valid)
         << byte;
+    response_head begun;
+    EXPECT_EQ(AddHeadLine(begun, std::string("HTTP/1.1 200 a") + item + "\r\n"),
+              is_valid)
+        << byte;
   }
 }
 
@@ -82,7 +86,8 @@
 // by this decision alone.
 TEST(ResponseRulesTest, InvalidHeadsAreRejected) {
   for (const auto& list :
-       {testing::InvalidStatuses(), testing::InvalidFields()}) {
+       {testing::InvalidStatuses(), testing::InvalidStatusLines(),
+        testing::InvalidFields()}) {
     for (testing::scripted_response response : list) {
       response = testing::ResponseTo({}, response);
       EXPECT_FALSE(Parse(response.bytes)) << response.name;
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -296,6 +296,9 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, TaskRunnerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(StatusLines, TaskRunnerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatusLines()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, TaskRunnerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, TaskRunnerInvalidResponseTest,
--- a/tests/unit/transport/invalid_response_test.cc
+++ b/tests/unit/transport/invalid_response_test.cc
@@ -106,6 +106,9 @@
 INSTANTIATE_TEST_SUITE_P(Statuses, InvalidHttpResponseTest,
                          ::testing::ValuesIn(testing::InvalidStatuses()),
                          NameOf);
+INSTANTIATE_TEST_SUITE_P(StatusLines, InvalidHttpResponseTest,
+                         ::testing::ValuesIn(testing::InvalidStatusLines()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, InvalidHttpResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, InvalidHttpResponseTest,
