Reject responses whose body has no certain end

What callers saw, at entries: with a transfer coding that is not known, or not one final "chunked", chunk sizes as a part of the body, or a compressed body without the field that says so ("gzip, chunked"); a 204 or an interim response that states a body was taken for one without, and the body's bytes stayed in the connection. At the native API: two different lengths, lengths that are no number, a length and chunks together, and a second "chunked" were passed on with either body.

Cause: each parser determined the framing in its own lenient way; the pool's looks for "chunked" at the end of each field, libcurl anywhere and at the first digits of a length.

Unchanged: a Content-Encoding is the server's own and is passed on by entries with its field (RelayTest.ValidResponsesReachTheCaller). Handled before: entries refused lengths that differ or are no number, and a length beside chunks.

--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -83,7 +83,9 @@
   const std::string& Error() const override { return error_; }
   void SetError(std::string why) override { error_ = std::move(why); }
   void MarkIdentified() override { is_identified_ = true; }
-  bool IsFramed() const override { return !parser_->need_eof(); }
+  bool IsFramed() const override {
+    return head_.framing != body_framing::kConnection;
+  }
 
   bool HasCarried(const std::string& request_id) const {
     const uint64_t hash = core::Hash64(request_id);
--- a/packages/net/response_rules.cc
+++ b/packages/net/response_rules.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include "core/reason.h"
@@ -18,6 +20,8 @@
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 // Removes the first line, with its line end, and returns it.
 std::string_view TakeLine(std::string_view& text) {
@@ -64,6 +68,7 @@
   line.remove_prefix(kVersionPrefix.size());
   const bool is_known = line.starts_with("0 ") || line.starts_with("1 ");
   if (!is_known) return Reject("the response is not HTTP/1.0 or HTTP/1.1");
+  head.is_http11 = line.front() == '1';
   line.remove_prefix(2);
   const std::string_view digits = line.substr(0, kStatusDigits);
   const std::string_view rest = line.substr(digits.size());
@@ -112,6 +117,68 @@
   return header{std::string(name), std::string(TrimBlanks(value))};
 }
 
+std::optional<uint64_t> ParseLength(std::string_view text) {
+  uint64_t length = 0;
+  const auto [end, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), length);
+  if (failure != std::errc() || end != text.data() + text.size()) {
+    return core::Fail(core::reason_code::kInvalid,
+                      "the length of the body is not a number");
+  }
+  return length;
+}
+
+// Adds the lengths in the value of a Content-Length field, which may be a list
+// of equal ones (RFC 9110, section 8.6). Returns false if they differ.
+bool AddLengths(std::optional<uint64_t>& length, std::string_view value) {
+  for (;;) {
+    const size_t comma = value.find(',');
+    const auto next = ParseLength(TrimBlanks(value.substr(0, comma)));
+    if (!next) return false;
+    if (length && *length != *next) {
+      return Reject("the response has two lengths");
+    }
+    length = next;
+    if (comma == std::string_view::npos) return true;
+    value.remove_prefix(comma + 1);
+  }
+}
+
+// Sets the framing of the body (RFC 9112, section 6.3).
+bool SetFraming(response_head& head) {
+  std::optional<uint64_t> length;
+  int codings = 0;
+  for (const header& item : head.headers) {
+    if (SameName(item.name, "Content-Length")) {
+      if (!AddLengths(length, item.value)) return false;
+    } else if (SameName(item.name, "Transfer-Encoding")) {
+      // No request accepts another coding.
+      if (!SameName(item.value, "chunked") || ++codings > 1) {
+        return Reject("the transfer coding is not one \"chunked\"");
+      }
+    }
+  }
+  const bool is_chunked = codings > 0;
+  if (is_chunked && length) {
+    return Reject("the response has a length and a transfer coding");
+  }
+  if (is_chunked && !head.is_http11) {
+    return Reject("a response of HTTP/1.0 has a transfer coding");
+  }
+  const bool is_bodiless = IsInterim(head) || head.status == kNoContent;
+  if (is_bodiless && (is_chunked || length.value_or(0) > 0)) {
+    return Reject("a response without a body has a length or a coding");
+  }
+  if (is_bodiless || head.status == kNotModified) {
+    head.framing = body_framing::kNone;
+  } else if (is_chunked) {
+    head.framing = body_framing::kChunked;
+  } else {
+    head.framing = length ? body_framing::kLength : body_framing::kConnection;
+  }
+  return true;
+}
+
 }  // namespace
 
 bool AddHeadLine(response_head& head, std::string_view line) {
@@ -122,7 +189,7 @@
   if (head.status == 0) return AddStatusLine(head, line);
   if (line.empty()) {
     head.is_complete = true;
-    return true;
+    return SetFraming(head);
   }
   auto field = ParseField(line);
   if (!field) return false;
--- a/packages/net/response_rules.h
+++ b/packages/net/response_rules.h
@@ -11,12 +11,22 @@
 
 namespace hickorywood::net {
 
+// How the end of a body is determined.
+enum class body_framing {
+  kNone,  // there is no body, whatever the fields say
+  kLength,
+  kChunked,
+  kConnection,  // the body ends with its connection
+};
+
 // The head of a final or an interim response.
 struct response_head {
-  int status = 0;  // 0: the status line was not added yet
+  bool is_http11 = false;  // otherwise HTTP/1.0
+  int status = 0;          // 0: the status line was not added yet
   header_list headers;
-  // The empty line was added.
+  // The empty line was added, and `framing` is set.
   bool is_complete = false;
+  body_framing framing = body_framing::kConnection;
 };
 
 // Adds the next line of a head, with its line end. Returns false and sets the
--- a/tests/integration/invalid_response_test.cc
+++ b/tests/integration/invalid_response_test.cc
@@ -28,8 +28,8 @@
 // One response of each kind, for paths whose requests take long.
 std::vector<scripted_response> SomeResponses() {
   std::vector<scripted_response> some;
-  for (const auto& list :
-       {InvalidStatuses(), InvalidStatusLines(), InvalidFields()}) {
+  for (const auto& list : {InvalidStatuses(), InvalidStatusLines(),
+                           InvalidFields(), InvalidFramings()}) {
     some.insert(some.end(), list.begin(), list.end());
   }
   return some;
--- a/tests/support/response_cases.cc
+++ b/tests/support/response_cases.cc
@@ -122,6 +122,59 @@
   return all;
 }
 
+std::vector<scripted_response> InvalidFramings() {
+  const std::string body = kCaseBody;
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const auto with = [](const std::string& fields, const std::string& content,
+                       const std::string& line = kOkLine) {
+    return Response(line, fields, content);
+  };
+  std::vector<scripted_response> all = {
+      {"TwoLengths", with(Length() + "Content-Length: 4\r\n", body)},
+      {"ListOfTwoLengths", with("Content-Length: 18, 4\r\n", body)},
+      {"SignedLength", with("Content-Length: +18\r\n", body)},
+      {"NegativeLength", with("Content-Length: -18\r\n", body)},
+      {"HexadecimalLength", with("Content-Length: 0x12\r\n", body)},
+      {"LengthWithText", with("Content-Length: 18 bytes\r\n", body)},
+      {"EmptyLength", with("Content-Length:\r\n", body)},
+      {"LengthTooLarge",
+       with("Content-Length: 99999999999999999999\r\n", body)},
+      {"LengthAndChunked", with(Length() + chunked, Chunks("0\r\n\r\n"))},
+      {"ChunkedAndLength", with(chunked + Length(), Chunks("0\r\n\r\n"))},
+      {"ChunkedTwice", with(chunked + chunked, Chunks("0\r\n\r\n"))},
+      {"ChunkedTwiceInOneField",
+       with("Transfer-Encoding: chunked, chunked\r\n", Chunks("0\r\n\r\n"))},
+      {"GzipAndChunked",
+       with("Transfer-Encoding: gzip, chunked\r\n", Chunks("0\r\n\r\n"))},
+      {"GzipAndChunkedInTwoFields",
+       with("Transfer-Encoding: gzip\r\n" + chunked, Chunks("0\r\n\r\n"))},
+      {"UnknownCodingAndLength",
+       with("Transfer-Encoding: other\r\n" + Length(), body)},
+      {"ChunkedInHttp10",
+       with(chunked, Chunks("0\r\n\r\n"), "HTTP/1.0 200 OK\r\n")},
+      {"NoContentWithLength",
+       with(Length(), body, "HTTP/1.1 204 No Content\r\n")},
+      {"NoContentWithChunks",
+       with(chunked, Chunks("0\r\n\r\n"), "HTTP/1.1 204 No Content\r\n")},
+      {"InterimResponseWithLength",
+       "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\n" +
+           with(Length(), body)},
+  };
+  // Without these codings the body would end with its connection.
+  for (const auto& [name, coding] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"UnknownCoding", "other"},
+           {"ChunkedIsNotFinal", "chunked, gzip"},
+           {"ChunkedWithParameter", "chunked;q=1"},
+           {"EmptyCoding", ""}}) {
+    all.push_back(
+        {name,
+         with("Transfer-Encoding: " + coding + "\r\n", Chunks("0\r\n\r\n")),
+         true});
+  }
+  return all;
+}
+
 std::vector<scripted_response> InvalidTrailers() {
   return {
       {"BlankInNameOfTrailer",
--- a/tests/support/response_cases.h
+++ b/tests/support/response_cases.h
@@ -21,6 +21,8 @@
 std::vector<scripted_response> InvalidStatusLines();
 // Blanks and control bytes in the names of fields, and other invalid lines.
 std::vector<scripted_response> InvalidFields();
+// Lengths and transfer codings that leave the end of the body undetermined.
+std::vector<scripted_response> InvalidFramings();
 // Invalid lines in the trailers of a chunked body.
 std::vector<scripted_response> InvalidTrailers();
 // Responses that ordinary servers send.
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -438,6 +438,9 @@
                          NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, RelayInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Framings, RelayInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFramings()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, RelayInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidTrailers()),
                          NameOf);
--- a/tests/unit/net/invalid_response_test.cc
+++ b/tests/unit/net/invalid_response_test.cc
@@ -97,6 +97,9 @@
                          NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, InvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Framings, InvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFramings()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, InvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidTrailers()),
                          NameOf);
--- a/tests/unit/net/response_rules_test.cc
+++ b/tests/unit/net/response_rules_test.cc
@@ -30,6 +30,10 @@
   return std::nullopt;
 }
 
+std::optional<response_head> ParseWith(const std::string& fields) {
+  return Parse("HTTP/1.1 200 OK\r\n" + fields + "\r\n");
+}
+
 // Guards against a status that is read as a response although none has it, and
 // against rejecting one that servers may send.
 TEST(ResponseRulesTest, StatusesFrom100To599AreValid) {
@@ -87,7 +91,7 @@
 TEST(ResponseRulesTest, InvalidHeadsAreRejected) {
   for (const auto& list :
        {testing::InvalidStatuses(), testing::InvalidStatusLines(),
-        testing::InvalidFields()}) {
+        testing::InvalidFields(), testing::InvalidFramings()}) {
     for (testing::scripted_response response : list) {
       response = testing::ResponseTo({}, response);
       EXPECT_FALSE(Parse(response.bytes)) << response.name;
@@ -107,6 +111,19 @@
   EXPECT_TRUE(Parse("HTTP/1.1 200\r\n\r\n"));
 }
 
+TEST(ResponseRulesTest, FramingFollowsTheFields) {
+  EXPECT_EQ(ParseWith("Content-Length: 0\r\n")->framing, body_framing::kLength);
+  EXPECT_EQ(ParseWith("Content-Length: 5 , 5\r\n")->framing,
+            body_framing::kLength);
+  EXPECT_EQ(ParseWith("Transfer-Encoding: CHUNKED\r\n")->framing,
+            body_framing::kChunked);
+  EXPECT_EQ(ParseWith("")->framing, body_framing::kConnection);
+  for (const char* line :
+       {"HTTP/1.1 204 x\r\n", "HTTP/1.1 304 x\r\nContent-Length: 5\r\n"}) {
+    EXPECT_EQ(Parse(std::string(line) + "\r\n")->framing, body_framing::kNone);
+  }
+}
+
 // Guards against a check of trailers that does not end at a line without an
 // end.
 TEST(ResponseRulesTest, IncompleteLastChunkIsInvalid) {
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -337,6 +337,9 @@
                          NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, RewardCallerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Framings, RewardCallerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFramings()),
+                         NameOf);
 
 }  // namespace
 }  // namespace hickorywood::store
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -301,6 +301,9 @@
                          NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, TaskRunnerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Framings, TaskRunnerInvalidResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFramings()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, TaskRunnerInvalidResponseTest,
                          ::testing::ValuesIn(testing::InvalidTrailers()),
                          NameOf);
--- a/tests/unit/transport/invalid_response_test.cc
+++ b/tests/unit/transport/invalid_response_test.cc
@@ -111,6 +111,9 @@
                          NameOf);
 INSTANTIATE_TEST_SUITE_P(Fields, InvalidHttpResponseTest,
                          ::testing::ValuesIn(testing::InvalidFields()), NameOf);
+INSTANTIATE_TEST_SUITE_P(Framings, InvalidHttpResponseTest,
+                         ::testing::ValuesIn(testing::InvalidFramings()),
+                         NameOf);
 INSTANTIATE_TEST_SUITE_P(Trailers, InvalidHttpResponseTest,
                          ::testing::ValuesIn(testing::InvalidTrailers()),
                          NameOf);
