Do not suspect requests of a crash after invalid responses

What callers saw: an endpoint in trouble sent an invalid response and ended later, for reasons of its own. The request counted as one under which an endpoint had crashed; after three such endpoints it was sent to none for a while, although it was innocent. Any invalid response did this, also those that were refused before.

Cause: an invalid response was handled as a connection that broke, which may be the crash of the endpoint.

Change: both clients tell the two apart: bytes that are no valid response come from an endpoint that is running. The attempt still fails and the endpoint is avoided, but no crash is looked for, and the request is not suspected: plain requests, rewards, streams, tasks (the runner tells the leader; an earlier leader ignores it), calls and generations of the native API. A response that is cut off counts as a broken connection, as before.

--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -287,7 +287,11 @@
     if (stream.how == stream_start::outcome::kNoAnswer) {
       routing::RecordFailure(loads, target.incarnation, clock_.Now());
       const auto cancellation = co_await asio::this_coro::cancellation_state;
-      if (!IsEndedLocally(cancellation, deadline)) open.SettleBroken();
+      if (stream.from->HasInvalidResponse()) {
+        open.Settle();
+      } else if (!IsEndedLocally(cancellation, deadline)) {
+        open.SettleBroken();
+      }
       co_await call.Reply(
           wire_.EncodeFailure(502, "the endpoint sent no valid answer", {}));
       co_return;
@@ -312,8 +316,11 @@
       co_await call.WriteStream(std::move(piece));
     }
     const auto cancellation = co_await asio::this_coro::cancellation_state;
-    if (state == net::body_state::kBroken &&
-        !IsEndedLocally(cancellation, deadline)) {
+    if (stream.from->HasInvalidResponse()) {
+      routing::RecordFailure(loads, target.incarnation, clock_.Now());
+      open.Settle();
+    } else if (state == net::body_state::kBroken &&
+               !IsEndedLocally(cancellation, deadline)) {
       open.SettleBroken();
     }
     if (state == net::body_state::kEnd) {
--- a/packages/hickoryd/call_service.cc
+++ b/packages/hickoryd/call_service.cc
@@ -37,6 +37,11 @@
          response.Header(kOutcomeHeader) == kNotRunOutcome;
 }
 
+// An endpoint that sent an invalid response is running.
+bool MayHaveCrashed(const http_response& response) {
+  return response.how == delivery::kMaybeSent && !response.is_invalid;
+}
+
 // Whether the end of the response is verifiable. Without a length or chunked
 // encoding a truncated response looks like a complete one.
 bool HasVerifiableEnd(const http_response& response) {
@@ -340,9 +345,9 @@
     return;
   }
   if (response.how != delivery::kNotSent) call->was_maybe_sent = true;
-  if (response.how == delivery::kMaybeSent && response.is_timeout) {
+  if (MayHaveCrashed(response) && response.is_timeout) {
     quarantine_.RecordAbandoned(IdentityOf(call->call), call->endpoint);
-  } else if (response.how == delivery::kMaybeSent) {
+  } else if (MayHaveCrashed(response)) {
     quarantine_.RecordBrokenConnection(IdentityOf(call->call), call->endpoint);
   }
   if (response.how != delivery::kAnswered) {
@@ -395,10 +400,9 @@
       response.how == delivery::kNotSent || ReportsNotRun(response);
   // The endpoint may have crashed, which is confirmed only later. One more
   // crash would quarantine a suspected call, so it is not repeated now.
-  const bool may_have_crashed = response.how == delivery::kMaybeSent;
-  const bool must_wait =
-      may_have_crashed && quarantine_.Check(IdentityOf(call->call)).state !=
-                              quarantine::quarantine_state::kClear;
+  const bool must_wait = MayHaveCrashed(response) &&
+                         quarantine_.Check(IdentityOf(call->call)).state !=
+                             quarantine::quarantine_state::kClear;
   const bool may_repeat =
       did_not_run || (call->kind == repeatability::kIdempotent && !must_wait);
   const bool has_time =
--- a/packages/hickoryd/generation_attempt.cc
+++ b/packages/hickoryd/generation_attempt.cc
@@ -111,7 +111,8 @@
     return;
   }
   if (response.how != delivery::kNotSent) item->was_maybe_sent = true;
-  if (response.how == delivery::kMaybeSent) {
+  // An engine that sent an invalid response is running.
+  if (response.how == delivery::kMaybeSent && !response.is_invalid) {
     quarantine_.RecordBrokenConnection(IdentityOf(*item), item->announced);
   }
   const bool is_whole = response.how == delivery::kAnswered &&
--- a/packages/net/call.cc
+++ b/packages/net/call.cc
@@ -124,6 +124,7 @@
   if (!is_complete) {
     result.answer = response{.status = 0};
     result.error = open->Error();
+    result.is_invalid = open->HasInvalidResponse();
     result.is_timeout = std::chrono::steady_clock::now() >= options.deadline;
     co_return result;
   }
--- a/packages/net/call.h
+++ b/packages/net/call.h
@@ -47,6 +47,8 @@
   response answer{.status = 0};  // status 0: no complete answer
   std::string error;
   bool is_timeout = false;
+  // The endpoint sent bytes that are no valid response. It is running then.
+  bool is_invalid = false;
 };
 
 // Sends a request and reads its complete answer. The request is sent only once;
--- a/packages/net/connection_pool.cc
+++ b/packages/net/connection_pool.cc
@@ -86,6 +86,7 @@
   bool IsFramed() const override {
     return head_.framing != body_framing::kConnection;
   }
+  bool HasInvalidResponse() const override { return is_invalid_; }
 
   bool HasCarried(const std::string& request_id) const {
     const uint64_t hash = core::Hash64(request_id);
--- a/packages/net/connection_pool.h
+++ b/packages/net/connection_pool.h
@@ -46,6 +46,9 @@
   // limit.
   virtual boost::asio::awaitable<body_state> ReadSome(
       std::string& piece, core::time_point deadline) = 0;
+  // Whether the last call failed because the peer sent bytes that are no valid
+  // response. The peer is running then.
+  virtual bool HasInvalidResponse() const = 0;
   // Why the last call failed.
   virtual const std::string& Error() const = 0;
   virtual void SetError(std::string why) = 0;
--- a/packages/routing/request_sender.cc
+++ b/packages/routing/request_sender.cc
@@ -333,9 +333,11 @@
     const bool is_abandoned = call.is_timeout || is_cancelled;
     quarantine::request_identity identity = quarantine::IdentityOf(output);
     identity.is_batch = state->terms.is_batch;
-    if (result.may_have_run && !is_abandoned) {
+    // An endpoint that sent an invalid response did not crash.
+    const bool may_have_crashed = result.may_have_run && !call.is_invalid;
+    if (may_have_crashed && !is_abandoned) {
       crashes_.RecordBrokenConnection(identity, target);
-    } else if (result.may_have_run && !state->best) {
+    } else if (may_have_crashed && !state->best) {
       crashes_.RecordAbandoned(identity, target);
     }
   }
--- a/packages/store/dispatcher.h
+++ b/packages/store/dispatcher.h
@@ -155,6 +155,7 @@
     uint64_t events_at_start = 0;
     core::time_point started_at{};
     bool has_head = false;              // the engine has sent the response head
+    bool has_invalid_response = false;  // see run_report
     core::time_point last_report_at{};  // or the start
     quarantine::crash_suspicion suspicion;  // of the task, at the start
     bool is_past_crash = false;
--- a/packages/store/dispatcher_runs.cc
+++ b/packages/store/dispatcher_runs.cc
@@ -241,6 +241,7 @@
   UpdatePastCrash(*self, *task);
   if (report.is_over) {
     RecordReturnedOrder(report, self->engine.incarnation);
+    self->has_invalid_response = report.has_invalid_response;
     EndRun(self, report.how);
   }
 }
@@ -351,6 +352,11 @@
       task->not_before = clock_.Now() + kRetryPause;
       break;
     case run_outcome::kBroken:
+      // An engine that sent an invalid response did not crash.
+      if (ended->has_invalid_response) {
+        task->not_before = clock_.Now() + kRetryPause;
+        break;
+      }
       // Recorded also if the run added text, because each later run of the
       // request may add text too before it crashes its engine.
       RecordBrokenConnection(*ended);
--- a/packages/store/task_run.cc
+++ b/packages/store/task_run.cc
@@ -60,6 +60,7 @@
   if (!later.versions.empty()) earlier.versions = std::move(later.versions);
   earlier.is_over = later.is_over;
   earlier.how = later.how;
+  earlier.has_invalid_response = later.has_invalid_response;
 }
 
 }  // namespace hickorywood::store
--- a/packages/store/task_run.h
+++ b/packages/store/task_run.h
@@ -75,16 +75,17 @@
   std::vector<uint64_t> versions;  // of the text up to now
   bool is_over = false;
   run_outcome how = run_outcome::kBroken;  // set if `is_over`
+  // If the run is broken: by bytes that are no valid response, so the engine is
+  // running.
+  bool has_invalid_response = false;
   // If the order was outdated and was not carried out: the configuration and
   // the lists of the runner. 0: it was carried out.
   uint64_t newer_config = 0;
   fleet::view_version newer_lists;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(run_report, run, has_head,
-                                                weights_version, pace, data,
-                                                span_ms, spanned, versions,
-                                                is_over, how, newer_config,
-                                                newer_lists)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    run_report, run, has_head, weights_version, pace, data, span_ms, spanned,
+    versions, is_over, how, has_invalid_response, newer_config, newer_lists)
 
 // Adds a later report of the same run to an earlier one.
 void Merge(run_report& earlier, run_report later);
--- a/packages/store/task_runner.cc
+++ b/packages/store/task_runner.cc
@@ -64,6 +64,7 @@
   net::response head;
   const net::header id = wire_.RequestIdHeader(wire_.RequestId(input));
   const bool has_head = co_await net::ReadOwnHead(*open, id, deadline, head);
+  self->has_invalid_response = open->HasInvalidResponse();
   if (!has_head) co_return run_outcome::kBroken;
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
   if (marks.is_not_run) co_return run_outcome::kNotRun;
@@ -82,6 +83,7 @@
       steps::MayContinue(self->text, self->rules, marks.weights_version);
   if (!may_continue) co_return run_outcome::kUnusable;
   const run_outcome how = co_await ReadText(self, *open, marks.weights_version);
+  self->has_invalid_response = open->HasInvalidResponse();
   if (how == run_outcome::kComplete) pool_.Release(std::move(open));
   co_return how;
 }
@@ -159,6 +161,7 @@
   report.is_over = true;
   const bool is_timeout = ended->is_stalled && how == run_outcome::kMoved;
   report.how = is_timeout ? run_outcome::kBroken : how;
+  report.has_invalid_response = ended->has_invalid_response;
   on_report(std::move(report));
 }
 
--- a/packages/store/task_runner.h
+++ b/packages/store/task_runner.h
@@ -49,6 +49,7 @@
     steps::generated_text text;  // `data` has only events not yet reported
     bool has_head = false;
     bool is_stalled = false;
+    bool has_invalid_response = false;  // see run_report
     core::time_point last_event_at{};  // time of the last event or of the start
     core::milliseconds event_timeout{0};
     net::cancel_signal cancel = net::MakeCancelSignal();
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -146,6 +146,18 @@
   return IsResponseToRequest(item) ? line.size() : 0;
 }
 
+// Whether libcurl rejected the response before its line was checked here.
+bool IsInvalidResponse(CURLcode code) {
+  switch (code) {
+    case CURLE_UNSUPPORTED_PROTOCOL:  // another status line than HTTP/1.x
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_FUNCTION_ARGUMENT:  // a line that is no field
+      return true;
+    default:
+      return false;
+  }
+}
+
 // An interrupted transfer counts as not sent only if nothing was written to its
 // connection.
 delivery DeliveryOf(CURL* easy, CURLcode code) {
@@ -255,11 +267,15 @@
                          ? "the response is too long"
                          : "the response may belong to another request";
   }
+  if (IsInvalidResponse(code)) {
+    item->problem = "the response is not valid: " + response.error;
+  }
   if (code == CURLE_OK && item->chunks && !item->chunks->IsComplete()) {
     item->problem = "the response ends within a chunk";
     response.how = delivery::kMaybeSent;
   }
-  if (!item->problem.empty()) response.error = item->problem;
+  response.is_invalid = !item->problem.empty();
+  if (response.is_invalid) response.error = item->problem;
   curl_multi_remove_handle(multi, item->easy);
   if (code == CURLE_OK) ReportStatus(*item);
   item->done(std::move(response));
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -66,6 +66,8 @@
   std::vector<http_header> headers;
   std::string body;
   bool is_timeout = false;
+  // The server sent bytes that are no valid response. It is running then.
+  bool is_invalid = false;
   std::string error;
 
   // The value of a header, or empty. Names are compared case-insensitively.
--- a/tests/integration/invalid_response_test.cc
+++ b/tests/integration/invalid_response_test.cc
@@ -25,6 +25,11 @@
 using std::chrono::milliseconds;
 using transport::http_response;
 
+// A crash would be detected within this time.
+constexpr milliseconds kCrashCheckTime{1500};
+// Logged when a crash of an endpoint is attributed to a request.
+constexpr char kCrashEvent[] = "HK5007";
+
 // One response of each kind, for paths whose requests take long.
 std::vector<scripted_response> SomeResponses() {
   std::vector<scripted_response> some;
@@ -147,6 +152,33 @@
   }
 }
 
+// Guards against a request or a task that is suspected because its endpoint
+// ends after an invalid response.
+TEST_F(InvalidResponseOfEndpointTest, InnocentRequestsAreNotSuspected) {
+  const auto respond = [](const net::request& input) {
+    scripted_response response = InvalidFields().front();
+    response.stops = true;
+    return ResponseTo(input, response);
+  };
+  scripted_server plain(respond);
+  scripted_server single(respond);
+  scripted_server stream(respond);
+  scripted_server engine(respond);
+  ASSERT_TRUE(Start("broken", plain.Address(),
+                    {{"x-2", "broken", single.Address()},
+                     {"x-3", "broken", stream.Address()},
+                     {"x-4", "engines", engine.Address()}}));
+  for (const char* kind : {"unsafe", "stream", "safe"}) {
+    EXPECT_GE(Send(PathOf(kind) + "x", kind).status, 502) << kind;
+  }
+  ASSERT_TRUE(fleet_.Submit("e1", "step", 24));
+  EXPECT_EQ(fleet_.WaitForResults("e1", "step", 24).size(), 24U);
+  EXPECT_EQ(plain.Requests() + single.Requests() + stream.Requests(), 3);
+  EXPECT_GT(engine.Requests(), 0);
+  std::this_thread::sleep_for(kCrashCheckTime);
+  EXPECT_FALSE(HasAnyLogged(kCrashEvent));
+}
+
 // Guards against a text of a task that is taken from an invalid response.
 TEST_F(InvalidResponseOfEndpointTest, IsNoTextOfATask) {
   constexpr int kTasks = 24;
@@ -324,7 +356,8 @@
   cluster fleet_;
 };
 
-// Guards against an invalid response that reaches a caller of the native API.
+// Guards against an invalid response that reaches a caller of the native API,
+// and against a call that is suspected because the endpoint ends after it.
 TEST_F(InvalidResponseAtInstanceTest, ReachesNoCaller) {
   changing_server endpoint;
   ASSERT_TRUE(fleet_.Start(SmallConfiguration()));
@@ -349,6 +382,12 @@
       EXPECT_NE(BodyOf(got)["outcome"], "ran") << response.name;
     }
   }
+  scripted_response last = InvalidStatuses().front();
+  last.stops = true;
+  endpoint.Set(last);
+  EXPECT_GE(fleet_.Web().Get(address, path).status, 502);
+  std::this_thread::sleep_for(kCrashCheckTime);
+  EXPECT_FALSE(HasAnyLogged(kCrashEvent));
 }
 
 // Guards against a generation that takes the text of an invalid response, and
@@ -395,6 +434,7 @@
             200);
   EXPECT_TRUE(WaitUntil([&] { return orders > 0; }));
   EXPECT_TRUE(WaitUntil([&] { return HasAnyLogged("HK4006"); }));
+  EXPECT_FALSE(HasAnyLogged(kCrashEvent));
 }
 
 }  // namespace
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -78,6 +78,7 @@
       }
       ++requests;
       const scripted_response response = respond(ToRequest(message));
+      if (response.stops) acceptor.close();
       co_await asio::async_write(socket, asio::buffer(response.bytes),
                                  kNoThrow);
       if (response.closes) co_return;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -19,6 +19,8 @@
   std::string bytes;
   // Closes the connection after the response.
   bool closes = false;
+  // Stops listening before the response.
+  bool stops = false;
 };
 std::ostream& operator<<(std::ostream& out, const scripted_response& response);
 
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -77,6 +77,10 @@
     return "127.0.0.1:" + std::to_string(listener_.Port());
   }
   void SetKind(route_kind kind) { route_.kind = kind; }
+  // Detects crashes of endpoints, for which requests need digests.
+  void EnableCrashDetection() { view_.members.digest_key = "key"; }
+  // Number of endpoints that are being probed because they may have crashed.
+  size_t Probes() const { return crashes_.ProbesInProgress(); }
 
  private:
   static net::listener_options ListenerOptions() {
@@ -340,6 +344,13 @@
 class RelayInvalidResponseTest
     : public ::testing::TestWithParam<testing::scripted_response> {
  protected:
+  // What the caller of one request received, and the endpoints that were
+  // suspected of a crash.
+  struct result {
+    net::call_result call;
+    size_t probes = 0;
+  };
+
   static net::request Input() {
     net::request input;
     input.target = "/x";
@@ -347,17 +358,19 @@
     return input;
   }
 
-  static net::call_result SendThrough(route_kind kind,
-                                      const std::vector<std::string>& endpoints,
-                                      milliseconds objective) {
+  static result SendThrough(route_kind kind,
+                            const std::vector<std::string>& endpoints,
+                            milliseconds objective) {
     io_context loop;
     test_entry entry(loop, endpoints, kCallTimeout, objective);
     entry.SetKind(kind);
-    net::call_result got;
+    entry.EnableCrashDetection();
+    result got;
     boost::asio::co_spawn(
         loop, SendRequest(loop, entry, Input(), 2 * kCallTimeout),
         [&](const std::exception_ptr&, net::call_result call) {
-          got = std::move(call);
+          got.call = std::move(call);
+          got.probes = entry.Probes();
           loop.stop();
         });
     loop.run_for(kTestTimeout);
@@ -369,21 +382,22 @@
 };
 
 // Guards against an invalid response that reaches a caller, on each kind of
-// route.
+// route, and against a request that is suspected of a crash although its
+// endpoint is running.
 TEST_P(RelayInvalidResponseTest, ReachesNoCaller) {
   for (const route_kind kind : {route_kind::kStream, route_kind::kIdempotent,
                                 route_kind::kNonIdempotent}) {
     testing::scripted_server endpoint([this](const net::request& input) {
       return testing::ResponseTo(input, GetParam());
     });
-    const net::call_result got =
-        SendThrough(kind, {endpoint.Address()}, kCallTimeout);
+    const result got = SendThrough(kind, {endpoint.Address()}, kCallTimeout);
     // A stream whose chunks are invalid is broken off.
-    const bool is_broken_off =
-        kind == route_kind::kStream && got.how == net::progress::kMaybeSent;
-    EXPECT_TRUE(got.answer.status == 502 || is_broken_off)
-        << static_cast<int>(kind) << ", " << got.answer.status;
-    EXPECT_FALSE(got.is_timeout) << static_cast<int>(kind);
+    const bool is_broken_off = kind == route_kind::kStream &&
+                               got.call.how == net::progress::kMaybeSent;
+    EXPECT_TRUE(got.call.answer.status == 502 || is_broken_off)
+        << static_cast<int>(kind) << ", " << got.call.answer.status;
+    EXPECT_FALSE(got.call.is_timeout) << static_cast<int>(kind);
+    EXPECT_EQ(got.probes, 0U) << static_cast<int>(kind);
     EXPECT_EQ(endpoint.Requests(), 1) << static_cast<int>(kind);
   }
 }
@@ -398,11 +412,11 @@
   };
   testing::scripted_server first(respond);
   testing::scripted_server second(respond);
-  const net::call_result got =
+  const result got =
       SendThrough(route_kind::kIdempotent, {first.Address(), second.Address()},
                   kCallTimeout);
-  EXPECT_EQ(got.answer.status, 200);
-  EXPECT_EQ(got.answer.body, "own");
+  EXPECT_EQ(got.call.answer.status, 200);
+  EXPECT_EQ(got.call.answer.body, "own");
   EXPECT_EQ(requests, 2);
 }
 
@@ -417,11 +431,11 @@
   };
   testing::scripted_server first(respond);
   testing::scripted_server second(respond);
-  const net::call_result got =
+  const result got =
       SendThrough(route_kind::kIdempotent, {first.Address(), second.Address()},
                   kHedgedObjective);
-  EXPECT_EQ(got.answer.status, 200);
-  EXPECT_EQ(got.answer.body, "own");
+  EXPECT_EQ(got.call.answer.status, 200);
+  EXPECT_EQ(got.call.answer.body, "own");
   EXPECT_EQ(requests, 2);
 }
 
--- a/tests/unit/net/invalid_response_test.cc
+++ b/tests/unit/net/invalid_response_test.cc
@@ -78,6 +78,7 @@
   EXPECT_TRUE(first.answer.body.empty());
   EXPECT_FALSE(first.error.empty());
   EXPECT_FALSE(first.is_timeout);
+  EXPECT_TRUE(first.is_invalid) << first.error;
   EXPECT_TRUE(GetParam().closes || WaitUntilClosed(server));
   const call_result second = CallOnce(loop, pool, server.Address(), "second");
   EXPECT_EQ(second.how, progress::kAnswered);
@@ -106,6 +107,25 @@
                          ::testing::ValuesIn(testing::InvalidTrailers()),
                          NameOf);
 
+// Guards against an endpoint that may have crashed and counts as running.
+TEST(BrokenResponseTest, CutResponsesAreNotInvalid) {
+  for (const std::string& fields :
+       {std::string("Content-Length: 100\r\n\r\ncut"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n5\r\ncut"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n0\r\nX-"),
+        std::string("X-Na")}) {
+    scripted_server server([&fields](const request& input) {
+      return testing::ResponseTo(
+          input, {"Cut", "HTTP/1.1 200 OK\r\n{ids}" + fields, true});
+    });
+    io_context loop;
+    connection_pool pool(loop);
+    const call_result result = CallOnce(loop, pool, server.Address(), "first");
+    EXPECT_EQ(result.how, progress::kMaybeSent) << fields;
+    EXPECT_FALSE(result.is_invalid) << fields << ": " << result.error;
+  }
+}
+
 class ValidResponseTest : public ::testing::TestWithParam<scripted_response> {};
 
 // Guards against rejecting what ordinary servers send.
--- a/tests/unit/transport/invalid_response_test.cc
+++ b/tests/unit/transport/invalid_response_test.cc
@@ -67,6 +67,7 @@
   EXPECT_EQ(first.how, delivery::kMaybeSent) << first.status << first.body;
   EXPECT_FALSE(first.error.empty());
   EXPECT_FALSE(first.is_timeout);
+  EXPECT_TRUE(first.is_invalid) << first.error;
   EXPECT_TRUE(GetParam().closes || WaitUntilClosed(server));
   const http_response second = Send(client, MakeRequest(server, "second"));
   EXPECT_EQ(second.how, delivery::kAnswered) << second.error;
@@ -120,6 +121,24 @@
                          ::testing::ValuesIn(testing::InvalidTrailers()),
                          NameOf);
 
+// Guards against a server that may have crashed and counts as running.
+TEST(BrokenHttpResponseTest, CutResponsesAreNotInvalid) {
+  for (const std::string& fields :
+       {std::string("Content-Length: 100\r\n\r\ncut"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n5\r\ncut"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n0\r\nX-")}) {
+    scripted_server server([&fields](const net::request& input) {
+      return testing::ResponseTo(
+          input, {"Cut", "HTTP/1.1 200 OK\r\n{ids}" + fields, true});
+    });
+    http_client client;
+    client.Start();
+    const http_response response = Send(client, MakeRequest(server, "first"));
+    EXPECT_EQ(response.how, delivery::kMaybeSent) << fields;
+    EXPECT_FALSE(response.is_invalid) << fields << ": " << response.error;
+  }
+}
+
 class ValidHttpResponseTest
     : public ::testing::TestWithParam<scripted_response> {};
 
