Log why a stream or a run of a task has no valid response

What operators saw: a stream that was answered 502, or a run of a task that ended as broken, had no line that says what the endpoint sent; plain requests have one.

Cause: HK5006 was logged for plain attempts and for bytes that are no events only.

Change: entries and stores log HK5006 with the request, the endpoint and the reason when a response is not valid.

Evidence: InvalidResponseOfEndpointTest.ReachesNoCallerOfAnEntry looks for the line of a stream and of a plain request; on the parent the line of the stream is missing. Here it passes. The line of a task was seen in the log of that file's run, no test looks for it.

--- a/packages/entry/relay.cc
+++ b/packages/entry/relay.cc
@@ -242,6 +242,15 @@
   co_return stream;
 }
 
+void relay::LogFailedStream(const net::request& input,
+                            const fleet::endpoint& target,
+                            const std::string& reason) const {
+  LogEvent(event_id::kAttemptFailed, {{"request", wire_.RequestId(input)},
+                                      {"endpoint", target.incarnation},
+                                      {"may_have_run", "true"},
+                                      {"reason", reason}});
+}
+
 awaitable<void> relay::ServeStream(net::exchange& call,
                                    const fleet::route& route,
                                    std::optional<std::string> customer) {
@@ -288,6 +297,7 @@
       routing::RecordFailure(loads, target.incarnation, clock_.Now());
       const auto cancellation = co_await asio::this_coro::cancellation_state;
       if (stream.from->HasInvalidResponse()) {
+        LogFailedStream(input, target, stream.from->Error());
         open.Settle();
       } else if (!IsEndedLocally(cancellation, deadline)) {
         open.SettleBroken();
@@ -304,11 +314,8 @@
       std::string piece;
       state = co_await stream.from->ReadSome(piece, deadline);
       if (!steps::AddPiece(meter, piece)) {
-        LogEvent(event_id::kAttemptFailed,
-                 {{"request", wire_.RequestId(input)},
-                  {"endpoint", target.incarnation},
-                  {"may_have_run", "true"},
-                  {"reason", "the endpoint sends bytes that are no events"}});
+        LogFailedStream(input, target,
+                        "the endpoint sends bytes that are no events");
         routing::RecordFailure(loads, target.incarnation, clock_.Now());
         state = net::body_state::kBroken;
         break;
@@ -317,6 +324,7 @@
     }
     const auto cancellation = co_await asio::this_coro::cancellation_state;
     if (stream.from->HasInvalidResponse()) {
+      LogFailedStream(input, target, stream.from->Error());
       routing::RecordFailure(loads, target.incarnation, clock_.Now());
       open.Settle();
     } else if (state == net::body_state::kBroken &&
--- a/packages/entry/relay.h
+++ b/packages/entry/relay.h
@@ -63,6 +63,9 @@
   boost::asio::awaitable<stream_start> StartStream(
       const net::request& input, const fleet::endpoint& target,
       core::time_point deadline, std::optional<std::string> customer);
+  // Logs a stream that failed after its request was sent.
+  void LogFailedStream(const net::request& input, const fleet::endpoint& target,
+                       const std::string& reason) const;
   boost::asio::awaitable<void> ServeStream(net::exchange& call,
                                            const fleet::route& route,
                                            std::optional<std::string> customer);
--- a/packages/store/task_runner.cc
+++ b/packages/store/task_runner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/events.h"
 #include "net/call.h"
 #include "store/dispatch_limits.h"
 
@@ -64,8 +65,10 @@
   net::response head;
   const net::header id = wire_.RequestIdHeader(wire_.RequestId(input));
   const bool has_head = co_await net::ReadOwnHead(*open, id, deadline, head);
-  self->has_invalid_response = open->HasInvalidResponse();
-  if (!has_head) co_return run_outcome::kBroken;
+  if (!has_head) {
+    RecordIfInvalid(*self, id.value, *open);
+    co_return run_outcome::kBroken;
+  }
   const fleet::answer_marks marks = wire_.DecodeMarks(head);
   if (marks.is_not_run) co_return run_outcome::kNotRun;
   if (head.status == 422) co_return run_outcome::kImpossible;
@@ -83,11 +86,22 @@
       steps::MayContinue(self->text, self->rules, marks.weights_version);
   if (!may_continue) co_return run_outcome::kUnusable;
   const run_outcome how = co_await ReadText(self, *open, marks.weights_version);
-  self->has_invalid_response = open->HasInvalidResponse();
+  RecordIfInvalid(*self, id.value, *open);
   if (how == run_outcome::kComplete) pool_.Release(std::move(open));
   co_return how;
 }
 
+void task_runner::RecordIfInvalid(active_run& self, const std::string& request,
+                                  const net::connection& from) {
+  if (!from.HasInvalidResponse()) return;
+  self.has_invalid_response = true;
+  core::LogEvent(core::event_id::kAttemptFailed,
+                 {{"request", request},
+                  {"endpoint", self.order.incarnation},
+                  {"may_have_run", "true"},
+                  {"reason", from.Error()}});
+}
+
 awaitable<run_outcome> task_runner::ReadText(std::shared_ptr<active_run> self,
                                              net::connection& from,
                                              std::optional<uint64_t> version) {
--- a/packages/store/task_runner.h
+++ b/packages/store/task_runner.h
@@ -56,6 +56,9 @@
   };
 
   boost::asio::awaitable<run_outcome> Run(std::shared_ptr<active_run> self);
+  // Logs and records if the engine sent bytes that are no valid response.
+  static void RecordIfInvalid(active_run& self, const std::string& request,
+                              const net::connection& from);
   boost::asio::awaitable<run_outcome> ReadText(std::shared_ptr<active_run> self,
                                                net::connection& from,
                                                std::optional<uint64_t> version);
--- a/tests/integration/invalid_response_test.cc
+++ b/tests/integration/invalid_response_test.cc
@@ -134,7 +134,7 @@
 };
 
 // Guards against an invalid response that reaches the caller of an entry on any
-// kind of route.
+// kind of route, and against a reason that no log line states.
 TEST_F(InvalidResponseOfEndpointTest, ReachesNoCallerOfAnEntry) {
   changing_server endpoint;
   ASSERT_TRUE(Start("broken", endpoint.Address()));
@@ -150,6 +150,16 @@
       EXPECT_TRUE(got.Header("X-Response-Stamp").empty()) << response.name;
     }
   }
+  // The third request was a stream.
+  for (const char* line :
+       {R"("request":"r1","endpoint":"x-1","status":"0","may_have_run":"true",)"
+        R"("reason":"the status of the response is not from 100)",
+        R"("request":"r3","endpoint":"x-1","may_have_run":"true",)"
+        R"("reason":"the status of the response is not from 100)",
+        R"("reason":"a field line begins with a blank)"}) {
+    EXPECT_TRUE(WaitUntil([&] { return fleet_.HasLogged("e1", line); }))
+        << line;
+  }
 }
 
 // Guards against a request or a task that is suspected because its endpoint
