--- a/tests/integration/invalid_response_test.cc
+++ b/tests/integration/invalid_response_test.cc
@@ -30,14 +30,14 @@
 // Logged when a crash of an endpoint is attributed to a request.
 constexpr char kCrashEvent[] = "HK5007";
 
-// One response of each kind, for paths whose requests take long.
-std::vector<scripted_response> SomeResponses() {
-  std::vector<scripted_response> some;
+// All responses whose head is invalid.
+std::vector<scripted_response> InvalidHeads() {
+  std::vector<scripted_response> all;
   for (const auto& list : {InvalidStatuses(), InvalidStatusLines(),
                            InvalidFields(), InvalidFramings()}) {
-    some.insert(some.end(), list.begin(), list.end());
+    all.insert(all.end(), list.begin(), list.end());
   }
-  return some;
+  return all;
 }
 
 // An invalid success that a lenient parser accepts.
@@ -141,7 +141,7 @@
   endpoint.Set(OrdinaryResponse("ready"));
   ASSERT_TRUE(WaitUntil([&] { return Send("/safe/x", "r").status == 200; }));
   int number = 0;
-  for (const scripted_response& response : SomeResponses()) {
+  for (const scripted_response& response : InvalidHeads()) {
     endpoint.Set(response);
     for (const char* kind : {"safe", "unsafe", "stream"}) {
       const http_response got =
@@ -377,7 +377,7 @@
   const std::string address = fleet_.Callers("n1");
   const std::string path = "/v1/services/bookings/x";
   ASSERT_EQ(fleet_.Web().Get(address, path).status, 200);
-  std::vector<scripted_response> responses = SomeResponses();
+  std::vector<scripted_response> responses = InvalidHeads();
   for (const auto& list : {InvalidChunks(), InvalidTrailers()}) {
     responses.insert(responses.end(), list.begin(), list.end());
   }
@@ -403,7 +403,7 @@
 // Guards against a generation that takes the text of an invalid response, and
 // against an order that counts as accepted by an invalid response.
 TEST_F(InvalidResponseAtInstanceTest, IsNeitherATextNorTheOutcomeOfAnOrder) {
-  std::vector<scripted_response> responses = SomeResponses();
+  std::vector<scripted_response> responses = InvalidHeads();
   std::atomic<int> runs{0};
   std::atomic<int> orders{0};
   scripted_server engine([&](const net::request& input) {
--- a/tests/unit/entry/relay_test.cc
+++ b/tests/unit/entry/relay_test.cc
@@ -387,7 +387,7 @@
 TEST_P(RelayInvalidResponseTest, ReachesNoCaller) {
   for (const route_kind kind : {route_kind::kStream, route_kind::kIdempotent,
                                 route_kind::kNonIdempotent}) {
-    testing::scripted_server endpoint([this](const net::request& input) {
+    testing::scripted_server endpoint([](const net::request& input) {
       return testing::ResponseTo(input, GetParam());
     });
     const result got = SendThrough(kind, {endpoint.Address()}, kCallTimeout);
--- a/tests/unit/net/invalid_response_test.cc
+++ b/tests/unit/net/invalid_response_test.cc
@@ -63,7 +63,7 @@
 // Guards against an invalid response that is returned as an answer, and against
 // bytes of it in the answer to the next request.
 TEST_P(InvalidResponseTest, IsNoAnswer) {
-  scripted_server server([this](const request& input) {
+  scripted_server server([](const request& input) {
     return Find(input.headers, kIdHeader) == "first"
                ? testing::ResponseTo(input, GetParam())
                : testing::ResponseTo(input,
@@ -130,7 +130,7 @@
 
 // Guards against rejecting what ordinary servers send.
 TEST_P(ValidResponseTest, IsAnAnswer) {
-  scripted_server server([this](const request& input) {
+  scripted_server server([](const request& input) {
     return testing::ResponseTo(input, GetParam());
   });
   io_context loop;
--- a/tests/unit/net/response_rules_test.cc
+++ b/tests/unit/net/response_rules_test.cc
@@ -4,10 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "net/chunked_decoder.h"
 #include "support/response_cases.h"
--- a/tests/unit/store/reward_caller_test.cc
+++ b/tests/unit/store/reward_caller_test.cc
@@ -313,7 +313,7 @@
 // Guards against a score that is taken from an invalid response, and against a
 // call that ends although another endpoint can score the text.
 TEST_P(RewardCallerInvalidResponseTest, AnotherEndpointScores) {
-  testing::scripted_server endpoint([this](const net::request& input) {
+  testing::scripted_server endpoint([](const net::request& input) {
     return testing::ResponseTo(input, GetParam());
   });
   AddEndpoint("scorers", endpoint.Address());
--- a/tests/unit/store/task_runner_test.cc
+++ b/tests/unit/store/task_runner_test.cc
@@ -216,6 +216,31 @@
   EXPECT_EQ(OutcomeOf(answer), run_outcome::kUnexpected);
 }
 
+// Runs a task once. Returns nothing if the run does not end because of what it
+// received, before it counts as stalled.
+std::optional<run_outcome> RunOnceAt(const std::string& address,
+                                     const std::string& request_id) {
+  const auto wire = platform::MakeProtocol();
+  io_context loop;
+  core::runtime_clock clock;
+  net::connection_pool pool(loop);
+  task_runner runs(loop, clock, pool, *wire);
+  std::optional<run_outcome> outcome;
+  runs.on_report = [&](const run_report& report) {
+    if (!report.is_over) return;
+    outcome = report.how;
+    loop.stop();
+  };
+  run_order order;
+  order.run = 1;
+  order.address = address;
+  order.target = "/s/run";
+  order.headers = {{"X-Request-Id", request_id}};
+  runs.Start(std::move(order));
+  loop.run_for(milliseconds(4000));
+  return outcome;
+}
+
 // Guards against a store whose memory grows with an event that has no end. The
 // run must end because of what it received, before it counts as stalled.
 TEST(TaskRunnerTest, EndlessStreamsEndTheRun) {
@@ -233,26 +258,10 @@
   }
   const std::string head = testing::EndlessStreams()[2].begin;
   scripts.push_back({"events", head + events, ": filler\n"});
-  const auto wire = platform::MakeProtocol();
   for (const testing::endless_response& script : scripts) {
     testing::endless_server engine(script);
-    io_context loop;
-    core::runtime_clock clock;
-    net::connection_pool pool(loop);
-    task_runner runs(loop, clock, pool, *wire);
-    std::optional<run_outcome> outcome;
-    runs.on_report = [&](const run_report& report) {
-      if (!report.is_over) return;
-      outcome = report.how;
-      loop.stop();
-    };
-    run_order order;
-    order.run = 1;
-    order.address = engine.Address();
-    order.target = "/s/run";
-    order.headers = {{"X-Request-Id", testing::kEndlessRequestId}};
-    runs.Start(std::move(order));
-    loop.run_for(milliseconds(4000));
+    const auto outcome =
+        RunOnceAt(engine.Address(), testing::kEndlessRequestId);
     EXPECT_EQ(outcome, run_outcome::kBroken) << script.name;
     EXPECT_LE(engine.Sent(), kMaxSentBytes) << script.name;
   }
@@ -264,28 +273,10 @@
 // Guards against a text that is taken from an invalid response, and against an
 // outcome that only a valid response may have.
 TEST_P(TaskRunnerInvalidResponseTest, EndsTheRunAsBroken) {
-  testing::scripted_server engine([this](const net::request& input) {
+  testing::scripted_server engine([](const net::request& input) {
     return testing::ResponseTo(input, GetParam());
   });
-  const auto wire = platform::MakeProtocol();
-  io_context loop;
-  core::runtime_clock clock;
-  net::connection_pool pool(loop);
-  task_runner runs(loop, clock, pool, *wire);
-  std::optional<run_outcome> outcome;
-  runs.on_report = [&](const run_report& report) {
-    if (!report.is_over) return;
-    outcome = report.how;
-    loop.stop();
-  };
-  run_order order;
-  order.run = 1;
-  order.address = engine.Address();
-  order.target = "/s/run";
-  order.headers = {{"X-Request-Id", "t"}};
-  runs.Start(std::move(order));
-  loop.run_for(milliseconds(4000));
-  EXPECT_EQ(outcome, run_outcome::kBroken);
+  EXPECT_EQ(RunOnceAt(engine.Address(), "t"), run_outcome::kBroken);
 }
 
 std::string NameOf(
--- a/tests/unit/transport/invalid_response_test.cc
+++ b/tests/unit/transport/invalid_response_test.cc
@@ -55,7 +55,7 @@
 // Guards against an invalid response that is returned as a response, and
 // against bytes of it in the response to the next request.
 TEST_P(InvalidHttpResponseTest, IsNoResponse) {
-  scripted_server server([this](const net::request& input) {
+  scripted_server server([](const net::request& input) {
     return net::Find(input.headers, kIdHeader) == "first"
                ? testing::ResponseTo(input, GetParam())
                : testing::ResponseTo(input,
@@ -78,7 +78,7 @@
 // Guards against a stream that ends as complete although its response is
 // invalid.
 TEST_P(InvalidHttpResponseTest, IsNoCompleteStream) {
-  scripted_server server([this](const net::request& input) {
+  scripted_server server([](const net::request& input) {
     return testing::ResponseTo(input, GetParam());
   });
   http_client client;
@@ -91,7 +91,7 @@
 
 // Guards against an operator who is shown an invalid response as an answer.
 TEST_P(InvalidHttpResponseTest, IsNoReplyToAnOperator) {
-  scripted_server server([this](const net::request& input) {
+  scripted_server server([](const net::request& input) {
     return testing::ResponseTo(input, GetParam());
   });
   const hickoryctl::reply reply = hickoryctl::SendRequest(
@@ -144,7 +144,7 @@
 
 // Guards against rejecting what ordinary servers send.
 TEST_P(ValidHttpResponseTest, IsAResponse) {
-  scripted_server server([this](const net::request& input) {
+  scripted_server server([](const net::request& input) {
     return testing::ResponseTo(input, GetParam());
   });
   http_client client;
